--- /dev/null
+++ b/Makefile
@@ -0,0 +1,31 @@
+PYTHON ?= python3.11
+VENV := .venv
+BIN := $(VENV)/bin
+
+.PHONY: demo test lint capacity bench format
+
+$(VENV)/.installed: pyproject.toml
+	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install -q -e '.[dev,plot]'
+	touch $@
+
+demo: $(VENV)/.installed
+	$(BIN)/chicorydoor demo
+
+test: $(VENV)/.installed
+	$(BIN)/python -m pytest tests
+
+lint: $(VENV)/.installed
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+
+format: $(VENV)/.installed
+	$(BIN)/ruff check --fix .
+	$(BIN)/ruff format .
+
+capacity: $(VENV)/.installed
+	$(BIN)/python -m bench.capacity
+
+bench: $(VENV)/.installed
+	$(BIN)/python -m bench.throughput
+	$(BIN)/python -m bench.decisions
--- /dev/null
+++ b/chicorydoor/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line, one module for each sub-command."""
--- /dev/null
+++ b/chicorydoor/compose.py
@@ -0,0 +1,485 @@
+"""Puts an entry together from its parts; the only place that does.
+
+``EntryParts`` wires the decision code to a link, a store and a clock, and
+knows no sockets; ``Entry`` adds the ports.
+"""
+
+import asyncio
+import contextlib
+import logging
+import random
+import time
+
+from chicorydoor.coordination import admin_app
+from chicorydoor.coordination import administration
+from chicorydoor.coordination import allotments
+from chicorydoor.coordination import caller_app
+from chicorydoor.coordination import config_keeper
+from chicorydoor.coordination import coordinator
+from chicorydoor.coordination import directory
+from chicorydoor.coordination import dispatcher
+from chicorydoor.coordination import drains
+from chicorydoor.coordination import executor
+from chicorydoor.coordination import forwarding
+from chicorydoor.coordination import gate
+from chicorydoor.coordination import instance_list
+from chicorydoor.coordination import membership
+from chicorydoor.coordination import once
+from chicorydoor.coordination import peer_network
+from chicorydoor.coordination import placement
+from chicorydoor.coordination import prober
+from chicorydoor.protocol import admin_api
+from chicorydoor.protocol import ids
+from chicorydoor.protocol import peer_messages as pm
+from chicorydoor.protocol import settings as settings_module
+from chicorydoor.state import config_snapshot
+from chicorydoor.state import event_ring
+from chicorydoor.state import idempotency
+from chicorydoor.state import target_table
+from chicorydoor.transport import clock as clock_module
+from chicorydoor.transport import http_server
+from chicorydoor.transport import nng_link
+from chicorydoor.transport import store_client
+
+_LOG = logging.getLogger(__name__)
+
+
+class EntryParts:
+    """The parts of one entry, wired together.
+
+    Args:
+        settings (Settings): Checked settings.
+        http_address (str): ``ip:port`` that callers use.
+        peer_address (str): ``ip:port`` that peers use.
+        link (PeerLink): Moves messages between entries.
+        store (Store): The key-value service.
+        clock (Clock): Time.
+        rng (Random): Randomness.
+        incarnation (int): Higher at each start of the process.
+    """
+
+    def __init__(
+        self,
+        *,
+        settings: settings_module.Settings,
+        http_address: str,
+        peer_address: str,
+        link: nng_link.PeerLink,
+        store: store_client.Store,
+        clock: clock_module.Clock,
+        rng: random.Random,
+        incarnation: ids.Incarnation,
+    ) -> None:
+        self.settings = settings
+        self.clock = clock
+        self.rng = rng
+        self.link = link
+        self.store = store
+        self.incarnation = incarnation
+        self.me = pm.Member(
+            settings.instance, settings.domain, peer_address, http_address
+        )
+        self.events = event_ring.EventRing(settings.instance, clock)
+        self._wire_peers()
+        self._wire_decisions()
+        self._wire_requests()
+        self._wire_configuration()
+
+    def _wire_peers(self) -> None:
+        settings = self.settings
+        self.network = peer_network.PeerNetwork(
+            instance=settings.instance,
+            domain=settings.domain,
+            incarnation=self.incarnation,
+            address=self.me.peer_address,
+            link=self.link,
+            secret=settings.peer_secret,
+            clock=self.clock,
+            rng=self.rng,
+            stamps=self.events.stamps,
+        )
+        self.membership = membership.Membership(
+            me=self.me,
+            network=self.network,
+            timing=settings.timing,
+            clock=self.clock,
+            events=self.events,
+        )
+
+    def _wire_decisions(self) -> None:
+        timing = self.settings.timing
+        self.coordinator = coordinator.Coordinator(
+            me=self.me,
+            membership=self.membership,
+            network=self.network,
+            timing=timing,
+            clock=self.clock,
+            rng=self.rng,
+            events=self.events,
+        )
+        self.allotments = allotments.Allotments(
+            coordinator=self.coordinator,
+            membership=self.membership,
+            network=self.network,
+            timing=timing,
+            clock=self.clock,
+        )
+        self.targets = target_table.TargetTable(self.clock, self.events)
+        self.directory = directory.Directory(
+            self.me.domain, self.clock, self.rng
+        )
+        self.freshness = gate.Freshness(
+            self.clock, self.events, timing.keys_fresh_s
+        )
+        self.network.on(pm.DomainView, self._on_view)
+
+    def _on_view(self, sender: ids.InstanceId, view: pm.DomainView) -> None:
+        self.take_view(view)
+
+    def take_view(self, view: pm.DomainView) -> None:
+        """Let the parts know of other failure domains."""
+        self.directory.note_view(view)
+        self.freshness.heard_all_at = self.directory.heard_all_at
+        now = self.clock.now()
+        for summary in view.summaries:
+            contact_at = now - summary.store_age_s
+            if contact_at > self.membership.store_contact_at:
+                self.membership.store_contact_at = contact_at
+            if summary.domain != self.me.domain:
+                for member in summary.members:
+                    self.network.learn(member.instance, member.peer_address)
+
+    def _wire_requests(self) -> None:
+        limits = self.settings.limits
+        self.placement = placement.Placement(
+            allotments=self.allotments,
+            targets=self.targets,
+            clock=self.clock,
+            rng=self.rng,
+            waiting_limit=limits.waiting_requests,
+        )
+        self.executor = executor.Executor(
+            placement=self.placement,
+            targets=self.targets,
+            clock=self.clock,
+            rng=self.rng,
+            events=self.events,
+            slot_limit=self.allotments.slots.limit,
+        )
+        self.dispatcher = dispatcher.Dispatcher(
+            domain=self.me.domain,
+            allotments=self.allotments,
+            placement=self.placement,
+            executor=self.executor,
+            directory=self.directory,
+            clock=self.clock,
+            rng=self.rng,
+            events=self.events,
+        )
+        self.mint = idempotency.KeyMint(
+            self.settings.minting_secret,
+            self.me.instance,
+            self.incarnation,
+            self.clock,
+        )
+        self.once = once.OnceGuard(
+            mint=self.mint,
+            table=idempotency.IdempotencyTable(
+                limits.idempotency_records, self.clock
+            ),
+            network=self.network,
+            clock=self.clock,
+            kept_answer_bytes=limits.kept_answer_bytes,
+        )
+
+    def _wire_configuration(self) -> None:
+        self.keeper = config_keeper.ConfigKeeper(self.clock, self.events)
+        self.executor.snapshot = self.keeper.current
+        self.forwarder = forwarding.Forwarder(
+            network=self.network,
+            clock=self.clock,
+            snapshot=self.keeper.current,
+            run_here=self.executor.run,
+            run_own=lambda request: self.once.run(
+                request, self.dispatcher.run
+            ),
+        )
+        self.dispatcher.forwarder = self.forwarder
+        self.once.forwarder = self.forwarder
+        self.relay = config_keeper.ConfigRelay(
+            keeper=self.keeper,
+            store=self.store,
+            membership=self.membership,
+            network=self.network,
+            clock=self.clock,
+            events=self.events,
+            poll_s=self.settings.timing.store_poll_s,
+            newer_peers=self._newer_peers,
+        )
+        self.drains = drains.DrainKeeper(
+            me=self.me,
+            targets=self.targets,
+            clock=self.clock,
+            events=self.events,
+        )
+        self.prober = prober.Prober(self.targets, self.clock)
+        self.administration = administration.Administration(
+            keeper=self.keeper,
+            relay=self.relay,
+            store=self.store,
+            membership=self.membership,
+            network=self.network,
+            clock=self.clock,
+            events=self.events,
+            operator_digest_by_name=self.settings.operator_digest_by_name,
+            coordinators=self._coordinators,
+        )
+        self.gate = gate.Gate(self.keeper.current, self.freshness)
+        self.caller_app = caller_app.CallerApp(
+            gate=self.gate,
+            allotments=self.allotments,
+            dispatcher=self.dispatcher,
+            once=self.once,
+            mint=self.mint,
+            directory=self.directory,
+            clock=self.clock,
+            events=self.events,
+            body_bytes=self.settings.limits.body_bytes,
+            jitter=self.rng.random,
+        )
+        self.caller_app.is_ready = self.is_ready
+        self.keeper.observers.append(self._configure)
+        for peer in self.settings.peers:
+            self.learn(
+                pm.Member(peer.instance, peer.domain, str(peer.peer), "")
+            )
+
+    def learn(self, member: pm.Member) -> None:
+        """Take note of an entry named by settings or the instance list."""
+        if member.domain == self.me.domain:
+            self.membership.learn(member)
+        else:
+            self.coordinator.exchange.learn(member)
+
+    def _newer_peers(self) -> list[ids.InstanceId]:
+        own = self.keeper.snapshot.revision
+        return [
+            neighbour.contact
+            for neighbour in (
+                self.coordinator.exchange.neighbour_by_domain.values()
+            )
+            if neighbour.contact is not None
+            and neighbour.summary is not None
+            and neighbour.summary.revision > own
+        ]
+
+    def _coordinators(self) -> dict[ids.DomainId, ids.InstanceId]:
+        return self.directory.coordinator_by_domain()
+
+    def _configure(self, snapshot: config_snapshot.ConfigSnapshot) -> None:
+        configuration = snapshot.configuration
+        own_targets = {
+            target_id: target
+            for target_id, target in configuration.target_by_id.items()
+            if target.domain == self.me.domain
+        }
+        slow_start = {
+            service_id: service.slow_start_s
+            for service_id, service in configuration.service_by_id.items()
+        }
+        self.targets.configure(own_targets, slow_start)
+        self.placement.choice_name = snapshot.policy.target_choice
+        self.directory.configure(snapshot)
+        self.coordinator.configure(snapshot)
+        self.drains.configure(snapshot)
+        self.membership.revision = snapshot.revision
+
+    def is_ready(self) -> bool:
+        """Whether requests can be served."""
+        return (
+            self.keeper.snapshot.revision > 0
+            and self.membership.coordinator() is not None
+        )
+
+    def status(self) -> admin_api.Status:
+        """The entry's state."""
+        now = self.clock.now()
+        contact_at = self.membership.store_contact_at
+        has_contact = contact_at > float("-inf")
+        coordinator_member = self.membership.coordinator()
+        exchange = self.coordinator.exchange
+        doubt_s = self.freshness.doubt_s()
+        return admin_api.Status(
+            instance=self.me.instance,
+            domain=self.me.domain,
+            revision=self.keeper.snapshot.revision,
+            is_ready=self.is_ready(),
+            is_leaving=self.membership.me.leaving,
+            coordinator=coordinator_member.instance
+            if coordinator_member
+            else "",
+            store_age_s=round(now - contact_at, 3) if has_contact else -1.0,
+            doubt_s=round(min(doubt_s, 1e9), 3),
+            running=self.caller_app.running + self.forwarder.running(),
+            waiting=self.placement.waiting(),
+            slot_by_target={
+                target: [state.limit, state.in_use]
+                for target, state in self.allotments.slots.state().items()
+            },
+            away_share_by_route=self.allotments.away_share_by_route,
+            members=[m.instance for m in self.membership.live_members()],
+            domains_heard=sorted(
+                n.domain
+                for n in exchange.neighbour_by_domain.values()
+                if exchange.is_heard(n)
+            ),
+        )
+
+    async def run(self) -> None:
+        """Run all tasks until cancelled."""
+        async with asyncio.TaskGroup() as group:
+            for run in (
+                self.network.run,
+                self.membership.run,
+                self.coordinator.run,
+                self.allotments.run,
+                self.relay.run,
+                self.prober.run,
+                self._keep_up,
+            ):
+                group.create_task(run())
+
+    async def _keep_up(self) -> None:
+        """Small regular duties."""
+        while True:
+            self.freshness.store_contact_at = self.membership.store_contact_at
+            members = self.membership.live_members()
+            self.directory.note_members(self.membership.me, members)
+            if self.membership.in_office():
+                self.take_view(self.coordinator.view())
+            self.freshness.note_state()
+            self.drains.tick()
+            await asyncio.sleep(self.settings.timing.heartbeat_s)
+
+    async def close(self) -> None:
+        """Release what the parts hold."""
+        await self.coordinator.exchange.close()
+        self.network.close()
+        await self.executor.close()
+        await self.prober.close()
+
+
+class Entry:
+    """A whole entry with its ports.
+
+    Args:
+        settings (Settings): Checked settings.
+    """
+
+    def __init__(self, settings: settings_module.Settings) -> None:
+        self.settings = settings
+        self._tasks: list[asyncio.Task] = []
+
+    async def start(self) -> None:
+        """Open the ports and start all tasks."""
+        settings = self.settings
+        self.link = nng_link.NngLink(
+            str(settings.peer), settings.limits.peer_message_bytes
+        )
+        self.store = store_client.EtcdStore(str(settings.store))
+        callers = http_server.HttpServer(
+            self._answer_caller,
+            settings.callers.address,
+            settings.callers.port,
+            settings.limits.header_bytes,
+        )
+        self.callers = callers
+        self.parts = EntryParts(
+            settings=settings,
+            http_address=callers.endpoint,
+            peer_address=self.link.address,
+            link=self.link,
+            store=self.store,
+            clock=clock_module.SystemClock(),
+            rng=random.Random(),
+            incarnation=ids.Incarnation(time.time_ns()),
+        )
+        admin = admin_app.AdminApp(
+            administration=self.parts.administration,
+            events=self.parts.events,
+            status=self.parts.status,
+        )
+        self.administration = http_server.HttpServer(
+            admin.app,
+            settings.administration.address,
+            settings.administration.port,
+        )
+        await callers.start()
+        await self.administration.start()
+        self._tasks.append(asyncio.create_task(self.parts.run()))
+        if settings.instance_list is not None:
+            follower = instance_list.InstanceListFollower(
+                str(settings.instance_list), self.parts.learn
+            )
+            self._tasks.append(asyncio.create_task(follower.run()))
+        self.parts.events.add(event_ring.EventKind.STARTED)
+        _LOG.info(
+            "entry started",
+            extra={
+                "callers": callers.endpoint,
+                "administration": self.administration.endpoint,
+                "peer": self.link.address,
+            },
+        )
+
+    async def _answer_caller(
+        self, scope: dict, receive: object, send: object
+    ) -> None:
+        await self.parts.caller_app(scope, receive, send)
+
+    async def leave(self) -> None:
+        """Planned stop: no new callers, then finish what runs.
+
+        The entry is taken out of the look-up answers first and goes on
+        serving until the answers that callers have cached have expired.
+        """
+        parts = self.parts
+        parts.events.add(event_ring.EventKind.STOPPING)
+        _LOG.info("leaving")
+        parts.membership.leave()
+        ttl_s = parts.keeper.snapshot.policy.lookup_ttl_s
+        told_s = 2 * self.settings.timing.exchange_s
+        await asyncio.sleep(told_s + ttl_s)
+        self.callers.close_after_answers()
+        await asyncio.sleep(self.settings.timing.exchange_s)
+        longest_s = max(
+            (
+                route.deadline_s
+                for route in (
+                    parts.keeper.snapshot.configuration.route_by_id.values()
+                )
+            ),
+            default=1.0,
+        )
+        await self.callers.stop(grace_s=longest_s)
+        await self._finish_forwarded(longest_s)
+        await self.close()
+
+    async def _finish_forwarded(self, longest_s: float) -> None:
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(longest_s):
+                while self.parts.forwarder.running():
+                    await asyncio.sleep(0.05)
+
+    async def close(self) -> None:
+        """Stop at once."""
+        self.parts.events.add(event_ring.EventKind.STOPPED)
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self.callers.stop()
+        await self.administration.stop()
+        await self.parts.close()
+        await self.link.close()
+        await self.store.close()
+        _LOG.info("stopped")
--- /dev/null
+++ b/chicorydoor/coordination/__init__.py
@@ -0,0 +1,1 @@
+"""What the processes decide together."""
--- /dev/null
+++ b/chicorydoor/coordination/admin_app.py
@@ -0,0 +1,165 @@
+"""The operators' port: the administration API over HTTP."""
+
+from collections import abc
+import typing
+
+import litestar
+from litestar import connection
+from litestar import exceptions
+from litestar import openapi
+import msgspec
+
+from chicorydoor import errors
+from chicorydoor.coordination import administration as administration_module
+from chicorydoor.protocol import admin_api
+from chicorydoor.protocol import config_records
+from chicorydoor.protocol import ids
+from chicorydoor.state import event_ring
+
+_BEARER = "Bearer "
+_MOST_EVENTS = 5000
+
+
+class ErrorBody(msgspec.Struct, frozen=True):
+    """Why a call was refused."""
+
+    error: str
+
+
+def _answer_error(status: int) -> abc.Callable[..., typing.Any]:
+    def answer(
+        _: typing.Any, error: Exception
+    ) -> litestar.Response[ErrorBody]:
+        return litestar.Response(ErrorBody(str(error)), status_code=status)
+
+    return answer
+
+
+class AdminApp:
+    """Handlers of the administration API.
+
+    Args:
+        administration (Administration): Does the work.
+        events (EventRing): The entry's time line.
+        status (callable): The entry's state.
+    """
+
+    def __init__(
+        self,
+        *,
+        administration: administration_module.Administration,
+        events: event_ring.EventRing,
+        status: abc.Callable[[], admin_api.Status],
+    ) -> None:
+        self._administration = administration
+        self._events = events
+        self._status = status
+        get, post = litestar.get, litestar.post
+        handlers = [
+            get("/v1/configuration", sync_to_thread=False)(
+                self.get_configuration
+            ),
+            post("/v1/configuration", status_code=200)(
+                self.apply_configuration
+            ),
+            get("/v1/in-force")(self.get_in_force),
+            get("/v1/status", sync_to_thread=False)(self.get_status),
+            get("/v1/events", sync_to_thread=False)(self.get_events),
+            post("/v1/keys", status_code=201)(self.issue_key),
+            litestar.delete("/v1/keys/{key_id:str}", status_code=200)(
+                self.withdraw_key
+            ),
+            post("/v1/drains", status_code=201)(self.plan_drain),
+            litestar.delete("/v1/drains/{drain_id:str}", status_code=200)(
+                self.cancel_drain
+            ),
+        ]
+        self.app = litestar.Litestar(
+            handlers,
+            guards=[self._guard],
+            exception_handlers={
+                errors.ConfigurationError: _answer_error(422),
+                errors.ConflictError: _answer_error(409),
+                errors.StoreError: _answer_error(503),
+            },
+            logging_config=None,
+            openapi_config=openapi.OpenAPIConfig(
+                title="chicorydoor administration", version="1"
+            ),
+        )
+
+    def _guard(
+        self,
+        call: connection.ASGIConnection,
+        handler: typing.Any,
+    ) -> None:
+        if self._operator(call) is None:
+            raise exceptions.NotAuthorizedException("no valid operator token")
+
+    def _operator(self, call: connection.ASGIConnection) -> str | None:
+        value = call.headers.get("authorization", "")
+        if not value.startswith(_BEARER):
+            return None
+        return self._administration.operator_of(value.removeprefix(_BEARER))
+
+    def _name(self, request: litestar.Request) -> str:
+        return self._operator(request) or ""
+
+    def get_configuration(self) -> admin_api.ConfigurationView:
+        """The configuration in force at this entry."""
+        return self._administration.documents()
+
+    async def apply_configuration(
+        self, request: litestar.Request, data: admin_api.ApplyCall
+    ) -> admin_api.ApplyResult:
+        """Commit a whole configuration."""
+        return await self._administration.apply(data, self._name(request))
+
+    async def get_in_force(self) -> dict[str, int]:
+        """Revision in force by instance."""
+        return await self._administration.in_force()
+
+    def get_status(self) -> admin_api.Status:
+        """State of this entry."""
+        return self._status()
+
+    def get_events(
+        self, since: int = 0, limit: int = _MOST_EVENTS
+    ) -> list[event_ring.Event]:
+        """Events of this entry after a stamp."""
+        return self._events.since(since, min(limit, _MOST_EVENTS))
+
+    async def issue_key(
+        self, request: litestar.Request, data: admin_api.IssueCall
+    ) -> admin_api.IssuedKey:
+        """Make a key."""
+        return await self._administration.issue_key(
+            data.key, data.customer, self._name(request)
+        )
+
+    async def withdraw_key(
+        self, request: litestar.Request, key_id: str
+    ) -> admin_api.ApplyResult:
+        """Withdraw a key for good."""
+        return await self._administration.withdraw_key(
+            ids.KeyId(key_id), self._name(request)
+        )
+
+    async def plan_drain(
+        self, request: litestar.Request, data: admin_api.DrainCall
+    ) -> admin_api.ApplyResult:
+        """Plan a drain."""
+        drain = config_records.Drain(
+            data.kind, data.subject, data.starts_at, data.ends_at
+        )
+        return await self._administration.plan_drain(
+            data.drain, drain, self._name(request)
+        )
+
+    async def cancel_drain(
+        self, request: litestar.Request, drain_id: str
+    ) -> admin_api.ApplyResult:
+        """Cancel a planned drain."""
+        return await self._administration.cancel_drain(
+            ids.DrainId(drain_id), self._name(request)
+        )
--- /dev/null
+++ b/chicorydoor/coordination/coordinator.py
@@ -0,0 +1,484 @@
+"""The coordinator of a failure domain.
+
+While its entry is in office it divides the domain's tokens, slots and
+credits among the instances, decides which part of each route's traffic goes
+elsewhere, and answers the coordinators of other failure domains.
+"""
+
+import asyncio
+from collections import abc
+import math
+import random
+
+from chicorydoor import errors
+from chicorydoor.coordination import exchange as exchange_module
+from chicorydoor.coordination import membership as membership_module
+from chicorydoor.coordination import peer_network
+from chicorydoor.coordination import shifts
+from chicorydoor.protocol import ids
+from chicorydoor.protocol import peer_messages as pm
+from chicorydoor.protocol import settings as settings_module
+from chicorydoor.state import config_snapshot
+from chicorydoor.state import event_ring
+from chicorydoor.state import slot_ledger
+from chicorydoor.state import token_ledger
+from chicorydoor.transport import clock as clock_module
+
+TOKENS_VALID_S = 1.0
+_PREFETCH_PART = 0.5
+_CREDIT_RESERVE = 0.1
+_CREDIT_PART = 0.5
+_SUMMARY_MEMBERS = 16
+_VIEW_REFRESH_S = 2.0
+
+
+def customer_bucket(customer: ids.CustomerId) -> ids.BucketId:
+    """Bucket that counts a customer's requests."""
+    return ids.BucketId(f"customer:{customer}")
+
+
+def link_bucket(
+    from_region: ids.RegionId, to_region: ids.RegionId
+) -> ids.BucketId:
+    """Bucket that counts bytes from one region to another."""
+    return ids.BucketId(f"link:{from_region}:{to_region}")
+
+
+def credit_target(
+    domain: ids.DomainId, service: ids.ServiceId
+) -> ids.TargetId:
+    """Name under which credits at another failure domain are counted."""
+    return ids.TargetId(f"{domain}/{service}")
+
+
+class _CreditGrants:
+    """Credits that one other failure domain holds here."""
+
+    def __init__(self) -> None:
+        self.grants: list[tuple[float, int]] = []
+        self.in_flight = 0
+
+    def outstanding(self, now: float) -> int:
+        """Most requests that it may have in flight, by unexpired grants."""
+        self.grants = [g for g in self.grants if g[0] > now]
+        return max((count for _, count in self.grants), default=0)
+
+
+class Coordinator:
+    """Divides what its failure domain has.
+
+    Args:
+        me (Member): The own entry.
+        membership (Membership): Says whether this entry coordinates.
+        network (PeerNetwork): Carries the messages.
+        timing (Timing): Intervals and validity.
+        clock (Clock): Time.
+        rng (Random): Randomness.
+        events (EventRing): Gets changes of state.
+    """
+
+    def __init__(
+        self,
+        *,
+        me: pm.Member,
+        membership: membership_module.Membership,
+        network: peer_network.PeerNetwork,
+        timing: settings_module.Timing,
+        clock: clock_module.Clock,
+        rng: random.Random,
+        events: event_ring.EventRing,
+    ) -> None:
+        self._me = me
+        self._membership = membership
+        self._network = network
+        self._timing = timing
+        self._clock = clock
+        self._snapshot = config_snapshot.EMPTY
+        self._office = 0
+        self._tokens = token_ledger.TokenLedger(clock)
+        self._slots = slot_ledger.SlotLedger(clock, timing.slots_valid_s)
+        self._credits = slot_ledger.SlotLedger(
+            clock, exchange_module.CREDITS_VALID_S
+        )
+        self.shifts = shifts.ShiftPlanner(clock, events, me.domain)
+        self._granted_by_domain: dict[
+            tuple[ids.DomainId, ids.ServiceId], _CreditGrants
+        ] = {}
+        self._unmet: dict[ids.BucketId, set[ids.InstanceId]] = {}
+        self._targets_by_bucket: dict[
+            ids.BucketId, dict[ids.HolderId, float]
+        ] = {}
+        self._view_sent_at = float("-inf")
+        self.exchange = exchange_module.Exchange(
+            me=me,
+            membership=membership,
+            network=network,
+            timing=timing,
+            clock=clock,
+            rng=rng,
+            events=events,
+            summarize=self.summarize,
+            credit_report=self._credit_report,
+            answer=self._answer_exchange,
+            on_change=self._on_exchanged,
+        )
+        network.on(pm.Demand, self._on_demand)
+        network.on(pm.InForceRequest, self._on_in_force)
+
+    def configure(self, snapshot: config_snapshot.ConfigSnapshot) -> None:
+        """Follow the configuration."""
+        self._snapshot = snapshot
+        self._configure_ledgers()
+        near = frozenset(
+            domain
+            for domain, record in snapshot.configuration.domain_by_id.items()
+            if record.region == snapshot.region_of(self._me.domain)
+        )
+        self.exchange.set_near(near)
+
+    def _configure_ledgers(self) -> None:
+        self._tokens.configure(self._limits())
+        self._slots.configure(self._target_slots())
+        self.shifts.configure(self._snapshot)
+
+    def _limits(self) -> dict[ids.BucketId, token_ledger.Limit]:
+        snapshot = self._snapshot
+        limits: dict[ids.BucketId, token_ledger.Limit] = {}
+        for customer_id, customer in snapshot.customer_by_id.items():
+            share = snapshot.domain_share(customer_id, self._me.domain)
+            limits[customer_bucket(customer_id)] = token_ledger.Limit(
+                customer.rate_per_s * share, customer.burst * share
+            )
+        region = snapshot.region_of(self._me.domain)
+        domains = snapshot.configuration.domain_by_id.values()
+        count = sum(1 for record in domains if record.region == region)
+        for link in snapshot.configuration.link_by_id.values():
+            if link.from_region == region:
+                rate = link.bytes_per_s / max(1, count)
+                bucket = link_bucket(link.from_region, link.to_region)
+                limits[bucket] = token_ledger.Limit(rate, rate)
+        return limits
+
+    def _target_slots(self) -> dict[ids.TargetId, slot_ledger.TargetSlots]:
+        configuration = self._snapshot.configuration
+        longest_by_service: dict[ids.ServiceId, float] = {}
+        for route in configuration.route_by_id.values():
+            longest = longest_by_service.get(route.service, 0.0)
+            longest_by_service[route.service] = max(longest, route.deadline_s)
+        return {
+            target_id: slot_ledger.TargetSlots(
+                target.service,
+                target.slots,
+                longest_by_service.get(target.service, 0.0),
+            )
+            for target_id, target in configuration.target_by_id.items()
+            if target.domain == self._me.domain
+        }
+
+    def is_in_office(self) -> bool:
+        """Whether this entry coordinates; a new term starts empty."""
+        office = self._membership.office()
+        if not office:
+            return False
+        if office != self._office:
+            self._office = office
+            self._tokens.reset()
+            self._slots.reset()
+            self._credits.reset()
+            self._granted_by_domain.clear()
+            self._targets_by_bucket.clear()
+            self._configure_ledgers()
+        return True
+
+    async def run(self) -> None:
+        """Plan shifts and tell the instances, until cancelled."""
+        while True:
+            await asyncio.sleep(self._timing.heartbeat_s)
+            if self.is_in_office():
+                self._plan()
+                self._tell()
+
+    def _plan(self) -> None:
+        load_by_service = self._load_by_service()
+        self.shifts.plan(load_by_service)
+
+    def _load_by_service(self) -> dict[ids.ServiceId, pm.ServiceLoad]:
+        loads: dict[ids.ServiceId, pm.ServiceLoad] = {}
+        for service in self._slots.services():
+            slots, in_use = self._slots.load(service)
+            loads[service] = pm.ServiceLoad(slots, in_use)
+        return loads
+
+    def _tell(self) -> None:
+        now = self._clock.now()
+        if now - self._view_sent_at < self._timing.exchange_s:
+            return
+        self._view_sent_at = now
+        view = self.view()
+        for member in self._membership.live_members():
+            if member.instance != self._me.instance:
+                self._post(member.instance, view)
+
+    def view(self) -> pm.DomainView:
+        """What the instances should know of other failure domains."""
+        neighbours = self.exchange.neighbour_by_domain.values()
+        summaries = [
+            n.summary
+            for n in neighbours
+            if n.summary is not None and self.exchange.is_heard(n)
+        ]
+        domains = self._snapshot.configuration.domain_by_id
+        heard_all = self.exchange.heard_all(domains)
+        return pm.DomainView([self.summarize(), *summaries], heard_all)
+
+    def _post(self, instance: ids.InstanceId, message: pm.Message) -> None:
+        try:
+            self._network.post(instance, message)
+        except errors.PeerError:
+            self._network.greet(instance)
+
+    def summarize(self) -> pm.DomainSummary:
+        """The own failure domain's summary."""
+        now = self._clock.now()
+        members = self._membership.live_members()
+        return pm.DomainSummary(
+            domain=self._me.domain,
+            coordinator=self._membership.me,
+            revision=self._membership.revision,
+            store_age_s=now - self._membership.store_contact_at,
+            members=members[:_SUMMARY_MEMBERS],
+            load_by_service=self._load_by_service(),
+            leaving_share=self.shifts.leaving_share,
+        )
+
+    # Demands of the own failure domain's instances.
+
+    def _on_demand(
+        self, sender: ids.InstanceId, demand: pm.Demand
+    ) -> pm.Message:
+        incarnation = self._network.incarnation_of(sender)
+        return self.answer_demand(sender, incarnation, demand)
+
+    def answer_demand(
+        self,
+        instance: ids.InstanceId,
+        incarnation: ids.Incarnation,
+        demand: pm.Demand,
+    ) -> pm.Allotment | pm.NotInOffice:
+        """Answer an instance's demand."""
+        if not self.is_in_office():
+            return pm.NotInOffice(self._membership.coordinator())
+        holder = ids.HolderId(f"{instance}#{incarnation}")
+        self._configure_credits()
+        self.shifts.note_load(demand.load_by_route)
+        self._slots.report(holder, demand.acks, demand.slots)
+        self._credits.report(holder, demand.acks, demand.credits)
+        limits = self._slots.allot(holder)
+        credit_limits = self._credits.allot(holder)
+        self._recall(holder, demand.slots.wanted_by_service)
+        valid_s = min(TOKENS_VALID_S, self._membership.lease_left())
+        tokens = self._answer_tokens(instance, holder, demand, valid_s)
+        return pm.Allotment(
+            number=self._slots.number(holder),
+            slots=pm.SlotGrant(limits, self._timing.slots_valid_s),
+            credits=pm.SlotGrant(credit_limits, self._credits_left()),
+            token_by_bucket=tokens,
+            tokens_valid_s=valid_s,
+            away_share_by_route=self.shifts.away_share_by_route(),
+        )
+
+    def _credits_left(self) -> float:
+        now = self._clock.now()
+        ends = [
+            n.credits_until - now
+            for n in self.exchange.neighbour_by_domain.values()
+            if n.credits_until > now
+        ]
+        return min(ends, default=0.0)
+
+    def _configure_credits(self) -> None:
+        now = self._clock.now()
+        targets: dict[ids.TargetId, slot_ledger.TargetSlots] = {}
+        for neighbour in self.exchange.neighbour_by_domain.values():
+            if neighbour.credits_until <= now:
+                continue
+            for service, count in neighbour.credit_by_service.items():
+                target = credit_target(neighbour.domain, service)
+                targets[target] = slot_ledger.TargetSlots(service, count, 0.0)
+        self._credits.configure(targets)
+
+    def _recall(
+        self,
+        holder: ids.HolderId,
+        wanted_by_service: abc.Mapping[ids.ServiceId, int],
+    ) -> None:
+        for service in wanted_by_service:
+            for other in self._slots.recall(holder, service):
+                instance = ids.InstanceId(other.partition("#")[0])
+                if instance != self._me.instance:
+                    self._post(instance, pm.Recall([service]))
+                else:
+                    self.on_recall([service])
+
+    def on_recall(self, services: list[ids.ServiceId]) -> None:
+        """Replaced by the composition: the own instance's recall."""
+
+    def _answer_tokens(
+        self,
+        instance: ids.InstanceId,
+        holder: ids.HolderId,
+        demand: pm.Demand,
+        valid_s: float,
+    ) -> dict[ids.BucketId, pm.TokenGrant]:
+        grants: dict[ids.BucketId, pm.TokenGrant] = {}
+        for bucket, report in demand.token_by_bucket.items():
+            self._tokens.report(bucket, holder, report.held, valid_s)
+            targets = self._targets_by_bucket.setdefault(bucket, {})
+            targets[holder] = report.target
+            grant = self._grant(instance, holder, bucket, report, valid_s)
+            if grant != pm.TokenGrant():
+                grants[bucket] = grant
+        return grants
+
+    def _grant(
+        self,
+        instance: ids.InstanceId,
+        holder: ids.HolderId,
+        bucket: ids.BucketId,
+        report: pm.TokenReport,
+        valid_s: float,
+    ) -> pm.TokenGrant:
+        take = self._tokens.take
+        granted = take(bucket, holder, report.urgent, valid_s=valid_s)
+        wanted = report.target - report.held
+        keep = self._tokens.tokens(bucket) * _PREFETCH_PART
+        granted += take(bucket, holder, wanted, valid_s=valid_s, reserve=keep)
+        missing = report.urgent + max(0.0, wanted) - granted
+        if missing <= 0 or self._tokens.limit(bucket) is None:
+            return pm.TokenGrant(granted)
+        lent, lent_valid_s = self.exchange.take_lent(bucket, missing)
+        unmet = max(0.0, report.urgent - granted - lent)
+        retry_after_s = 0.0
+        if missing > lent:
+            retry_after_s = self._ask_others(bucket, missing - lent)
+        if unmet and not retry_after_s:
+            self._unmet.setdefault(bucket, set()).add(instance)
+        if not unmet:
+            retry_after_s = 0.0
+        own_wait = self._tokens.retry_after(bucket)
+        return pm.TokenGrant(
+            granted, lent, lent_valid_s, min(retry_after_s, own_wait)
+        )
+
+    def _ask_others(self, bucket: ids.BucketId, missing: float) -> float:
+        """Seconds until tokens may be had, 0 if others were asked."""
+        if bucket.startswith("link:"):
+            return self._tokens.retry_after(bucket)
+        return self.exchange.want_tokens(bucket, missing)
+
+    # Exchanges with other failure domains.
+
+    def _credit_report(
+        self, domain: ids.DomainId
+    ) -> tuple[dict[ids.ServiceId, int], dict[ids.ServiceId, int]]:
+        wants: dict[ids.ServiceId, int] = {}
+        in_flight: dict[ids.ServiceId, int] = {}
+        for service in self._snapshot.configuration.service_by_id:
+            used = self._credits.in_use(credit_target(domain, service))
+            wanted = self.shifts.credit_want(service)
+            wants[service] = wanted
+            in_flight[service] = used
+        return wants, in_flight
+
+    def _answer_exchange(self, message: pm.Exchange) -> pm.ExchangeReply:
+        self.is_in_office()
+        domain = message.summary.domain
+        valid_s = min(
+            exchange_module.LENT_TOKENS_VALID_S, self._membership.lease_left()
+        )
+        tokens = {
+            bucket: self._lend(domain, bucket, wanted, valid_s)
+            for bucket, wanted in message.token_wants.items()
+        }
+        credits = {
+            service: self._grant_credit(
+                domain,
+                service,
+                wanted,
+                message.credits_in_flight.get(service, 0),
+            )
+            for service, wanted in message.credit_wants.items()
+        }
+        return pm.ExchangeReply(
+            summary=self.summarize(),
+            token_by_bucket=tokens,
+            tokens_valid_s=valid_s,
+            credit_by_service=credits,
+            credits_valid_s=exchange_module.CREDITS_VALID_S,
+        )
+
+    def _lend(
+        self,
+        domain: ids.DomainId,
+        bucket: ids.BucketId,
+        wanted: float,
+        valid_s: float,
+    ) -> pm.TokenGrant:
+        holder = ids.HolderId(f"domain:{domain}")
+        targets = self._targets_by_bucket.get(bucket, {})
+        reserve = sum(targets.values())
+        granted = self._tokens.take(
+            bucket, holder, wanted, valid_s=valid_s, reserve=reserve
+        )
+        if granted:
+            return pm.TokenGrant(granted)
+        return pm.TokenGrant(
+            retry_after_s=self._tokens.retry_after(bucket) or valid_s
+        )
+
+    def _grant_credit(
+        self,
+        domain: ids.DomainId,
+        service: ids.ServiceId,
+        wanted: int,
+        in_flight: int,
+    ) -> int:
+        now = self._clock.now()
+        record = self._granted_by_domain.setdefault(
+            (domain, service), _CreditGrants()
+        )
+        record.in_flight = in_flight
+        if not self.shifts.may_receive(service) or wanted <= 0:
+            return 0
+        slots, in_use = self._slots.load(service)
+        promised = sum(
+            max(0, other.outstanding(now) - other.in_flight)
+            for (_, s), other in self._granted_by_domain.items()
+            if s == service and other is not record
+        )
+        reserve = math.ceil(slots * _CREDIT_RESERVE)
+        headroom = slots - in_use - promised - reserve
+        extra = max(0, math.floor(headroom * _CREDIT_PART))
+        count = min(wanted, in_flight + extra)
+        record.grants.append((now + exchange_module.CREDITS_VALID_S, count))
+        return count
+
+    def _on_exchanged(
+        self,
+        neighbour: exchange_module.Neighbour,
+        buckets: list[ids.BucketId],
+    ) -> None:
+        """Call those that wait for tokens of these buckets."""
+        for bucket in buckets:
+            for instance in sorted(self._unmet.pop(bucket, ())):
+                if instance == self._me.instance:
+                    self.on_recall([])
+                else:
+                    self._post(instance, pm.Recall([]))
+
+    def _on_in_force(
+        self, sender: ids.InstanceId, message: pm.InForceRequest
+    ) -> pm.Message:
+        if not self._membership.in_office():
+            return pm.NotInOffice(self._membership.coordinator())
+        return pm.InForce(self._membership.revision_by_instance())
--- /dev/null
+++ b/chicorydoor/coordination/drains.py
@@ -0,0 +1,66 @@
+"""Takes drained targets out of use at their planned start."""
+
+from chicorydoor.protocol import peer_messages as pm
+from chicorydoor.state import config_snapshot
+from chicorydoor.state import event_ring
+from chicorydoor.state import target_table
+from chicorydoor.transport import clock as clock_module
+
+
+class DrainKeeper:
+    """Follows the planned drains of the own failure domain's targets.
+
+    Args:
+        me (Member): The own entry.
+        targets (TargetTable): Gets ``is_draining``.
+        clock (Clock): Its wall time is compared with the planned starts.
+        events (EventRing): Gets changes of state.
+    """
+
+    def __init__(
+        self,
+        *,
+        me: pm.Member,
+        targets: target_table.TargetTable,
+        clock: clock_module.Clock,
+        events: event_ring.EventRing,
+    ) -> None:
+        self._me = me
+        self._targets = targets
+        self._clock = clock
+        self._events = events
+        self._snapshot = config_snapshot.EMPTY
+        self.is_instance_drained = False
+
+    def configure(self, snapshot: config_snapshot.ConfigSnapshot) -> None:
+        """Follow the configuration."""
+        self._snapshot = snapshot
+        self.tick()
+
+    def tick(self) -> None:
+        """Compare the planned starts with the time."""
+        wall = self._clock.wall()
+        snapshot = self._snapshot
+        if not snapshot.configuration.drain_by_id:
+            drained = frozenset()
+        else:
+            drained = frozenset(
+                target_id
+                for target_id in self._targets.target_by_id
+                if snapshot.is_drained(
+                    wall, target=target_id, domain=self._me.domain
+                )
+            )
+        for target_id, state in self._targets.target_by_id.items():
+            self._set(state, target_id in drained)
+        self.is_instance_drained = snapshot.is_drained(
+            wall, instance=self._me.instance, domain=self._me.domain
+        )
+
+    def _set(self, state: target_table.TargetState, is_drained: bool) -> None:
+        if state.is_draining == is_drained:
+            return
+        state.is_draining = is_drained
+        kinds = event_ring.EventKind
+        kind = kinds.DRAIN_STARTED if is_drained else kinds.DRAIN_ENDED
+        self._events.add(kind, subject=state.target_id)
--- /dev/null
+++ b/chicorydoor/policies/__init__.py
@@ -0,0 +1,1 @@
+"""Replaceable policies, found by name in registries."""
--- /dev/null
+++ b/chicorydoor/policies/target_choice.py
@@ -0,0 +1,45 @@
+"""Choice among targets that have a free slot."""
+
+from collections import abc
+import random
+import typing
+
+from chicorydoor.policies import registry
+
+if typing.TYPE_CHECKING:
+    from chicorydoor.state import target_table
+
+Choice = abc.Callable[
+    [list["target_table.TargetState"], random.Random],
+    "target_table.TargetState",
+]
+
+CHOICES: registry.Registry[Choice] = registry.Registry("target choice")
+
+
+@CHOICES.register("least-loaded")
+def least_loaded(
+    candidates: list["target_table.TargetState"], rng: random.Random
+) -> "target_table.TargetState":
+    """The better of two random candidates by own counts and latency."""
+    if len(candidates) == 1:
+        return candidates[0]
+    first, second = rng.sample(candidates, 2)
+    return first if first.cost() <= second.cost() else second
+
+
+@CHOICES.register("random")
+def uniform(
+    candidates: list["target_table.TargetState"], rng: random.Random
+) -> "target_table.TargetState":
+    """Any candidate; the baseline that others are measured against."""
+    return rng.choice(candidates)
+
+
+@CHOICES.register("reported")
+def reported(
+    candidates: list["target_table.TargetState"], rng: random.Random
+) -> "target_table.TargetState":
+    """Lowest reported load; a baseline that misleading reports defeat."""
+    lowest = min(state.reported_load for state in candidates)
+    return rng.choice([s for s in candidates if s.reported_load == lowest])
--- /dev/null
+++ b/chicorydoor/protocol/__init__.py
@@ -0,0 +1,1 @@
+"""Typed messages, records, settings and result codes."""
--- /dev/null
+++ b/chicorydoor/protocol/headers.py
@@ -0,0 +1,74 @@
+"""HTTP headers with a meaning for the entries."""
+
+from collections import abc
+
+KEY = b"x-api-key"
+KEY_PREFIX = b"cdk_"
+REQUEST_ID = b"x-request-id"
+DEADLINE = b"x-deadline-ms"
+IDEMPOTENCY_KEY = b"idempotency-key"
+FIRST_ATTEMPT = b"x-first-attempt"
+CODE = b"x-chicorydoor-code"
+OUTCOME = b"x-chicorydoor-outcome"
+_INTERNAL_PREFIX = b"x-chicorydoor-"
+
+_HOP_BY_HOP = frozenset(
+    {
+        b"connection",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"expect",
+    }
+)
+_NOT_PASSED_ON = frozenset(
+    {
+        *_HOP_BY_HOP,
+        b"host",
+        b"content-length",
+        KEY,
+        REQUEST_ID,
+        DEADLINE,
+        IDEMPOTENCY_KEY,
+        FIRST_ATTEMPT,
+    }
+)
+
+Headers = list[tuple[bytes, bytes]]
+
+
+def for_target(headers: abc.Iterable[tuple[bytes, bytes]]) -> Headers:
+    """A caller's headers without those that stay at the entry.
+
+    Hop-by-hop headers, the key, internal headers and any value that looks
+    like a key are left out.
+
+    Args:
+        headers (Iterable): Names in lower case, and values.
+    """
+    return [
+        (name, value)
+        for name, value in headers
+        if name not in _NOT_PASSED_ON
+        and not name.startswith(_INTERNAL_PREFIX)
+        and KEY_PREFIX not in value
+    ]
+
+
+def end_to_end(headers: abc.Iterable[tuple[bytes, bytes]]) -> Headers:
+    """A target's headers without those of its connection.
+
+    The length is left to the server that sends the answer on.
+    """
+    return [
+        (name, value)
+        for raw_name, value in headers
+        if (name := raw_name.lower()) not in _HOP_BY_HOP
+        and name not in (b"content-length", REQUEST_ID)
+        and not name.startswith(_INTERNAL_PREFIX)
+    ]
--- /dev/null
+++ b/chicorydoor/protocol/ids.py
@@ -0,0 +1,17 @@
+"""Identifier types."""
+
+import typing
+
+InstanceId = typing.NewType("InstanceId", str)
+Incarnation = typing.NewType("Incarnation", int)
+DomainId = typing.NewType("DomainId", str)
+RegionId = typing.NewType("RegionId", str)
+CustomerId = typing.NewType("CustomerId", str)
+KeyId = typing.NewType("KeyId", str)
+RouteId = typing.NewType("RouteId", str)
+ServiceId = typing.NewType("ServiceId", str)
+TargetId = typing.NewType("TargetId", str)
+DrainId = typing.NewType("DrainId", str)
+BucketId = typing.NewType("BucketId", str)
+HolderId = typing.NewType("HolderId", str)
+Revision = typing.NewType("Revision", int)
--- /dev/null
+++ b/chicorydoor/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the outside systems, for tests and the demo."""
--- /dev/null
+++ b/chicorydoor/standins/fleet.py
@@ -0,0 +1,229 @@
+"""A small fleet on one event loop and loopback, with stand-ins.
+
+For the demo, the tests and the bench. The configuration's targets are
+replaced by stand-ins on free ports.
+"""
+
+import asyncio
+import hashlib
+import itertools
+import socket
+import typing
+
+import httpx
+import msgspec
+
+from chicorydoor import compose
+from chicorydoor.coordination import instance_list as listed
+from chicorydoor.protocol import config_records
+from chicorydoor.protocol import ids
+from chicorydoor.protocol import settings as settings_module
+from chicorydoor.standins import instance_list
+from chicorydoor.standins import store
+from chicorydoor.standins import target
+
+OPERATOR_TOKEN = "local-operator-token"
+_SECRET = "a secret for loopback only"
+
+
+def free_port() -> int:
+    """A TCP port of the loopback interface that is free now."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+def entry_settings(
+    instance: str,
+    domain: str,
+    store_endpoint: str,
+    instance_list_endpoint: str | None,
+    peers: list[settings_module.Peer],
+    timing: settings_module.Timing,
+) -> settings_module.Settings:
+    """Settings of an entry on loopback."""
+    loopback = settings_module.Endpoint("127.0.0.1", 0)
+    digest = hashlib.sha256(OPERATOR_TOKEN.encode()).hexdigest()
+    return settings_module.Settings(
+        instance=ids.InstanceId(instance),
+        domain=ids.DomainId(domain),
+        callers=loopback,
+        administration=loopback,
+        peer=settings_module.Endpoint("127.0.0.1", free_port()),
+        store=_endpoint(store_endpoint),
+        peer_secret=_SECRET,
+        minting_secret=_SECRET,
+        operator_digest_by_name={"local": digest},
+        instance_list=_endpoint(instance_list_endpoint)
+        if instance_list_endpoint
+        else None,
+        peers=peers,
+        timing=timing,
+    )
+
+
+def _endpoint(text: str) -> settings_module.Endpoint:
+    address, _, port = text.rpartition(":")
+    return settings_module.Endpoint(address, int(port))
+
+
+class LocalFleet:
+    """Entries, store, instance list and targets.
+
+    Args:
+        configuration (Configuration): Its targets get stand-ins.
+        domains (list): Failure domain of each entry.
+        timing (Timing): Of all entries. Defaults to the usual values.
+        work_s (float): Time that targets need. Defaults to 0.005.
+    """
+
+    def __init__(
+        self,
+        configuration: config_records.Configuration,
+        domains: list[ids.DomainId],
+        timing: settings_module.Timing | None = None,
+        work_s: float = 0.005,
+    ) -> None:
+        self.configuration = configuration
+        self._domains = domains
+        self._timing = timing or settings_module.Timing()
+        self._work_s = work_s
+        self._numbers = itertools.count(1)
+        self.entry_by_id: dict[ids.InstanceId, compose.Entry] = {}
+        self.target_by_id: dict[ids.TargetId, target.StandinTarget] = {}
+
+    async def start(self) -> None:
+        """Start everything; the configuration is not applied yet."""
+        self.store = store.StandinStore()
+        await self.store.start()
+        self.instance_list = instance_list.StandinInstanceList(lag_s=1.0)
+        await self.instance_list.start()
+        await self._start_targets()
+        for domain in self._domains:
+            await self.add_entry(domain)
+
+    async def _start_targets(self) -> None:
+        for target_id, record in self.configuration.target_by_id.items():
+            standin = target.StandinTarget(record.slots)
+            standin.faults.work_s = self._work_s
+            await standin.start()
+            self.target_by_id[target_id] = standin
+            self.configuration.target_by_id[target_id] = (
+                msgspec.structs.replace(
+                    record, address=standin.address, port=standin.port
+                )
+            )
+
+    async def add_entry(self, domain: ids.DomainId) -> compose.Entry:
+        """Start a further entry."""
+        instance = f"{domain}-{next(self._numbers)}"
+        settings = entry_settings(
+            instance,
+            domain,
+            self.store.endpoint,
+            self.instance_list.endpoint,
+            self._peers(),
+            self._timing,
+        )
+        entry = compose.Entry(settings)
+        await entry.start()
+        self.entry_by_id[settings.instance] = entry
+        self.list_entries()
+        return entry
+
+    def _peers(self) -> list[settings_module.Peer]:
+        return [
+            settings_module.Peer(
+                entry.settings.instance,
+                entry.settings.domain,
+                entry.settings.peer,
+            )
+            for entry in self.entry_by_id.values()
+        ]
+
+    def list_entries(self) -> None:
+        """Tell the instance list of the present entries."""
+        self.instance_list.set(
+            [
+                listed.ListedInstance(
+                    entry.settings.instance,
+                    entry.settings.domain,
+                    entry.parts.me.peer_address,
+                )
+                for entry in self.entry_by_id.values()
+            ]
+        )
+
+    async def stop(self) -> None:
+        """Stop everything."""
+        await asyncio.gather(
+            *(entry.close() for entry in self.entry_by_id.values())
+        )
+        await asyncio.gather(
+            *(standin.stop() for standin in self.target_by_id.values())
+        )
+        await self.instance_list.stop()
+        await self.store.stop()
+
+    async def until(
+        self, condition: typing.Callable[[], bool], timeout_s: float
+    ) -> bool:
+        """Wait until a condition holds; False if it does not in time."""
+        loop = asyncio.get_running_loop()
+        end = loop.time() + timeout_s
+        while not condition():
+            if loop.time() > end:
+                return False
+            await asyncio.sleep(0.02)
+        return True
+
+    def in_force(self, revision: int) -> bool:
+        """Whether every entry has at least a revision."""
+        return all(
+            entry.parts.keeper.snapshot.revision >= revision
+            for entry in self.entry_by_id.values()
+        )
+
+    def any_entry(self) -> compose.Entry:
+        """One of the entries."""
+        return next(iter(self.entry_by_id.values()))
+
+    def admin_client(
+        self, entry: compose.Entry | None = None
+    ) -> httpx.AsyncClient:
+        """A client of an entry's administration API."""
+        chosen = entry or self.any_entry()
+        return httpx.AsyncClient(
+            base_url=f"http://{chosen.administration.endpoint}",
+            headers={"authorization": f"Bearer {OPERATOR_TOKEN}"},
+            timeout=10.0,
+            trust_env=False,
+        )
+
+    async def apply(self, timeout_s: float = 10.0) -> int:
+        """Apply the configuration; returns its revision."""
+        base = max(
+            entry.parts.keeper.snapshot.revision
+            for entry in self.entry_by_id.values()
+        )
+        body = {
+            "base": base,
+            "documents": msgspec.to_builtins(self.configuration),
+        }
+        async with self.admin_client() as client:
+            response = await client.post("/v1/configuration", json=body)
+        response.raise_for_status()
+        revision = response.json()["revision"]
+        await self.until(lambda: self.in_force(revision), timeout_s)
+        return revision
+
+    async def issue_key(self, key_id: str, customer: str) -> str:
+        """Issue a key; returns its text."""
+        async with self.admin_client() as client:
+            response = await client.post(
+                "/v1/keys", json={"key": key_id, "customer": customer}
+            )
+        response.raise_for_status()
+        revision = response.json()["result"]["revision"]
+        await self.until(lambda: self.in_force(revision), 10.0)
+        return response.json()["text"]
--- /dev/null
+++ b/chicorydoor/state/__init__.py
@@ -0,0 +1,1 @@
+"""Data structures that hold the state of one process."""
--- /dev/null
+++ b/chicorydoor/state/config_snapshot.py
@@ -0,0 +1,160 @@
+"""One revision of the configuration with the indexes that requests need."""
+
+import datetime
+import hashlib
+
+from chicorydoor.protocol import config_records
+from chicorydoor.protocol import ids
+from chicorydoor.protocol import manifest as manifest_module
+from chicorydoor.state import client_blocks
+
+
+def key_digest(key: bytes) -> str:
+    """Digest under which a key is kept, in hex."""
+    return hashlib.sha256(key).hexdigest()
+
+
+class ConfigSnapshot:
+    """An immutable revision.
+
+    Args:
+        manifest (Manifest): Names the revision.
+        configuration (Configuration): Its records.
+        earlier (ConfigSnapshot): The revision before, whose block table is
+            shared when the blocks did not change. Defaults to None.
+    """
+
+    def __init__(
+        self,
+        manifest: manifest_module.Manifest,
+        configuration: config_records.Configuration,
+        earlier: "ConfigSnapshot | None" = None,
+    ) -> None:
+        self.manifest = manifest
+        self.revision = manifest.revision
+        self.configuration = configuration
+        self.policy = configuration.policy_by_id.get(
+            "default", config_records.Policy()
+        )
+        self.customer_by_id = configuration.customer_by_id
+        self._key_by_digest = {
+            key.digest: (key_id, key.customer)
+            for key_id, key in configuration.key_by_id.items()
+        }
+        self._route_by_prefix = {
+            route.path_prefix: (route_id, route)
+            for route_id, route in configuration.route_by_id.items()
+        }
+        self._floor_by_customer: dict[
+            tuple[ids.CustomerId, ids.DomainId], float
+        ] = {}
+        self.blocks = self._block_table(earlier)
+
+    def _block_table(
+        self, earlier: "ConfigSnapshot | None"
+    ) -> client_blocks.ClientBlockTable:
+        blocks = self.configuration.block_by_cidr
+        if earlier and earlier.configuration.block_by_cidr == blocks:
+            return earlier.blocks
+        return client_blocks.ClientBlockTable(
+            {cidr: block.region for cidr, block in blocks.items()}
+        )
+
+    def find_key(self, digest: str) -> tuple[ids.KeyId, ids.CustomerId] | None:
+        """Key id and customer of a key's digest, if it is in force."""
+        return self._key_by_digest.get(digest)
+
+    def find_route(
+        self, path: str
+    ) -> tuple[ids.RouteId, config_records.Route] | None:
+        """The route with the longest prefix of a path."""
+        while path:
+            found = self._route_by_prefix.get(path)
+            if found is not None:
+                return found
+            path = path.rpartition("/")[0]
+        return None
+
+    def domain_share(
+        self, customer_id: ids.CustomerId, domain: ids.DomainId
+    ) -> float:
+        """Part of a customer's limits that a failure domain holds, 0 to 1.
+
+        It depends on the configuration alone, so that every failure domain
+        computes the same parts, which sum to 1.
+        """
+        known = (customer_id, domain)
+        share = self._floor_by_customer.get(known)
+        if share is None:
+            share = self._compute_share(customer_id, domain)
+            self._floor_by_customer[known] = share
+        return share
+
+    def _compute_share(
+        self, customer_id: ids.CustomerId, domain: ids.DomainId
+    ) -> float:
+        customer = self.customer_by_id[customer_id]
+        if customer.share_by_domain:
+            total = sum(customer.share_by_domain.values())
+            return customer.share_by_domain.get(domain, 0.0) / total
+        domains = self.configuration.domain_by_id
+        return 1.0 / len(domains) if domain in domains else 0.0
+
+    def region_of(self, domain: ids.DomainId) -> ids.RegionId | None:
+        """Region of a failure domain, or None if it is not configured."""
+        record = self.configuration.domain_by_id.get(domain)
+        return record.region if record else None
+
+    def drain_start(
+        self,
+        wall: float,
+        *,
+        target: ids.TargetId | None = None,
+        instance: ids.InstanceId | None = None,
+        domain: ids.DomainId | None = None,
+    ) -> float | None:
+        """Earliest planned start of a drain that covers the subject.
+
+        Args:
+            wall (float): Seconds since the epoch; drains that have ended
+                by then are left out.
+            target (str): A target's id.
+            instance (str): An instance's id.
+            domain (str): A failure domain; its region's drains count too.
+
+        Returns:
+            Seconds since the epoch, or None if no drain is planned.
+        """
+        kinds = config_records.DrainKind
+        region = self.region_of(domain) if domain else None
+        subjects = {
+            (kinds.TARGET, target),
+            (kinds.INSTANCE, instance),
+            (kinds.DOMAIN, domain),
+            (kinds.REGION, region),
+        }
+        now = datetime.datetime.fromtimestamp(wall, datetime.UTC)
+        starts = [
+            drain.starts_at.timestamp()
+            for drain in self.configuration.drain_by_id.values()
+            if (drain.kind, drain.subject) in subjects
+            and (drain.ends_at is None or drain.ends_at > now)
+        ]
+        return min(starts, default=None)
+
+    def is_drained(
+        self,
+        wall: float,
+        *,
+        target: ids.TargetId | None = None,
+        instance: ids.InstanceId | None = None,
+        domain: ids.DomainId | None = None,
+    ) -> bool:
+        """Whether a planned drain of the subject has begun."""
+        start = self.drain_start(
+            wall, target=target, instance=instance, domain=domain
+        )
+        return start is not None and start <= wall
+
+
+EMPTY = ConfigSnapshot(manifest_module.EMPTY, config_records.Configuration())
--- /dev/null
+++ b/chicorydoor/state/event_ring.py
@@ -0,0 +1,164 @@
+"""Typed events of one process, stamped by a hybrid logical clock.
+
+A stamp is milliseconds since the epoch shifted left by 16 bits plus a
+counter. Stamps travel with peer messages, so that an effect never has a
+lower stamp than its cause although the clocks of instances differ.
+
+Example:
+    >>> class Fixed:
+    ...     def now(self): return 0.0
+    ...     def wall(self): return 1.0
+    >>> stamps = HybridClock(Fixed())
+    >>> first, second = stamps.next(), stamps.next()
+    >>> second > first
+    True
+"""
+
+import collections
+from collections import abc
+import enum
+
+import msgspec
+
+from chicorydoor.protocol import ids
+from chicorydoor.transport import clock as clock_module
+from chicorydoor.transport import metrics
+
+_COUNTER_BITS = 16
+_MILLISECONDS = 1000
+
+
+def stamp_seconds(stamp: int) -> float:
+    """Seconds since the epoch of a stamp."""
+    return (stamp >> _COUNTER_BITS) / _MILLISECONDS
+
+
+class HybridClock:
+    """Stamps that never go back.
+
+    Args:
+        clock (Clock): Its wall time is followed.
+    """
+
+    def __init__(self, clock: clock_module.Clock) -> None:
+        self._clock = clock
+        self._latest = 0
+
+    def next(self) -> int:
+        """A stamp higher than all before."""
+        wall = int(self._clock.wall() * _MILLISECONDS) << _COUNTER_BITS
+        self._latest = max(self._latest + 1, wall)
+        return self._latest
+
+    def merge(self, stamp: int) -> None:
+        """Take note of another process's stamp."""
+        self._latest = max(self._latest, stamp)
+
+
+class EventKind(enum.Enum):
+    """What happened."""
+
+    STARTED = "started"
+    STOPPING = "stopping"
+    STOPPED = "stopped"
+    OFFICE_TAKEN = "office-taken"
+    OFFICE_LOST = "office-lost"
+    PEER_SEEN = "peer-seen"
+    PEER_LOST = "peer-lost"
+    PAUSE_DETECTED = "pause-detected"
+    REVISION_IN_FORCE = "revision-in-force"
+    APPLIED = "applied"
+    STORE_LOST = "store-lost"
+    STORE_REACHED = "store-reached"
+    KEYS_IN_DOUBT = "keys-in-doubt"
+    KEYS_FRESH = "keys-fresh"
+    TARGET_EJECTED = "target-ejected"
+    TARGET_RESTORED = "target-restored"
+    DRAIN_STARTED = "drain-started"
+    DRAIN_ENDED = "drain-ended"
+    SHIFT_CHANGED = "shift-changed"
+    SLOTS_CHANGED = "slots-changed"
+    LOOKED_UP = "looked-up"
+    RECEIVED = "received"
+    FORWARDED = "forwarded"
+    SENT = "sent"
+    FINISHED = "finished"
+
+
+class Event(msgspec.Struct, frozen=True, omit_defaults=True):
+    """One event; fields that do not apply are empty."""
+
+    stamp: int
+    instance: ids.InstanceId
+    kind: EventKind
+    request_id: str = ""
+    customer: str = ""
+    revision: int = 0
+    subject: str = ""
+    detail: str = ""
+
+
+class EventRing:
+    """The latest events of a process.
+
+    Args:
+        instance (str): The process's instance id.
+        clock (Clock): For the stamps.
+        size (int): Events kept. Defaults to 20,000.
+    """
+
+    def __init__(
+        self,
+        instance: ids.InstanceId,
+        clock: clock_module.Clock,
+        size: int = 20_000,
+    ) -> None:
+        self._instance = instance
+        self.stamps = HybridClock(clock)
+        self._events: collections.deque[Event] = collections.deque(maxlen=size)
+
+    def add(
+        self,
+        kind: EventKind,
+        *,
+        request_id: str = "",
+        customer: str = "",
+        revision: int = 0,
+        subject: str = "",
+        detail: str = "",
+    ) -> None:
+        """Record an event now."""
+        if len(self._events) == self._events.maxlen:
+            metrics.EVENTS_DROPPED.inc()
+        event = Event(
+            self.stamps.next(),
+            self._instance,
+            kind,
+            request_id,
+            customer,
+            revision,
+            subject,
+            detail,
+        )
+        self._events.append(event)
+
+    def since(self, stamp: int, limit: int) -> list[Event]:
+        """Events with a higher stamp, oldest first.
+
+        Args:
+            stamp (int): Exclusive lower bound.
+            limit (int): Most events returned; the oldest win.
+        """
+        found: list[Event] = []
+        for event in reversed(self._events):
+            if event.stamp <= stamp:
+                break
+            found.append(event)
+        found.reverse()
+        return found[:limit]
+
+
+def merge(rings: abc.Iterable[abc.Iterable[Event]]) -> list[Event]:
+    """Events of several processes in causal order."""
+    events = [event for ring in rings for event in ring]
+    return sorted(events, key=lambda event: (event.stamp, event.instance))
--- /dev/null
+++ b/chicorydoor/state/token_ledger.py
@@ -0,0 +1,193 @@
+"""Token buckets of a failure domain, granted to holders.
+
+The coordinator of a failure domain holds the domain's part of every bucket.
+Holders, its instances and other failure domains, spend tokens that were
+taken out of the bucket beforehand. Until a grant has expired or its holder
+has reported it spent, it counts against the burst. So tokens in the bucket
+plus tokens that anybody may still spend never exceed the burst, whatever is
+lost or restarted, and admissions over any window stay within
+``rate * window + burst``.
+
+Example:
+    >>> class Manual:
+    ...     t = 0.0
+    ...     def now(self): return self.t
+    >>> clock = Manual()
+    >>> ledger = TokenLedger(clock)
+    >>> ledger.configure({"acme": Limit(rate_per_s=10, burst=5)})
+    >>> clock.t = 0.2
+    >>> ledger.take("acme", "entry-1", 4, valid_s=1.0)
+    2
+"""
+
+from collections import abc
+import math
+
+import msgspec
+
+from chicorydoor.protocol import ids
+from chicorydoor.transport import clock as clock_module
+
+_EPSILON = 1e-9
+
+
+class Limit(msgspec.Struct, frozen=True):
+    """Rate and burst of a bucket."""
+
+    rate_per_s: float
+    burst: float
+
+
+class _Grant(msgspec.Struct):
+    """Tokens that a holder may still spend."""
+
+    amount: float
+    expires_at: float
+
+
+class _Bucket:
+    """One bucket; empty at first."""
+
+    def __init__(self, limit: Limit, now: float) -> None:
+        self.limit = limit
+        self.tokens = 0.0
+        self.demand_per_s = 0.0
+        self._updated_at = now
+        self._grants_by_holder: dict[ids.HolderId, list[_Grant]] = {}
+
+    def advance(self, now: float) -> None:
+        """Add what accrued, up to the burst less what is out."""
+        elapsed = now - self._updated_at
+        self._updated_at = now
+        self.tokens += elapsed * self.limit.rate_per_s
+        room = self.limit.burst - self.outstanding(now)
+        self.tokens = max(0.0, min(self.tokens, room))
+
+    def outstanding(self, now: float) -> float:
+        """Tokens that holders may still spend."""
+        total = 0.0
+        for holder in list(self._grants_by_holder):
+            grants = self._grants_by_holder[holder]
+            grants[:] = [g for g in grants if g.expires_at > now]
+            if not grants:
+                del self._grants_by_holder[holder]
+            total += sum(grant.amount for grant in grants)
+        return total
+
+    def grant(self, holder: ids.HolderId, grant: _Grant) -> None:
+        self.tokens -= grant.amount
+        self._grants_by_holder.setdefault(holder, []).append(grant)
+
+    def report(self, holder: ids.HolderId, grant: _Grant) -> None:
+        self._grants_by_holder[holder] = [grant]
+
+
+class TokenLedger:
+    """Buckets by id.
+
+    Args:
+        clock (Clock): Time.
+    """
+
+    def __init__(self, clock: clock_module.Clock) -> None:
+        self._clock = clock
+        self._bucket_by_id: dict[ids.BucketId, _Bucket] = {}
+
+    def configure(
+        self, limit_by_bucket: abc.Mapping[ids.BucketId, Limit]
+    ) -> None:
+        """Set the limits; new buckets are empty, others keep their tokens.
+
+        Args:
+            limit_by_bucket (Mapping): All buckets; others are dropped.
+        """
+        now = self._clock.now()
+        for bucket_id in self._bucket_by_id.keys() - limit_by_bucket.keys():
+            del self._bucket_by_id[bucket_id]
+        for bucket_id, limit in limit_by_bucket.items():
+            bucket = self._bucket_by_id.get(bucket_id)
+            if bucket is None:
+                self._bucket_by_id[bucket_id] = _Bucket(limit, now)
+            elif bucket.limit != limit:
+                bucket.advance(now)
+                bucket.limit = limit
+                bucket.advance(now)
+
+    def reset(self) -> None:
+        """Forget all tokens and grants, on taking office."""
+        self._bucket_by_id.clear()
+
+    def report(
+        self,
+        bucket_id: ids.BucketId,
+        holder: ids.HolderId,
+        held: float,
+        valid_s: float,
+    ) -> None:
+        """Replace a holder's grants by what it says it still holds.
+
+        Args:
+            bucket_id (str): The bucket.
+            holder (str): Must not have a grant in flight to it.
+            held (float): Tokens.
+            valid_s (float): How long it may spend them from now on.
+        """
+        bucket = self._bucket_by_id.get(bucket_id)
+        if bucket is None:
+            return
+        now = self._clock.now()
+        bucket.advance(now)
+        bucket.report(holder, _Grant(held, now + valid_s))
+
+    def take(
+        self,
+        bucket_id: ids.BucketId,
+        holder: ids.HolderId,
+        wanted: float,
+        *,
+        valid_s: float,
+        reserve: float = 0.0,
+    ) -> int:
+        """Grant whole tokens to a holder.
+
+        Args:
+            bucket_id (str): The bucket.
+            holder (str): Who may spend them.
+            wanted (float): Most tokens.
+            valid_s (float): How long the holder may spend them, seconds.
+            reserve (float): Tokens that stay in the bucket. Defaults to 0.
+
+        Returns:
+            The tokens granted, 0 if there are none.
+        """
+        bucket = self._bucket_by_id.get(bucket_id)
+        if bucket is None or wanted <= 0:
+            return 0
+        now = self._clock.now()
+        bucket.advance(now)
+        available = bucket.tokens - reserve + _EPSILON
+        granted = math.floor(min(wanted, max(0.0, available)))
+        if granted:
+            bucket.grant(holder, _Grant(granted, now + valid_s))
+        return granted
+
+    def tokens(self, bucket_id: ids.BucketId) -> float:
+        """Tokens in a bucket now."""
+        bucket = self._bucket_by_id.get(bucket_id)
+        if bucket is None:
+            return 0.0
+        bucket.advance(self._clock.now())
+        return bucket.tokens
+
+    def limit(self, bucket_id: ids.BucketId) -> Limit | None:
+        """Limits of a bucket, or None if there is no such bucket."""
+        bucket = self._bucket_by_id.get(bucket_id)
+        return bucket.limit if bucket else None
+
+    def retry_after(self, bucket_id: ids.BucketId) -> float:
+        """Seconds until the bucket holds a whole token."""
+        bucket = self._bucket_by_id.get(bucket_id)
+        if bucket is None or bucket.limit.rate_per_s <= 0:
+            return 1.0
+        missing = max(0.0, 1.0 - self.tokens(bucket_id))
+        return missing / bucket.limit.rate_per_s
--- /dev/null
+++ b/chicorydoor/transport/__init__.py
@@ -0,0 +1,1 @@
+"""Sockets, HTTP, the store client and clocks."""
--- /dev/null
+++ b/chicorydoor/transport/http_server.py
@@ -0,0 +1,152 @@
+"""Runs an ASGI application on uvicorn inside the running event loop."""
+
+import asyncio
+import contextlib
+import socket
+import typing
+
+import uvicorn
+from uvicorn.protocols.http import httptools_impl
+
+_BACKLOG = 1024
+_KEEP_ALIVE_S = 75
+
+
+def listening_socket(address: str, port: int) -> socket.socket:
+    """A bound TCP socket; port 0 lets the system choose."""
+    family = socket.AF_INET6 if ":" in address else socket.AF_INET
+    # asyncio switches Nagle's algorithm off only on sockets whose protocol
+    # is named.
+    bound = socket.socket(family, socket.SOCK_STREAM, socket.IPPROTO_TCP)
+    bound.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    bound.bind((address, port))
+    return bound
+
+
+class _Server(uvicorn.Server):
+    """Leaves the signals to its owner."""
+
+    @contextlib.contextmanager
+    def capture_signals(self) -> typing.Iterator[None]:
+        yield
+
+
+def _limited_protocol(header_bytes: int) -> type:
+    """Protocol class that bounds the bytes before a request's headers end.
+
+    httptools itself has no bound, so an endless header would fill memory.
+    """
+
+    class LimitedProtocol(httptools_impl.HttpToolsProtocol):
+        pending_bytes = 0
+
+        def on_message_begin(self) -> None:
+            self.in_headers = True
+            super().on_message_begin()
+
+        def on_headers_complete(self) -> None:
+            self.in_headers = False
+            self.pending_bytes = 0
+            super().on_headers_complete()
+
+        def data_received(self, data: bytes) -> None:
+            before = self.pending_bytes
+            self.in_headers = True if before else self.in_headers
+            super().data_received(data)
+            if self.in_headers:
+                self.pending_bytes = before + len(data)
+            if self.pending_bytes > header_bytes:
+                self._refuse()
+
+        in_headers = False
+
+        def _refuse(self) -> None:
+            self.transport.write(
+                b"HTTP/1.1 431 Request Header Fields Too Large\r\n"
+                b"x-chicorydoor-code: 101\r\n"
+                b"x-chicorydoor-outcome: not-run\r\n"
+                b"content-length: 0\r\nconnection: close\r\n\r\n"
+            )
+            self.transport.close()
+
+    return LimitedProtocol
+
+
+class HttpServer:
+    """One listening port.
+
+    Args:
+        app (ASGI application): Answers the requests.
+        address (str): IP number.
+        port (int): TCP port; 0 lets the system choose.
+        header_bytes (int): Bound on request line and headers. Defaults to
+            16 KiB.
+    """
+
+    def __init__(
+        self,
+        app: typing.Any,
+        address: str,
+        port: int,
+        header_bytes: int = 16 * 1024,
+    ) -> None:
+        self._socket = listening_socket(address, port)
+        self.address = address
+        self.port = self._socket.getsockname()[1]
+        config = uvicorn.Config(
+            app,
+            http=_limited_protocol(header_bytes),
+            interface="asgi3",
+            proxy_headers=False,
+            ws="none",
+            lifespan="off",
+            log_config=None,
+            log_level="warning",
+            access_log=False,
+            backlog=_BACKLOG,
+            timeout_keep_alive=_KEEP_ALIVE_S,
+            server_header=False,
+            date_header=False,
+        )
+        self._server = _Server(config)
+        self._task: asyncio.Task | None = None
+
+    @property
+    def endpoint(self) -> str:
+        """``ip:port``."""
+        host = f"[{self.address}]" if ":" in self.address else self.address
+        return f"{host}:{self.port}"
+
+    async def start(self) -> None:
+        """Begin to accept connections."""
+        self._task = asyncio.create_task(
+            self._server.serve(sockets=[self._socket])
+        )
+        while not self._server.started:
+            if self._task.done():
+                await self._task
+            await asyncio.sleep(0.001)
+
+    def close_after_answers(self) -> None:
+        """Let each further answer close its connection."""
+        self._server.config.headers = []
+        state = self._server.server_state
+        state.default_headers = [(b"connection", b"close")]
+
+    async def stop(self, grace_s: float = 0.0) -> None:
+        """Stop accepting, finish running requests, close connections.
+
+        Args:
+            grace_s (float): Longest wait for running requests in seconds.
+                Defaults to 0: they are cut.
+        """
+        if self._task is None:
+            self._socket.close()
+            return
+        self._server.should_exit = True
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(grace_s + 0.2):
+                await asyncio.shield(self._task)
+        self._server.force_exit = True
+        await asyncio.gather(self._task, return_exceptions=True)
+        self._socket.close()
--- /dev/null
+++ b/chicorydoor/transport/metrics.py
@@ -0,0 +1,75 @@
+"""Counters and gauges of an entry; ``docs/METRICS.md`` lists them."""
+
+import prometheus_client
+
+REQUESTS = prometheus_client.Counter(
+    "chicorydoor_requests",
+    "Finished requests by route, customer and result code number.",
+    ["route", "customer", "code"],
+)
+REQUEST_SECONDS = prometheus_client.Histogram(
+    "chicorydoor_request_seconds",
+    "Time from the head of a request to the end of its answer.",
+    ["route"],
+)
+LOOKUPS = prometheus_client.Counter(
+    "chicorydoor_lookups", "Answered look-ups."
+)
+FORWARDED = prometheus_client.Counter(
+    "chicorydoor_forwarded",
+    "Requests sent to another failure domain.",
+    ["domain"],
+)
+RETRIES = prometheus_client.Counter(
+    "chicorydoor_retries", "Requests sent to a second target."
+)
+QUEUE_LENGTH = prometheus_client.Gauge(
+    "chicorydoor_queue_length", "Requests waiting for a slot.", ["service"]
+)
+TARGET_EJECTIONS = prometheus_client.Counter(
+    "chicorydoor_target_ejections",
+    "Times that a target was taken out of use after failures.",
+    ["target"],
+)
+PROBES = prometheus_client.Counter(
+    "chicorydoor_probes", "Health probes sent to targets."
+)
+REVISION = prometheus_client.Gauge(
+    "chicorydoor_revision", "Configuration revision in force."
+)
+IN_OFFICE = prometheus_client.Gauge(
+    "chicorydoor_in_office",
+    "1 while this entry coordinates its failure domain.",
+)
+STORE_CALLS = prometheus_client.Counter(
+    "chicorydoor_store_calls",
+    "Calls to the key-value service by kind and result.",
+    ["kind", "result"],
+)
+STORE_AGE_SECONDS = prometheus_client.Gauge(
+    "chicorydoor_store_age_seconds",
+    "Age of the latest known contact with the key-value service.",
+)
+KEYS_IN_DOUBT = prometheus_client.Counter(
+    "chicorydoor_keys_in_doubt",
+    "Requests served or refused while cut off.",
+    ["served"],
+)
+PEER_SENT_BYTES = prometheus_client.Counter(
+    "chicorydoor_peer_sent_bytes", "Bytes sent to other entries."
+)
+PEER_SENT_MESSAGES = prometheus_client.Counter(
+    "chicorydoor_peer_sent_messages", "Messages sent to other entries."
+)
+PEER_REFUSED = prometheus_client.Counter(
+    "chicorydoor_peer_refused",
+    "Messages from peers that were dropped.",
+    ["reason"],
+)
+IDEMPOTENCY_RECORDS = prometheus_client.Gauge(
+    "chicorydoor_idempotency_records", "Outcomes kept for repeats."
+)
+EVENTS_DROPPED = prometheus_client.Counter(
+    "chicorydoor_events_dropped",
+    "Events that left the ring before the bound on its age.",
+)
--- /dev/null
+++ b/chicorydoor/transport/nng_link.py
@@ -0,0 +1,107 @@
+"""Moves messages between entries over pynng push and pull sockets.
+
+Each entry has one listening socket; one task and one socket for each peer
+send. A message that cannot be sent in time is dropped; the callers above
+treat that as a lost message.
+"""
+
+import asyncio
+import collections
+import logging
+import typing
+
+import pynng
+
+_SEND_TIMEOUT_MS = 1000
+_QUEUED_MESSAGES = 4096
+_SOCKET_BUFFER = 64
+
+_LOG = logging.getLogger(__name__)
+
+
+class PeerLink(typing.Protocol):
+    """Unreliable delivery of messages to addresses."""
+
+    def send(self, address: str, data: bytes) -> None:
+        """Queue a message; it may be lost."""
+
+    async def receive(self) -> bytes:
+        """The next message for this entry."""
+
+
+class _Sender:
+    """One peer's socket, queue and task."""
+
+    def __init__(self, address: str) -> None:
+        self._address = address
+        self._queue: collections.deque[bytes] = collections.deque(
+            maxlen=_QUEUED_MESSAGES
+        )
+        self._ready = asyncio.Event()
+        self._task = asyncio.create_task(self._run())
+
+    def put(self, data: bytes) -> None:
+        self._queue.append(data)
+        self._ready.set()
+
+    async def _run(self) -> None:
+        socket = pynng.Push0(
+            send_timeout=_SEND_TIMEOUT_MS, send_buffer_size=_SOCKET_BUFFER
+        )
+        try:
+            socket.dial(f"tcp://{self._address}", block=False)
+            while True:
+                await self._ready.wait()
+                self._ready.clear()
+                await self._drain(socket)
+        finally:
+            socket.close()
+
+    async def _drain(self, socket: pynng.Push0) -> None:
+        while self._queue:
+            data = self._queue.popleft()
+            try:
+                await socket.asend(data)
+            except pynng.exceptions.Timeout:
+                self._queue.clear()
+
+    async def close(self) -> None:
+        self._task.cancel()
+        await asyncio.gather(self._task, return_exceptions=True)
+
+
+class NngLink:
+    """A ``PeerLink`` over TCP.
+
+    Args:
+        address (str): ``ip:port`` to listen on; port 0 lets the system
+            choose.
+        message_bytes (int): Largest message that is accepted.
+    """
+
+    def __init__(self, address: str, message_bytes: int) -> None:
+        self._socket = pynng.Pull0(
+            recv_max_size=message_bytes, recv_buffer_size=_SOCKET_BUFFER
+        )
+        listener = self._socket.listen(f"tcp://{address}")
+        self.address = str(listener.local_address).removeprefix("tcp://")
+        self._sender_by_address: dict[str, _Sender] = {}
+
+    def send(self, address: str, data: bytes) -> None:
+        """Queue a message for an address."""
+        sender = self._sender_by_address.get(address)
+        if sender is None:
+            sender = _Sender(address)
+            self._sender_by_address[address] = sender
+        sender.put(data)
+
+    async def receive(self) -> bytes:
+        """The next message."""
+        return await self._socket.arecv()
+
+    async def close(self) -> None:
+        """Close all sockets."""
+        for sender in self._sender_by_address.values():
+            await sender.close()
+        self._sender_by_address.clear()
+        self._socket.close()
