Add the command line, examples and the demo

Cause: the system could only be driven from code. Found: a pynng receive that is cancelled while a message arrives swallows the cancellation, so an entry's stop hung. The link now reads in a task of its own and hands messages over by a queue.

--- /dev/null
+++ b/chicorydoor/cli/admin_client.py
@@ -0,0 +1,104 @@
+"""Calls of the administration API, for the command line."""
+
+import argparse
+import os
+import pathlib
+import typing
+
+import httpx
+
+from chicorydoor import errors
+
+_TIMEOUT_S = 15.0
+_ERROR_BY_STATUS: dict[int, type[errors.ChicorydoorError]] = {
+    401: errors.AdministrationError,
+    409: errors.ConflictError,
+    422: errors.ConfigurationError,
+    503: errors.StoreError,
+}
+
+
+def add_options(parser: argparse.ArgumentParser) -> None:
+    """Add the options that name an entry and the operator's token."""
+    parser.add_argument(
+        "--admin",
+        default=os.environ.get("CHICORYDOOR_ADMIN", "127.0.0.1:7301"),
+        metavar="IP:PORT",
+        help="administration port of any entry [CHICORYDOOR_ADMIN]",
+    )
+    parser.add_argument(
+        "--token-file",
+        type=pathlib.Path,
+        metavar="FILE",
+        help="holds the operator's token; otherwise CHICORYDOOR_TOKEN does",
+    )
+    parser.add_argument(
+        "--json", action="store_true", help="print JSON instead of tables"
+    )
+
+
+def _token(arguments: argparse.Namespace) -> str:
+    if arguments.token_file is not None:
+        try:
+            return arguments.token_file.read_text().strip()
+        except OSError as error:
+            raise errors.SettingsError(
+                f"{arguments.token_file}: {error.strerror}"
+            ) from error
+    return os.environ.get("CHICORYDOOR_TOKEN", "")
+
+
+class AdminClient:
+    """Calls one entry.
+
+    Args:
+        arguments (Namespace): With the options of ``add_options``.
+    """
+
+    def __init__(self, arguments: argparse.Namespace) -> None:
+        self._client = httpx.Client(
+            base_url=f"http://{arguments.admin}",
+            headers={"authorization": f"Bearer {_token(arguments)}"},
+            timeout=_TIMEOUT_S,
+            trust_env=False,
+        )
+
+    def get(self, path: str, **query: typing.Any) -> typing.Any:
+        """Read a resource.
+
+        Raises:
+            ChicorydoorError: As the answer says.
+        """
+        return self._call("GET", path, params=query)
+
+    def post(self, path: str, body: typing.Any) -> typing.Any:
+        """Create or change a resource.
+
+        Raises:
+            ChicorydoorError: As the answer says.
+        """
+        return self._call("POST", path, json=body)
+
+    def delete(self, path: str) -> typing.Any:
+        """Remove a resource.
+
+        Raises:
+            ChicorydoorError: As the answer says.
+        """
+        return self._call("DELETE", path)
+
+    def _call(self, method: str, path: str, **options: typing.Any) -> dict:
+        try:
+            response = self._client.request(method, path, **options)
+        except httpx.HTTPError as error:
+            raise errors.UnreachableError(
+                f"no answer from {self._client.base_url}: {error}"
+            ) from error
+        if response.is_success:
+            return response.json()
+        body = response.json()
+        reason = body.get("error") or body.get("detail") or response.text
+        kind = _ERROR_BY_STATUS.get(
+            response.status_code, errors.AdministrationError
+        )
+        raise kind(reason)
--- /dev/null
+++ b/chicorydoor/cli/main.py
@@ -0,0 +1,63 @@
+"""The command ``chicorydoor``."""
+
+import argparse
+from collections import abc
+import sys
+
+from chicorydoor import errors
+from chicorydoor.cli import apply
+from chicorydoor.cli import check
+from chicorydoor.cli import demo
+from chicorydoor.cli import diff
+from chicorydoor.cli import drain
+from chicorydoor.cli import entry
+from chicorydoor.cli import exit_codes
+from chicorydoor.cli import keys
+from chicorydoor.cli import lookup
+from chicorydoor.cli import standin
+from chicorydoor.cli import status
+from chicorydoor.cli import timeline
+
+_COMMANDS = (
+    entry,
+    check,
+    diff,
+    apply,
+    status,
+    keys,
+    drain,
+    lookup,
+    timeline,
+    demo,
+    standin,
+)
+
+
+def _parser() -> argparse.ArgumentParser:
+    parser = argparse.ArgumentParser(
+        prog="chicorydoor", description="Global traffic steering."
+    )
+    commands = parser.add_subparsers(required=True, metavar="COMMAND")
+    for module in _COMMANDS:
+        module.add_parser(commands)
+    return parser
+
+
+def main(argv: abc.Sequence[str] | None = None) -> int:
+    """Run a command.
+
+    Args:
+        argv (Sequence): Arguments; the process's own if None. Defaults to
+            None.
+
+    Returns:
+        The exit code.
+    """
+    arguments = _parser().parse_args(argv)
+    try:
+        return arguments.run(arguments)
+    except errors.ChicorydoorError as error:
+        print(f"chicorydoor: {error}", file=sys.stderr)
+        return exit_codes.of_error(error)
+    except KeyboardInterrupt:
+        return exit_codes.ExitCode.FAILED
--- /dev/null
+++ b/chicorydoor/cli/standin.py
@@ -0,0 +1,42 @@
+"""``chicorydoor standin``: run a stand-in of an outside system."""
+
+import argparse
+import asyncio
+import signal
+
+import uvloop
+
+from chicorydoor.cli import exit_codes
+from chicorydoor.standins import store
+from chicorydoor.standins import target
+
+
+def add_parser(commands: argparse._SubParsersAction) -> None:
+    """Add the sub-command."""
+    parser = commands.add_parser("standin", help="for tests and trials only")
+    parser.add_argument("system", choices=["store", "target"])
+    parser.add_argument("--port", type=int, default=0)
+    parser.add_argument("--slots", type=int, default=9)
+    parser.add_argument("--work-s", type=float, default=0.005)
+    parser.set_defaults(run=_run)
+
+
+def _run(arguments: argparse.Namespace) -> int:
+    uvloop.run(_serve(arguments))
+    return exit_codes.ExitCode.OK
+
+
+async def _serve(arguments: argparse.Namespace) -> None:
+    standin: store.StandinStore | target.StandinTarget
+    if arguments.system == "store":
+        standin = store.StandinStore(port=arguments.port)
+    else:
+        standin = target.StandinTarget(arguments.slots, port=arguments.port)
+        standin.faults.work_s = arguments.work_s
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    await standin.start()
+    await stop.wait()
+    await standin.stop()
--- a/chicorydoor/compose.py
+++ b/chicorydoor/compose.py
@@ -233,6 +233,7 @@
             events=self.events,
             operator_digest_by_name=self.settings.operator_digest_by_name,
             coordinators=self._coordinators,
+            entries=self.directory.instances,
         )
         self.gate = gate.Gate(self.keeper.current, self.freshness)
         self.caller_app = caller_app.CallerApp(
@@ -416,7 +417,8 @@
         )
         await callers.start()
         await self.administration.start()
-        self._tasks.append(asyncio.create_task(self.parts.run()))
+        self.task = asyncio.create_task(self.parts.run())
+        self._tasks.append(self.task)
         if settings.instance_list is not None:
             follower = instance_list.InstanceListFollower(
                 str(settings.instance_list), self.parts.learn
--- a/chicorydoor/coordination/admin_app.py
+++ b/chicorydoor/coordination/admin_app.py
@@ -13,6 +13,7 @@
 from chicorydoor.coordination import administration as administration_module
 from chicorydoor.protocol import admin_api
 from chicorydoor.protocol import config_records
+from chicorydoor.protocol import event
 from chicorydoor.protocol import ids
 from chicorydoor.state import event_ring
 
@@ -64,7 +65,7 @@
             ),
             get("/v1/in-force")(self.get_in_force),
             get("/v1/status", sync_to_thread=False)(self.get_status),
-            get("/v1/events", sync_to_thread=False)(self.get_events),
+            get("/v1/events")(self.get_events),
             post("/v1/keys", status_code=201)(self.issue_key),
             litestar.delete("/v1/keys/{key_id:str}", status_code=200)(
                 self.withdraw_key
@@ -123,11 +124,17 @@
         """State of this entry."""
         return self._status()
 
-    def get_events(
-        self, since: int = 0, limit: int = _MOST_EVENTS
-    ) -> list[event_ring.Event]:
-        """Events of this entry after a stamp."""
-        return self._events.since(since, min(limit, _MOST_EVENTS))
+    async def get_events(
+        self,
+        since: int = 0,
+        limit: int = _MOST_EVENTS,
+        everywhere: bool = False,
+    ) -> list[event.Event]:
+        """Events after a stamp, of this entry or of all."""
+        limit = min(limit, _MOST_EVENTS)
+        if everywhere:
+            return await self._administration.timeline(since, limit)
+        return self._events.latest(since, limit)
 
     async def issue_key(
         self, request: litestar.Request, data: admin_api.IssueCall
--- a/chicorydoor/coordination/administration.py
+++ b/chicorydoor/coordination/administration.py
@@ -48,6 +48,7 @@
         events (EventRing): Gets what is applied.
         operator_digest_by_name (dict): SHA-256 digests of tokens.
         coordinators (callable): Known coordinators by failure domain.
+        entries (callable): All known entries.
     """
 
     def __init__(
@@ -62,6 +63,7 @@
         events: event_ring.EventRing,
         operator_digest_by_name: abc.Mapping[str, str],
         coordinators: abc.Callable[[], dict[ids.DomainId, ids.InstanceId]],
+        entries: abc.Callable[[], list[ids.InstanceId]],
     ) -> None:
         self._keeper = keeper
         self._relay = relay
@@ -72,6 +74,8 @@
         self._events = events
         self._operators = dict(operator_digest_by_name)
         self._coordinators = coordinators
+        self._entries = entries
+        network.on(pm.EventsRequest, self._on_events)
 
     def operator_of(self, token: str) -> str | None:
         """Name of the operator whose token this is."""
@@ -350,6 +354,24 @@
                 revisions.update(answer.revision_by_instance)
         return revisions
 
+    async def timeline(self, since: int, limit: int) -> list[event_ring.Event]:
+        """Events of all entries that can be asked, in causal order."""
+        request = pm.EventsRequest(since, limit)
+        calls = [
+            self._network.call(peer, request, _CALL_TIMEOUT_S)
+            for peer in self._entries()
+            if peer != self._membership.me.instance
+        ]
+        answers = await asyncio.gather(*calls, return_exceptions=True)
+        rings = [self._events.latest(since, limit)]
+        rings += [a.events for a in answers if isinstance(a, pm.Events)]
+        return event_ring.merge(rings)
+
+    def _on_events(
+        self, sender: ids.InstanceId, request: pm.EventsRequest
+    ) -> pm.Events:
+        return pm.Events(self._events.latest(request.since, request.limit))
+
 
 def _copy(
     configuration: config_records.Configuration,
--- a/chicorydoor/coordination/directory.py
+++ b/chicorydoor/coordination/directory.py
@@ -128,6 +128,16 @@
             for domain, summary in self._summaries().items()
         }
 
+    def instances(self) -> list[ids.InstanceId]:
+        """Entries of the live failure domains."""
+        return sorted(
+            {
+                member.instance
+                for summary in self._summaries().values()
+                for member in summary.members
+            }
+        )
+
     def entry_of(
         self, domain: ids.DomainId, rng: random.Random
     ) -> ids.InstanceId | None:
--- a/chicorydoor/coordination/shifts.py
+++ b/chicorydoor/coordination/shifts.py
@@ -186,6 +186,11 @@
 
     def _note_leaving(self, share: float) -> None:
         kinds = event_ring.EventKind
+        self._events.add(
+            kinds.SHIFT_CHANGED,
+            subject=self._domain,
+            detail=f"{self.leaving_share:.2f} to {share:.2f}",
+        )
         if self.leaving_share == 0:
             self._events.add(kinds.DRAIN_STARTED, subject=self._domain)
         self.leaving_share = share
--- /dev/null
+++ b/chicorydoor/demo/__init__.py
@@ -0,0 +1,1 @@
+"""A whole fleet on loopback that checks its own promises."""
--- a/chicorydoor/errors.py
+++ b/chicorydoor/errors.py
@@ -49,5 +49,9 @@
         self.sent = sent
 
 
+class UnreachableError(ChicorydoorError):
+    """No entry answered an operator's command."""
+
+
 class AdministrationError(ChicorydoorError):
     """The administration API refused a call."""
--- /dev/null
+++ b/chicorydoor/protocol/event.py
@@ -0,0 +1,50 @@
+"""Typed events of the time line."""
+
+import enum
+
+import msgspec
+
+from chicorydoor.protocol import ids
+
+
+class EventKind(enum.Enum):
+    """What happened."""
+
+    STARTED = "started"
+    STOPPING = "stopping"
+    STOPPED = "stopped"
+    OFFICE_TAKEN = "office-taken"
+    OFFICE_LOST = "office-lost"
+    PEER_SEEN = "peer-seen"
+    PEER_LOST = "peer-lost"
+    PAUSE_DETECTED = "pause-detected"
+    REVISION_IN_FORCE = "revision-in-force"
+    APPLIED = "applied"
+    STORE_LOST = "store-lost"
+    STORE_REACHED = "store-reached"
+    KEYS_IN_DOUBT = "keys-in-doubt"
+    KEYS_FRESH = "keys-fresh"
+    TARGET_EJECTED = "target-ejected"
+    TARGET_RESTORED = "target-restored"
+    DRAIN_STARTED = "drain-started"
+    DRAIN_ENDED = "drain-ended"
+    SHIFT_CHANGED = "shift-changed"
+    SLOTS_CHANGED = "slots-changed"
+    LOOKED_UP = "looked-up"
+    RECEIVED = "received"
+    FORWARDED = "forwarded"
+    SENT = "sent"
+    FINISHED = "finished"
+
+
+class Event(msgspec.Struct, frozen=True, omit_defaults=True):
+    """One event; fields that do not apply are empty."""
+
+    stamp: int
+    instance: ids.InstanceId
+    kind: EventKind
+    request_id: str = ""
+    customer: str = ""
+    revision: int = 0
+    subject: str = ""
+    detail: str = ""
--- a/chicorydoor/protocol/peer_messages.py
+++ b/chicorydoor/protocol/peer_messages.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from chicorydoor.protocol import event
 from chicorydoor.protocol import ids
 from chicorydoor.protocol import manifest
 
@@ -302,6 +303,19 @@
     revision_by_instance: dict[ids.InstanceId, ids.Revision]
 
 
+class EventsRequest(Message, frozen=True, tag="events-request"):
+    """Asks for events after a stamp."""
+
+    since: int
+    limit: int
+
+
+class Events(Message, frozen=True, tag="events"):
+    """Events of one entry, oldest first."""
+
+    events: list[event.Event]
+
+
 class ForwardOpen(Message, frozen=True, tag="forward-open"):
     """Starts a forwarded request.
 
@@ -389,6 +403,8 @@
     | DomainView
     | ConfigOffer
     | ConfigRequest
+    | EventsRequest
+    | Events
     | InForceRequest
     | InForce
     | ForwardOpen
--- a/chicorydoor/state/event_ring.py
+++ b/chicorydoor/state/event_ring.py
@@ -16,14 +16,15 @@
 
 import collections
 from collections import abc
-import enum
-
-import msgspec
 
+from chicorydoor.protocol import event as event_module
 from chicorydoor.protocol import ids
 from chicorydoor.transport import clock as clock_module
 from chicorydoor.transport import metrics
 
+EventKind = event_module.EventKind
+Event = event_module.Event
+
 _COUNTER_BITS = 16
 _MILLISECONDS = 1000
 
@@ -55,63 +56,20 @@
         self._latest = max(self._latest, stamp)
 
 
-class EventKind(enum.Enum):
-    """What happened."""
-
-    STARTED = "started"
-    STOPPING = "stopping"
-    STOPPED = "stopped"
-    OFFICE_TAKEN = "office-taken"
-    OFFICE_LOST = "office-lost"
-    PEER_SEEN = "peer-seen"
-    PEER_LOST = "peer-lost"
-    PAUSE_DETECTED = "pause-detected"
-    REVISION_IN_FORCE = "revision-in-force"
-    APPLIED = "applied"
-    STORE_LOST = "store-lost"
-    STORE_REACHED = "store-reached"
-    KEYS_IN_DOUBT = "keys-in-doubt"
-    KEYS_FRESH = "keys-fresh"
-    TARGET_EJECTED = "target-ejected"
-    TARGET_RESTORED = "target-restored"
-    DRAIN_STARTED = "drain-started"
-    DRAIN_ENDED = "drain-ended"
-    SHIFT_CHANGED = "shift-changed"
-    SLOTS_CHANGED = "slots-changed"
-    LOOKED_UP = "looked-up"
-    RECEIVED = "received"
-    FORWARDED = "forwarded"
-    SENT = "sent"
-    FINISHED = "finished"
-
-
-class Event(msgspec.Struct, frozen=True, omit_defaults=True):
-    """One event; fields that do not apply are empty."""
-
-    stamp: int
-    instance: ids.InstanceId
-    kind: EventKind
-    request_id: str = ""
-    customer: str = ""
-    revision: int = 0
-    subject: str = ""
-    detail: str = ""
-
-
 class EventRing:
     """The latest events of a process.
 
     Args:
         instance (str): The process's instance id.
         clock (Clock): For the stamps.
-        size (int): Events kept. Defaults to 20,000.
+        size (int): Events kept. Defaults to 8,000.
     """
 
     def __init__(
         self,
         instance: ids.InstanceId,
         clock: clock_module.Clock,
-        size: int = 20_000,
+        size: int = 8_000,
     ) -> None:
         self._instance = instance
         self.stamps = HybridClock(clock)
@@ -142,20 +100,20 @@
         )
         self._events.append(event)
 
-    def since(self, stamp: int, limit: int) -> list[Event]:
+    def latest(self, since: int, limit: int) -> list[Event]:
         """Events with a higher stamp, oldest first.
 
         Args:
-            stamp (int): Exclusive lower bound.
-            limit (int): Most events returned; the oldest win.
+            since (int): Exclusive lower bound.
+            limit (int): Most events returned; the latest win.
         """
         found: list[Event] = []
         for event in reversed(self._events):
-            if event.stamp <= stamp:
+            if event.stamp <= since or len(found) >= limit:
                 break
             found.append(event)
         found.reverse()
-        return found[:limit]
+        return found
 
 
 def merge(rings: abc.Iterable[abc.Iterable[Event]]) -> list[Event]:
--- a/chicorydoor/transport/nng_link.py
+++ b/chicorydoor/transport/nng_link.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import collections
+import contextlib
 import logging
 import typing
 
@@ -38,6 +39,7 @@
             maxlen=_QUEUED_MESSAGES
         )
         self._ready = asyncio.Event()
+        self._is_closed = False
         self._task = asyncio.create_task(self._run())
 
     def put(self, data: bytes) -> None:
@@ -50,7 +52,7 @@
         )
         try:
             socket.dial(f"tcp://{self._address}", block=False)
-            while True:
+            while not self._is_closed:
                 await self._ready.wait()
                 self._ready.clear()
                 await self._drain(socket)
@@ -58,7 +60,7 @@
             socket.close()
 
     async def _drain(self, socket: pynng.Push0) -> None:
-        while self._queue:
+        while self._queue and not self._is_closed:
             data = self._queue.popleft()
             try:
                 await socket.asend(data)
@@ -66,6 +68,7 @@
                 self._queue.clear()
 
     async def close(self) -> None:
+        self._is_closed = True
         self._task.cancel()
         await asyncio.gather(self._task, return_exceptions=True)
 
@@ -86,6 +89,18 @@
         listener = self._socket.listen(f"tcp://{address}")
         self.address = str(listener.local_address).removeprefix("tcp://")
         self._sender_by_address: dict[str, _Sender] = {}
+        self._received: asyncio.Queue[bytes] = asyncio.Queue()
+        self._reader = asyncio.create_task(self._read())
+
+    async def _read(self) -> None:
+        """Take messages off the socket until it is closed.
+
+        A pynng receive that is cancelled just when a message arrives does
+        not raise, so callers wait on a queue and never on the socket.
+        """
+        with contextlib.suppress(pynng.exceptions.Closed):
+            while True:
+                self._received.put_nowait(await self._socket.arecv())
 
     def send(self, address: str, data: bytes) -> None:
         """Queue a message for an address."""
@@ -97,7 +112,7 @@
 
     async def receive(self) -> bytes:
         """The next message."""
-        return await self._socket.arecv()
+        return await self._received.get()
 
     async def close(self) -> None:
         """Close all sockets."""
@@ -105,3 +120,4 @@
             await sender.close()
         self._sender_by_address.clear()
         self._socket.close()
+        await self._reader
