Hand the coordinator's office over at a planned stop

Cause: a leaving coordinator was followed no longer at once, so for the length of a lease nobody granted tokens, and nobody told other domains that it leaves. And a customer over its rate waited up to a second for a verdict, because some lender was always being asked. Change: it stays in office while it leaves, then hands its account of tokens and slots to the lowest live instance. A bucket that others could not fill lately is refused at once, while tokens go on being asked for.

--- a/chicorydoor/compose.py
+++ b/chicorydoor/compose.py
@@ -42,6 +42,7 @@
 from chicorydoor.transport import store_client
 
 _LOG = logging.getLogger(__name__)
+_CACHE_MARGIN_S = 0.5
 
 
 class EntryParts:
@@ -450,8 +451,10 @@
         _LOG.info("leaving")
         parts.membership.leave()
         ttl_s = parts.keeper.snapshot.policy.lookup_ttl_s
-        told_s = 2 * self.settings.timing.exchange_s
-        await asyncio.sleep(told_s + ttl_s)
+        timing = self.settings.timing
+        told_s = 2 * timing.heartbeat_s + 3 * timing.exchange_s
+        await asyncio.sleep(told_s + ttl_s + _CACHE_MARGIN_S)
+        await parts.coordinator.hand_over()
         self.callers.close_after_answers()
         await asyncio.sleep(self.settings.timing.exchange_s)
         longest_s = max(
--- a/chicorydoor/coordination/coordinator.py
+++ b/chicorydoor/coordination/coordinator.py
@@ -29,7 +29,7 @@
 _CREDIT_RESERVE = 0.1
 _CREDIT_PART = 0.5
 _SUMMARY_MEMBERS = 16
-_VIEW_REFRESH_S = 2.0
+_HANDOVER_TIMEOUT_S = 0.5
 
 
 def customer_bucket(customer: ids.CustomerId) -> ids.BucketId:
@@ -93,6 +93,7 @@
         self._network = network
         self._timing = timing
         self._clock = clock
+        self._events = events
         self._snapshot = config_snapshot.EMPTY
         self._office = 0
         self._tokens = token_ledger.TokenLedger(clock)
@@ -122,7 +123,10 @@
             answer=self._answer_exchange,
             on_change=self._on_exchanged,
         )
+        self._handover: pm.Handover | None = None
+        self._handover_at = float("-inf")
         network.on(pm.Demand, self._on_demand)
+        network.on(pm.Handover, self._on_handover)
         network.on(pm.InForceRequest, self._on_in_force)
 
     def configure(self, snapshot: config_snapshot.ConfigSnapshot) -> None:
@@ -188,8 +192,52 @@
             self._granted_by_domain.clear()
             self._targets_by_bucket.clear()
             self._configure_ledgers()
+            self._take_over()
         return True
 
+    # Change of the coordinator.
+
+    async def hand_over(self) -> None:
+        """Give the office to another instance, before a planned stop.
+
+        Nothing is granted from here on, so what the successor receives
+        stays true until it is in office.
+        """
+        if not self.is_in_office():
+            return
+        successor = self._membership.successor()
+        if successor is None:
+            return
+        self._membership.resign(successor)
+        held, doubts = self._slots.export()
+        message = pm.Handover(self._tokens.export(), held, doubts)
+        try:
+            await self._network.call(successor, message, _HANDOVER_TIMEOUT_S)
+        except errors.PeerError:
+            self._events.add(
+                event_ring.EventKind.OFFICE_LOST,
+                subject=self._me.domain,
+                detail=f"no handover to {successor}",
+            )
+
+    def _on_handover(
+        self, sender: ids.InstanceId, message: pm.Handover
+    ) -> pm.Message:
+        self._handover = message
+        self._handover_at = self._clock.now()
+        if self.is_in_office():
+            self._take_over()
+        return pm.Acknowledged()
+
+    def _take_over(self) -> None:
+        """Start from a predecessor's account, if it is fresh."""
+        message, self._handover = self._handover, None
+        age_s = self._clock.now() - self._handover_at
+        if message is None or age_s > self._timing.lease_s / 2:
+            return
+        self._tokens.load(message.bucket_by_id)
+        self._slots.load(message.slots_by_holder, message.doubt_by_target)
+
     async def run(self) -> None:
         """Plan shifts and tell the instances, until cancelled."""
         while True:
@@ -202,10 +250,14 @@
         load_by_service = self._load_by_service()
         self.shifts.plan(load_by_service)
 
+    def free_slots(self) -> int:
+        """Slots of the own targets that nobody holds."""
+        return self._slots.total_free()
+
     def _load_by_service(self) -> dict[ids.ServiceId, pm.ServiceLoad]:
         loads: dict[ids.ServiceId, pm.ServiceLoad] = {}
         for service in self._slots.services():
-            slots, in_use = self._slots.load(service)
+            slots, in_use = self._slots.usage(service)
             loads[service] = pm.ServiceLoad(slots, in_use)
         return loads
 
@@ -363,7 +415,9 @@
             retry_after_s = self._ask_others(bucket, missing - lent)
         if unmet and not retry_after_s:
             self._unmet.setdefault(bucket, set()).add(instance)
-        if not unmet:
+        elif unmet:
+            self._unmet.pop(bucket, None)
+        else:
             retry_after_s = 0.0
         own_wait = self._tokens.retry_after(bucket)
         return pm.TokenGrant(
@@ -450,7 +504,7 @@
         record.in_flight = in_flight
         if not self.shifts.may_receive(service) or wanted <= 0:
             return 0
-        slots, in_use = self._slots.load(service)
+        slots, in_use = self._slots.usage(service)
         promised = sum(
             max(0, other.outstanding(now) - other.in_flight)
             for (_, s), other in self._granted_by_domain.items()
--- a/chicorydoor/coordination/exchange.py
+++ b/chicorydoor/coordination/exchange.py
@@ -27,6 +27,7 @@
 _CALL_TIMEOUT_S = 0.4
 _LEAST_GAP_S = 0.03
 _LEAST_RETRY_S = 0.05
+_SCARCE_S = 0.2
 _MOST_LENDERS = 4
 _HEARD_AFTER_S = 3.0
 
@@ -130,6 +131,7 @@
         self._on_change = on_change
         self.neighbour_by_domain: dict[ids.DomainId, Neighbour] = {}
         self._lent_by_bucket: dict[ids.BucketId, _Lent] = {}
+        self._scarce_until: dict[ids.BucketId, float] = {}
         self._near: frozenset[ids.DomainId] = frozenset()
         network.on(pm.Exchange, self._on_exchange)
 
@@ -186,8 +188,14 @@
             amount (float): Tokens.
 
         Returns:
-            0 if somebody was asked, else seconds until it is worth asking.
+            0 if it is worth waiting for the answer, else seconds until a
+            token may come. While others had too few lately, nobody waits.
         """
+        wait_s = self._ask(bucket, amount)
+        scarce_s = self._scarce_until.get(bucket, 0.0) - self._clock.now()
+        return max(wait_s, scarce_s, 0.0)
+
+    def _ask(self, bucket: ids.BucketId, amount: float) -> float:
         now = self._clock.now()
         reachable = [
             n for n in self.neighbour_by_domain.values() if self.is_heard(n)
@@ -290,6 +298,10 @@
         now = self._clock.now()
         for bucket in wants:
             grant = reply.token_by_bucket.get(bucket, pm.TokenGrant())
+            if grant.granted < wants[bucket]:
+                self._scarce_until[bucket] = now + _SCARCE_S
+            else:
+                self._scarce_until.pop(bucket, None)
             if grant.granted > 0:
                 lent = self._lent_by_bucket.setdefault(bucket, _Lent())
                 lent.add(grant.granted, sent_at + reply.tokens_valid_s)
--- a/chicorydoor/coordination/membership.py
+++ b/chicorydoor/coordination/membership.py
@@ -43,6 +43,7 @@
         self.in_office = False
         self.follows = NOBODY
         self.is_live = False
+        self.successor = NOBODY
         self.revision = ids.Revision(0)
 
 
@@ -77,6 +78,7 @@
         self._follows = NOBODY
         self._bound_until = float("-inf")
         self._is_renewing = False
+        self._successor = NOBODY
         self._was_in_office = False
         self.office_number = 0
         self.store_contact_at = float("-inf")
@@ -98,6 +100,20 @@
         """Tell the others that this entry is about to stop."""
         self.me = msgspec.structs.replace(self.me, leaving=True)
 
+    def successor(self) -> ids.InstanceId | None:
+        """Who should take this instance's office over, if anybody can."""
+        fit = [
+            mate.member.instance
+            for mate in self._mate_by_id.values()
+            if self._is_fit(mate)
+        ]
+        return min(fit, default=None)
+
+    def resign(self, successor: ids.InstanceId) -> None:
+        """Give the office up for good; the others follow the successor."""
+        self._successor = successor
+        self.tick()
+
     def live_members(self) -> list[pm.Member]:
         """The own entry and those heard from lately."""
         mates = [m.member for m in self._mate_by_id.values() if m.is_live]
@@ -129,12 +145,14 @@
         now = self._clock.now()
         if self._follows != self.me.instance or self._is_paused(now):
             return 0.0
+        if self._successor != NOBODY:
+            return 0.0
         if now - self._started_at < self._timing.lease_s:
             return 0.0
         ends = [
             mate.lease_until
             for mate in self._mate_by_id.values()
-            if mate.is_live
+            if mate.is_live and mate.successor == NOBODY
         ]
         return max(0.0, min([self._bound_until, *ends]) - now)
 
@@ -188,6 +206,11 @@
 
     def _choose(self, now: float) -> None:
         """Follow the intended coordinator once no other binds."""
+        if self._successor != NOBODY:
+            self._follows = self._successor
+            self._is_renewing = True
+            return
+        self._release_if_resigned()
         intended = self._intended(now)
         if intended != self._follows and now < self._bound_until:
             self._is_renewing = False
@@ -197,6 +220,14 @@
         if self._is_renewing:
             self._bound_until = self._followed_at(now) + self._timing.lease_s
 
+    def _release_if_resigned(self) -> None:
+        """A coordinator that resigned binds nobody any more."""
+        followed = self._mate_by_id.get(self._follows)
+        if followed is None or followed.successor == NOBODY:
+            return
+        self._follows = followed.successor
+        self._bound_until = float("-inf")
+
     def _followed_at(self, now: float) -> float:
         """Latest sign of life of the followed coordinator."""
         mate = self._mate_by_id.get(self._follows)
@@ -205,15 +236,15 @@
     def _intended(self, now: float) -> ids.InstanceId:
         """Keep a working coordinator, else take the lowest live id."""
         followed = self._mate_by_id.get(self._follows)
-        if followed and self._is_fit(followed):
+        if followed and followed.is_live and followed.successor == NOBODY:
             if followed.follows == self._follows:
                 return self._follows
-        if self.in_office() and not self.me.leaving:
+        if self.in_office():
             return self.me.instance
         in_office = [
             mate.member.instance
             for mate in self._mate_by_id.values()
-            if self._is_fit(mate) and mate.in_office
+            if mate.is_live and mate.in_office
         ]
         if in_office:
             return min(in_office)
@@ -236,6 +267,7 @@
             echo_sent_at=mate.last_sent_at,
             follows=self._follows if self._is_renewing else NOBODY,
             in_office=self.in_office(),
+            successor=self._successor,
             revision=self.revision,
             store_age_s=now - self.store_contact_at,
         )
@@ -256,6 +288,7 @@
         mate.last_sent_at = heartbeat.sent_at
         mate.in_office = heartbeat.in_office
         mate.follows = ids.InstanceId(heartbeat.follows)
+        mate.successor = ids.InstanceId(heartbeat.successor)
         mate.revision = heartbeat.revision
         if heartbeat.follows == self.me.instance:
             if heartbeat.echo_sent_at >= 0:
@@ -266,6 +299,8 @@
             mate.lease_until = float("-inf")
         contact = now - heartbeat.store_age_s
         self.store_contact_at = max(self.store_contact_at, contact)
+        if mate.successor != NOBODY and self._follows == sender:
+            self.tick()
 
     def _note_office(self) -> None:
         in_office = self.in_office()
--- a/chicorydoor/demo/session.py
+++ b/chicorydoor/demo/session.py
@@ -102,9 +102,19 @@
         self._tasks.append(asyncio.create_task(self._watch_revisions()))
         self._say("applying the configuration")
         await self._timed(self.fleet.apply())
-        self._say("issuing keys; waiting until slots are out of doubt")
+        self._say("waiting until slots are out of doubt")
+        await self.fleet.until(self._has_slots, 12.0)
+        self._say("issuing keys and starting callers")
         await self._start_callers()
-        await asyncio.sleep(7.0)
+        await asyncio.sleep(2.0)
+
+    def _has_slots(self) -> bool:
+        """Whether slots are out of doubt in every failure domain."""
+        return all(
+            entry.parts.coordinator.free_slots() > 0
+            for entry in self.fleet.entry_by_id.values()
+            if entry.parts.membership.in_office()
+        )
 
     def _all_coordinated(self) -> bool:
         holders = [
@@ -240,9 +250,6 @@
         for task in self._tasks[1:]:
             task.cancel()
         await asyncio.gather(*self._tasks[1:], return_exceptions=True)
-        self.journal.records = [
-            r for r in self.journal.records if r.ended_at > 0
-        ]
 
     async def _end(self) -> None:
         for task in self._tasks:
--- a/chicorydoor/protocol/peer_messages.py
+++ b/chicorydoor/protocol/peer_messages.py
@@ -60,6 +60,8 @@
             receiver, or -1.
         follows (str): The coordinator that the sender accepts, or empty.
         in_office (bool): Whether the sender coordinates.
+        successor (str): Whom the sender, which has resigned, handed its
+            office to; else empty.
         revision (int): In force at the sender.
         store_age_s (float): Age of the latest contact with the store that
             the sender knows of.
@@ -70,6 +72,7 @@
     echo_sent_at: float
     follows: str
     in_office: bool
+    successor: str
     revision: ids.Revision
     store_age_s: float
 
@@ -189,6 +192,42 @@
     away_share_by_route: dict[ids.RouteId, float]
 
 
+class TokenGrantState(msgspec.Struct, frozen=True, array_like=True):
+    """Tokens that a holder may still spend, for a time from now."""
+
+    holder: ids.HolderId
+    amount: float
+    left_s: float
+
+
+class BucketState(msgspec.Struct, frozen=True):
+    """Tokens of one bucket and what is out of it."""
+
+    tokens: float
+    grants: list[TokenGrantState]
+
+
+class SlotDoubt(msgspec.Struct, frozen=True, array_like=True):
+    """Slots of a target whose holder is in doubt, for a time from now."""
+
+    slots: int
+    left_s: float
+
+
+class Handover(Message, frozen=True, tag="handover"):
+    """A leaving coordinator gives its successor what it keeps account of.
+
+    Args:
+        bucket_by_id (dict): Tokens.
+        slots_by_holder (dict): Slots held, by holder and target.
+        doubt_by_target (dict): Slots in doubt.
+    """
+
+    bucket_by_id: dict[ids.BucketId, BucketState]
+    slots_by_holder: dict[ids.HolderId, dict[ids.TargetId, int]]
+    doubt_by_target: dict[ids.TargetId, SlotDoubt]
+
+
 class NotInOffice(Message, frozen=True, tag="not-in-office"):
     """The receiver of a call does not coordinate its failure domain."""
 
@@ -396,6 +435,7 @@
     | Heartbeat
     | Demand
     | Allotment
+    | Handover
     | NotInOffice
     | Recall
     | Exchange
--- a/chicorydoor/state/slot_ledger.py
+++ b/chicorydoor/state/slot_ledger.py
@@ -90,6 +90,45 @@
         slots = max(0, target.slots - known)
         self._doubt_by_target[target_id] = _Doubt(slots, until)
 
+    def export(
+        self,
+    ) -> tuple[
+        dict[ids.HolderId, dict[ids.TargetId, int]],
+        dict[ids.TargetId, pm.SlotDoubt],
+    ]:
+        """Slots held and slots in doubt, for a successor."""
+        now = self._clock.now()
+        held = {
+            holder_id: dict(holder.held_by_target)
+            for holder_id, holder in self._holder_by_id.items()
+        }
+        doubts = {
+            target: pm.SlotDoubt(doubt.slots, doubt.until - now)
+            for target, doubt in self._doubt_by_target.items()
+            if doubt.until > now
+        }
+        return held, doubts
+
+    def load(
+        self,
+        slots_by_holder: abc.Mapping[
+            ids.HolderId, abc.Mapping[ids.TargetId, int]
+        ],
+        doubt_by_target: abc.Mapping[ids.TargetId, pm.SlotDoubt],
+    ) -> None:
+        """Take over from a predecessor that grants nothing any more."""
+        now = self._clock.now()
+        self._holder_by_id.clear()
+        for holder_id, held_by_target in slots_by_holder.items():
+            holder = _Holder(now)
+            holder.held_by_target = dict(held_by_target)
+            holder.limit_by_target = dict(held_by_target)
+            self._holder_by_id[holder_id] = holder
+        self._doubt_by_target = {
+            target: _Doubt(doubt.slots, now + doubt.left_s)
+            for target, doubt in doubt_by_target.items()
+        }
+
     def reset(self) -> None:
         """Forget all holders and doubt every slot, on taking office."""
         self._reset_at = self._clock.now()
@@ -253,6 +292,10 @@
             return 0
         return max(0, known.slots - self._committed(target))
 
+    def total_free(self) -> int:
+        """Free slots of all targets."""
+        return sum(self.free(target) for target in self._target_by_id)
+
     def in_use(self, target: ids.TargetId) -> int:
         """Slots of a target that instances reported as used."""
         return sum(
@@ -260,7 +303,7 @@
             for holder in self._holder_by_id.values()
         )
 
-    def load(self, service: ids.ServiceId) -> tuple[int, int]:
+    def usage(self, service: ids.ServiceId) -> tuple[int, int]:
         """Slots of a service and how many are in use or in doubt."""
         slots = 0
         in_use = 0
--- a/chicorydoor/state/token_ledger.py
+++ b/chicorydoor/state/token_ledger.py
@@ -26,6 +26,7 @@
 import msgspec
 
 from chicorydoor.protocol import ids
+from chicorydoor.protocol import peer_messages as pm
 from chicorydoor.transport import clock as clock_module
 
 _EPSILON = 1e-9
@@ -74,6 +75,24 @@
             total += sum(grant.amount for grant in grants)
         return total
 
+    def grant_states(self, now: float) -> list[pm.TokenGrantState]:
+        return [
+            pm.TokenGrantState(holder, grant.amount, grant.expires_at - now)
+            for holder, grants in self._grants_by_holder.items()
+            for grant in grants
+            if grant.expires_at > now
+        ]
+
+    def load(self, state: pm.BucketState, now: float) -> None:
+        self.tokens = state.tokens
+        self._updated_at = now
+        self._grants_by_holder = {}
+        for grant in state.grants:
+            expires_at = now + grant.left_s
+            self._grants_by_holder.setdefault(grant.holder, []).append(
+                _Grant(grant.amount, expires_at)
+            )
+
     def grant(self, holder: ids.HolderId, grant: _Grant) -> None:
         self.tokens -= grant.amount
         self._grants_by_holder.setdefault(holder, []).append(grant)
@@ -113,6 +132,27 @@
                 bucket.limit = limit
                 bucket.advance(now)
 
+    def export(self) -> dict[ids.BucketId, pm.BucketState]:
+        """Tokens and grants, for a successor."""
+        now = self._clock.now()
+        states: dict[ids.BucketId, pm.BucketState] = {}
+        for bucket_id, bucket in self._bucket_by_id.items():
+            bucket.advance(now)
+            states[bucket_id] = pm.BucketState(
+                bucket.tokens, bucket.grant_states(now)
+            )
+        return states
+
+    def load(
+        self, state_by_bucket: abc.Mapping[ids.BucketId, pm.BucketState]
+    ) -> None:
+        """Take over from a predecessor that grants nothing any more."""
+        now = self._clock.now()
+        for bucket_id, state in state_by_bucket.items():
+            bucket = self._bucket_by_id.get(bucket_id)
+            if bucket is not None:
+                bucket.load(state, now)
+
     def reset(self) -> None:
         """Forget all tokens and grants, on taking office."""
         self._bucket_by_id.clear()
