Lend whole tokens between failure domains, and make room for old limits

Change: the whole shortfall of a domain is asked for, less what is under way; lenders with tokens to spare come first; few requests wait for a token that is due soon. A domain that has not confirmed a lower rate is assumed to use the old one, and the others make room for it.

--- a/chicorydoor/cli/diff.py
+++ b/chicorydoor/cli/diff.py
@@ -11,7 +11,11 @@
 from chicorydoor.cli import output
 from chicorydoor.state import config_folder
 
-_KEPT_WHEN_ABSENT = ("key_by_id", "withdrawn_key_by_id")
+_KEPT_WHEN_ABSENT = (
+    "key_by_id",
+    "withdrawn_key_by_id",
+    "earlier_limits_by_customer",
+)
 
 
 class Difference(msgspec.Struct, frozen=True):
--- a/chicorydoor/compose.py
+++ b/chicorydoor/compose.py
@@ -40,6 +40,7 @@
 from chicorydoor.transport import http_server
 from chicorydoor.transport import nng_link
 from chicorydoor.transport import store_client
+from chicorydoor.transport import target_connection
 
 _LOG = logging.getLogger(__name__)
 _CACHE_MARGIN_S = 0.5
@@ -57,6 +58,8 @@
         clock (Clock): Time.
         rng (Random): Randomness.
         incarnation (int): Higher at each start of the process.
+        connect (callable): Makes a connection to a target. Defaults to
+            HTTP.
     """
 
     def __init__(
@@ -70,6 +73,9 @@
         clock: clock_module.Clock,
         rng: random.Random,
         incarnation: ids.Incarnation,
+        connect: target_connection.Connect = (
+            target_connection.TargetConnection
+        ),
     ) -> None:
         self.settings = settings
         self.clock = clock
@@ -77,6 +83,7 @@
         self.link = link
         self.store = store
         self.incarnation = incarnation
+        self.connect = connect
         self.me = pm.Member(
             settings.instance, settings.domain, peer_address, http_address
         )
@@ -166,6 +173,7 @@
             rng=self.rng,
             events=self.events,
             slot_limit=self.allotments.slots.limit,
+            connect=self.connect,
         )
         self.dispatcher = dispatcher.Dispatcher(
             domain=self.me.domain,
@@ -235,6 +243,7 @@
             operator_digest_by_name=self.settings.operator_digest_by_name,
             coordinators=self._coordinators,
             entries=self.directory.instances,
+            confirmed=self.coordinator.confirmed_revision,
         )
         self.gate = gate.Gate(self.keeper.current, self.freshness)
         self.caller_app = caller_app.CallerApp(
--- a/chicorydoor/coordination/administration.py
+++ b/chicorydoor/coordination/administration.py
@@ -25,6 +25,7 @@
 from chicorydoor.state import config_chunks
 from chicorydoor.state import config_folder
 from chicorydoor.state import config_snapshot
+from chicorydoor.state import domain_parts
 from chicorydoor.state import event_ring
 from chicorydoor.transport import clock as clock_module
 from chicorydoor.transport import store_client
@@ -49,6 +50,7 @@
         operator_digest_by_name (dict): SHA-256 digests of tokens.
         coordinators (callable): Known coordinators by failure domain.
         entries (callable): All known entries.
+        confirmed (callable): Revision known to be in force everywhere.
     """
 
     def __init__(
@@ -64,6 +66,7 @@
         operator_digest_by_name: abc.Mapping[str, str],
         coordinators: abc.Callable[[], dict[ids.DomainId, ids.InstanceId]],
         entries: abc.Callable[[], list[ids.InstanceId]],
+        confirmed: abc.Callable[[], ids.Revision],
     ) -> None:
         self._keeper = keeper
         self._relay = relay
@@ -75,6 +78,7 @@
         self._operators = dict(operator_digest_by_name)
         self._coordinators = coordinators
         self._entries = entries
+        self._confirmed = confirmed
         network.on(pm.EventsRequest, self._on_events)
 
     def operator_of(self, token: str) -> str | None:
@@ -164,6 +168,12 @@
             )
         apply_id = uuid.uuid4().hex
         revision = ids.Revision(latest + 1)
+        domain_parts.note_changes(
+            self._keeper.snapshot.configuration,
+            configuration,
+            revision,
+            self._confirmed(),
+        )
         manifest, data_by_digest = config_chunks.next_manifest(
             current, configuration, apply_id, revision
         )
--- a/chicorydoor/coordination/allotments.py
+++ b/chicorydoor/coordination/allotments.py
@@ -26,6 +26,9 @@
 _LEAST_GAP_S = 0.004
 _CALL_TIMEOUT_S = 0.5
 _PREFETCH_S = 0.25
+_LENT_WAIT_S = 0.6
+_SHORT_WAIT_S = 0.15
+_MOST_WAITING = 4
 _TOKEN_WAIT_S = 1.0
 _TOKEN_WAIT_PART = 0.6
 
@@ -33,8 +36,9 @@
 class _Waiter:
     """A request that waits for tokens."""
 
-    def __init__(self, amount: float) -> None:
+    def __init__(self, amount: float, since: float) -> None:
         self.amount = amount
+        self.since = since
         self.future: asyncio.Future[float] = (
             asyncio.get_running_loop().create_future()
         )
@@ -121,8 +125,8 @@
         if bucket not in self._waiters_by_bucket:
             if self.tokens.spend(bucket, amount):
                 return
-            self._refuse_if_denied(bucket)
-        waiter = _Waiter(amount)
+        self._refuse_if_denied(bucket)
+        waiter = _Waiter(amount, self._clock.now())
         waiters = self._waiters_by_bucket.setdefault(
             bucket, collections.deque()
         )
@@ -131,8 +135,10 @@
         await self._wait(bucket, waiter, remaining_s)
 
     def _refuse_if_denied(self, bucket: ids.BucketId) -> None:
+        """Few wait for a token that is due soon; the others are refused."""
         wait_s = self._denied_until.get(bucket, 0.0) - self._clock.now()
-        if wait_s > 0:
+        waiting = len(self._waiters_by_bucket.get(bucket, ()))
+        if wait_s > _SHORT_WAIT_S or (wait_s > 0 and waiting >= _MOST_WAITING):
             raise requests.RefusedError(
                 result_codes.ResultCode.RATE_EXCEEDED, retry_after_s=wait_s
             )
@@ -236,6 +242,8 @@
                 held=held.get(bucket, 0.0),
                 urgent=math.ceil(sum(w.amount for w in waiters)),
                 target=math.ceil(demand_per_s * _PREFETCH_S),
+                lent=self.tokens.lent(bucket),
+                demand_per_s=demand_per_s,
             )
         return reports
 
@@ -260,7 +268,12 @@
     def _apply_tokens(self, answer: pm.Allotment, sent_at: float) -> None:
         now = self._clock.now()
         expires_at = sent_at + answer.tokens_valid_s
-        for bucket in self.tokens.held().keys() | answer.token_by_bucket:
+        buckets = {
+            *self.tokens.held(),
+            *answer.token_by_bucket,
+            *self._waiters_by_bucket,
+        }
+        for bucket in sorted(buckets):
             grant = answer.token_by_bucket.get(bucket, pm.TokenGrant())
             self.tokens.add(bucket, grant.granted, expires_at)
             if grant.lent:
@@ -269,15 +282,30 @@
                 )
             if grant.retry_after_s > 0:
                 self._denied_until[bucket] = now + grant.retry_after_s
-            self._serve(bucket, grant.retry_after_s)
+            self._serve(bucket, grant.retry_after_s, sent_at)
 
-    def _serve(self, bucket: ids.BucketId, retry_after_s: float) -> None:
-        """Give tokens to those that wait; refuse them if denied."""
+    def _serve(
+        self, bucket: ids.BucketId, retry_after_s: float, sent_at: float
+    ) -> None:
+        """Give tokens to those that wait; refuse them if denied.
+
+        A request that other domains could not help in time is refused
+        too.
+        """
+        is_short = 0 < retry_after_s <= _SHORT_WAIT_S
+        if is_short:
+            loop = asyncio.get_running_loop()
+            loop.call_later(retry_after_s, self.wake)
+        kept = 0
         for waiter in list(self._waiters_by_bucket.get(bucket, ())):
             if waiter.future.done():
                 continue
             if self.tokens.spend(bucket, waiter.amount):
                 waiter.future.set_result(0.0)
+            elif sent_at - waiter.since > _LENT_WAIT_S:
+                waiter.future.set_result(_LENT_WAIT_S)
+            elif is_short and kept < _MOST_WAITING:
+                kept += 1
             elif retry_after_s > 0:
                 waiter.future.set_result(retry_after_s)
             else:
--- a/chicorydoor/coordination/coordinator.py
+++ b/chicorydoor/coordination/coordinator.py
@@ -19,6 +19,7 @@
 from chicorydoor.protocol import peer_messages as pm
 from chicorydoor.protocol import settings as settings_module
 from chicorydoor.state import config_snapshot
+from chicorydoor.state import domain_parts
 from chicorydoor.state import event_ring
 from chicorydoor.state import slot_ledger
 from chicorydoor.state import token_ledger
@@ -26,6 +27,10 @@
 
 TOKENS_VALID_S = 1.0
 _PREFETCH_PART = 0.5
+_BORROW_AHEAD_S = 0.12
+_LENDER_RESERVE_S = 0.15
+_ROUNDING = 1e-9
+_LEAST_BURST_TO_PREFETCH = 8.0
 _CREDIT_RESERVE = 0.1
 _CREDIT_PART = 0.5
 _SUMMARY_MEMBERS = 16
@@ -105,8 +110,12 @@
         self._granted_by_domain: dict[
             tuple[ids.DomainId, ids.ServiceId], _CreditGrants
         ] = {}
+        self._revision_by_domain: dict[ids.DomainId, ids.Revision] = {}
+        self._missing_by_bucket: dict[
+            ids.BucketId, dict[ids.HolderId, float]
+        ] = {}
         self._unmet: dict[ids.BucketId, set[ids.InstanceId]] = {}
-        self._targets_by_bucket: dict[
+        self._demand_by_bucket: dict[
             ids.BucketId, dict[ids.HolderId, float]
         ] = {}
         self._view_sent_at = float("-inf")
@@ -147,12 +156,15 @@
 
     def _limits(self) -> dict[ids.BucketId, token_ledger.Limit]:
         snapshot = self._snapshot
-        limits: dict[ids.BucketId, token_ledger.Limit] = {}
-        for customer_id, customer in snapshot.customer_by_id.items():
-            share = snapshot.domain_share(customer_id, self._me.domain)
-            limits[customer_bucket(customer_id)] = token_ledger.Limit(
-                customer.rate_per_s * share, customer.burst * share
+        parts = domain_parts.DomainParts(
+            snapshot.configuration, self._revision_by_domain
+        )
+        limits = {
+            customer_bucket(customer_id): parts.limit(
+                customer_id, self._me.domain
             )
+            for customer_id in snapshot.customer_by_id
+        }
         region = snapshot.region_of(self._me.domain)
         domains = snapshot.configuration.domain_by_id.values()
         count = sum(1 for record in domains if record.region == region)
@@ -190,7 +202,8 @@
             self._slots.reset()
             self._credits.reset()
             self._granted_by_domain.clear()
-            self._targets_by_bucket.clear()
+            self._demand_by_bucket.clear()
+            self._missing_by_bucket.clear()
             self._configure_ledgers()
             self._take_over()
         return True
@@ -247,9 +260,33 @@
                 self._tell()
 
     def _plan(self) -> None:
+        self._follow_revisions()
         load_by_service = self._load_by_service()
         self.shifts.plan(load_by_service)
 
+    def _follow_revisions(self) -> None:
+        """Give back room that was made for domains that now confirmed."""
+        revisions = {
+            neighbour.domain: neighbour.summary.revision
+            for neighbour in self.exchange.neighbour_by_domain.values()
+            if neighbour.summary is not None
+        }
+        if revisions == self._revision_by_domain:
+            return
+        self._revision_by_domain = revisions
+        if domain_parts.has_earlier(self._snapshot.configuration):
+            self._tokens.configure(self._limits())
+
+    def confirmed_revision(self) -> ids.Revision:
+        """Highest revision known to be in force in every domain."""
+        others = self._snapshot.configuration.domain_by_id.keys()
+        known = [
+            self._revision_by_domain.get(domain, ids.Revision(0))
+            for domain in others
+            if domain != self._me.domain
+        ]
+        return min([self._snapshot.revision, *known])
+
     def free_slots(self) -> int:
         """Slots of the own targets that nobody holds."""
         return self._slots.total_free()
@@ -385,8 +422,8 @@
         grants: dict[ids.BucketId, pm.TokenGrant] = {}
         for bucket, report in demand.token_by_bucket.items():
             self._tokens.report(bucket, holder, report.held, valid_s)
-            targets = self._targets_by_bucket.setdefault(bucket, {})
-            targets[holder] = report.target
+            demands = self._demand_by_bucket.setdefault(bucket, {})
+            demands[holder] = report.demand_per_s
             grant = self._grant(instance, holder, bucket, report, valid_s)
             if grant != pm.TokenGrant():
                 grants[bucket] = grant
@@ -403,16 +440,25 @@
         take = self._tokens.take
         granted = take(bucket, holder, report.urgent, valid_s=valid_s)
         wanted = report.target - report.held
+        limit = self._tokens.limit(bucket)
+        if limit is None or limit.burst < _LEAST_BURST_TO_PREFETCH:
+            wanted = 0.0
         keep = self._tokens.tokens(bucket) * _PREFETCH_PART
         granted += take(bucket, holder, wanted, valid_s=valid_s, reserve=keep)
-        missing = report.urgent + max(0.0, wanted) - granted
-        if missing <= 0 or self._tokens.limit(bucket) is None:
+        missing = report.urgent - granted
+        missing += max(0.0, self._ahead(report) - report.held - report.lent)
+        missing_by_holder = self._missing_by_bucket.setdefault(bucket, {})
+        missing_by_holder.pop(holder, None)
+        if missing <= 0 or limit is None:
             return pm.TokenGrant(granted)
-        lent, lent_valid_s = self.exchange.take_lent(bucket, missing)
+        lent, lent_valid_s = self._borrow(bucket, holder, missing)
         unmet = max(0.0, report.urgent - granted - lent)
         retry_after_s = 0.0
         if missing > lent:
-            retry_after_s = self._ask_others(bucket, missing - lent)
+            missing_by_holder[holder] = missing - lent
+            total = sum(missing_by_holder.values())
+            total -= self._tokens.tokens(bucket) + self.exchange.lent(bucket)
+            retry_after_s = self._ask_others(bucket, max(0.0, total))
         if unmet and not retry_after_s:
             self._unmet.setdefault(bucket, set()).add(instance)
         elif unmet:
@@ -424,6 +470,30 @@
             granted, lent, lent_valid_s, min(retry_after_s, own_wait)
         )
 
+    def _borrow(
+        self, bucket: ids.BucketId, holder: ids.HolderId, missing: float
+    ) -> tuple[float, float]:
+        """Make whole tokens of what others lent and the own fraction.
+
+        Returns:
+            The tokens and for how many seconds they are valid.
+        """
+        lent = self.exchange.lent(bucket)
+        own = self._tokens.tokens(bucket)
+        whole = math.floor(min(missing, lent + own) + _ROUNDING)
+        if whole <= 0 or lent <= 0:
+            return 0.0, 0.0
+        taken, valid_s = self.exchange.take_lent(bucket, min(lent, whole))
+        if whole > taken:
+            self._tokens.take(
+                bucket, holder, whole - taken, valid_s=valid_s, is_whole=False
+            )
+        return float(whole), valid_s
+
+    def _ahead(self, report: pm.TokenReport) -> float:
+        """Tokens worth borrowing before requests wait for them."""
+        return math.floor(report.demand_per_s * _BORROW_AHEAD_S)
+
     def _ask_others(self, bucket: ids.BucketId, missing: float) -> float:
         """Seconds until tokens may be had, 0 if others were asked."""
         if bucket.startswith("link:"):
@@ -479,15 +549,20 @@
         valid_s: float,
     ) -> pm.TokenGrant:
         holder = ids.HolderId(f"domain:{domain}")
-        targets = self._targets_by_bucket.get(bucket, {})
-        reserve = sum(targets.values())
+        demands = self._demand_by_bucket.get(bucket, {})
+        reserve = sum(demands.values()) * _LENDER_RESERVE_S
         granted = self._tokens.take(
-            bucket, holder, wanted, valid_s=valid_s, reserve=reserve
+            bucket,
+            holder,
+            wanted,
+            valid_s=valid_s,
+            reserve=reserve,
+            is_whole=False,
         )
-        if granted:
-            return pm.TokenGrant(granted)
         return pm.TokenGrant(
-            retry_after_s=self._tokens.retry_after(bucket) or valid_s
+            granted=granted,
+            spare=self._tokens.tokens(bucket) - reserve,
+            retry_after_s=self._tokens.retry_after(bucket, 1.0 + reserve),
         )
 
     def _grant_credit(
--- a/chicorydoor/coordination/exchange.py
+++ b/chicorydoor/coordination/exchange.py
@@ -27,7 +27,6 @@
 _CALL_TIMEOUT_S = 0.4
 _LEAST_GAP_S = 0.03
 _LEAST_RETRY_S = 0.05
-_SCARCE_S = 0.2
 _MOST_LENDERS = 4
 _HEARD_AFTER_S = 3.0
 
@@ -41,6 +40,9 @@
     def add(self, amount: float, expires_at: float) -> None:
         self.lots.append((expires_at, amount))
 
+    def amount(self, now: float) -> float:
+        return sum(amount for at, amount in self.lots if at > now)
+
     def take(self, wanted: float, now: float) -> tuple[float, float]:
         """Tokens up to a number, and when the first of them expires."""
         self.lots = sorted(lot for lot in self.lots if lot[0] > now)
@@ -73,13 +75,15 @@
         self.token_wants: dict[ids.BucketId, float] = {}
         self.tokens_asked: dict[ids.BucketId, float] = {}
         self.dry_until: dict[ids.BucketId, float] = {}
+        self.spare_by_bucket: dict[ids.BucketId, float] = {}
         self.credit_by_service: dict[ids.ServiceId, int] = {}
         self.credits_until = float("-inf")
         self.task: asyncio.Task | None = None
 
-    def is_asked(self, bucket: ids.BucketId) -> bool:
-        """Whether it is being asked for tokens of a bucket."""
-        return bucket in self.token_wants or bucket in self.tokens_asked
+    def asked_for(self, bucket: ids.BucketId) -> float:
+        """Tokens of a bucket that it is being asked for."""
+        waiting = self.token_wants.get(bucket, 0.0)
+        return waiting + self.tokens_asked.get(bucket, 0.0)
 
 
 class Exchange:
@@ -131,7 +135,6 @@
         self._on_change = on_change
         self.neighbour_by_domain: dict[ids.DomainId, Neighbour] = {}
         self._lent_by_bucket: dict[ids.BucketId, _Lent] = {}
-        self._scarce_until: dict[ids.BucketId, float] = {}
         self._near: frozenset[ids.DomainId] = frozenset()
         network.on(pm.Exchange, self._on_exchange)
 
@@ -188,38 +191,54 @@
             amount (float): Tokens.
 
         Returns:
-            0 if it is worth waiting for the answer, else seconds until a
-            token may come. While others had too few lately, nobody waits.
+            0 if somebody was asked, else seconds until it is worth asking.
         """
-        wait_s = self._ask(bucket, amount)
-        scarce_s = self._scarce_until.get(bucket, 0.0) - self._clock.now()
-        return max(wait_s, scarce_s, 0.0)
-
-    def _ask(self, bucket: ids.BucketId, amount: float) -> float:
         now = self._clock.now()
         reachable = [
             n for n in self.neighbour_by_domain.values() if self.is_heard(n)
         ]
-        if any(n.is_asked(bucket) for n in reachable):
+        asked = sum(n.asked_for(bucket) for n in reachable)
+        if asked >= amount:
             return 0.0
-        lenders = [n for n in reachable if n.dry_until.get(bucket, 0) <= now]
+        amount -= asked
+        lenders = [
+            n
+            for n in reachable
+            if n.dry_until.get(bucket, 0) <= now and not n.asked_for(bucket)
+        ]
         if not lenders:
-            return self._dry_for(reachable, bucket, now)
-        lenders.sort(
-            key=lambda n: (n.domain not in self._near, self._rng.random())
-        )
+            return 0.0 if asked else self._dry_for(reachable, bucket, now)
+        lenders.sort(key=lambda n: self._preference(n, bucket))
         count = min(len(lenders), _MOST_LENDERS, max(1, round(amount / 2)))
+        if any(n.dry_until.get(bucket, 0) > now for n in reachable):
+            count = len(lenders)
         for lender in lenders[:count]:
-            lender.token_wants[bucket] = math.ceil(amount / count)
+            part = amount / count
+            if count > 1:
+                part = float(math.ceil(part))
+            lender.token_wants[bucket] = part
             lender.wake.set()
         return 0.0
 
+    def _preference(
+        self, neighbour: Neighbour, bucket: ids.BucketId
+    ) -> tuple[bool, bool, float]:
+        """Lenders that had tokens to spare come first, then near ones."""
+        spare = neighbour.spare_by_bucket.get(bucket, 1.0)
+        is_far = neighbour.domain not in self._near
+        return (spare < 1.0, is_far, self._rng.random())
+
     def _dry_for(
         self, reachable: list[Neighbour], bucket: ids.BucketId, now: float
     ) -> float:
         waits = [n.dry_until[bucket] - now for n in reachable]
         return max(_LEAST_RETRY_S, min(waits, default=1.0))
 
+    def lent(self, bucket: ids.BucketId) -> float:
+        """Tokens that others lent and nobody has yet."""
+        lent = self._lent_by_bucket.get(bucket)
+        return lent.amount(self._clock.now()) if lent else 0.0
+
     def take_lent(
         self, bucket: ids.BucketId, wanted: float
     ) -> tuple[float, float]:
@@ -298,14 +317,11 @@
         now = self._clock.now()
         for bucket in wants:
             grant = reply.token_by_bucket.get(bucket, pm.TokenGrant())
-            if grant.granted < wants[bucket]:
-                self._scarce_until[bucket] = now + _SCARCE_S
-            else:
-                self._scarce_until.pop(bucket, None)
+            neighbour.spare_by_bucket[bucket] = grant.spare
             if grant.granted > 0:
                 lent = self._lent_by_bucket.setdefault(bucket, _Lent())
                 lent.add(grant.granted, sent_at + reply.tokens_valid_s)
-            else:
+            if grant.granted < wants[bucket]:
                 pause = max(_LEAST_RETRY_S, grant.retry_after_s)
                 neighbour.dry_until[bucket] = now + pause
         neighbour.credit_by_service = reply.credit_by_service
--- a/chicorydoor/coordination/executor.py
+++ b/chicorydoor/coordination/executor.py
@@ -86,6 +86,7 @@
         events (EventRing): Gets what is sent.
         slot_limit (callable): Limit of a target's slots here, for idle
             connections.
+        connect (callable): Makes a connection to a target.
     """
 
     def __init__(
@@ -97,6 +98,7 @@
         rng: random.Random,
         events: event_ring.EventRing,
         slot_limit: abc.Callable[[ids.TargetId], int],
+        connect: target_connection.Connect,
     ) -> None:
         self._placement = placement
         self._targets = targets
@@ -104,6 +106,7 @@
         self._rng = rng
         self._events = events
         self._slot_limit = slot_limit
+        self._connect = connect
         self._budget = RetryBudget()
         self._connections_by_target: dict[
             str, target_connection.ConnectionList
@@ -195,7 +198,9 @@
         address = f"{state.record.address}:{state.record.port}"
         known = self._connections_by_target.get(address)
         if known is None:
-            known = target_connection.ConnectionList(address)
+            known = target_connection.ConnectionList(
+                address, self._connect, self._clock
+            )
             self._connections_by_target[address] = known
         return known
 
@@ -227,7 +232,7 @@
         executor: Executor,
         request: requests.Request,
         state: target_table.TargetState,
-        connection: target_connection.TargetConnection,
+        connection: target_connection.Connection,
     ) -> None:
         self._executor = executor
         self._request = request
--- a/chicorydoor/protocol/config_records.py
+++ b/chicorydoor/protocol/config_records.py
@@ -87,6 +87,28 @@
         )
 
 
+class EarlierLimit(Record, frozen=True):
+    """A customer's limits as they were before a revision.
+
+    Args:
+        before_revision (int): The first revision without them.
+    """
+
+    before_revision: ids.Revision
+    rate_per_s: float
+    burst: float
+    share_by_domain: dict[ids.DomainId, float] = {}
+
+
+class EarlierLimits(Record, frozen=True):
+    """Limits that a failure domain which is cut off may still use.
+
+    Kept by the system, not by operators.
+    """
+
+    limits: tuple[EarlierLimit, ...] = ()
+
+
 class Key(Record, frozen=True):
     """A customer's key, as the SHA-256 digest of its text (hex)."""
 
@@ -283,6 +305,7 @@
     domain_by_id: dict[ids.DomainId, Domain] = {}
     block_by_cidr: dict[str, ClientBlock] = {}
     customer_by_id: dict[ids.CustomerId, Customer] = {}
+    earlier_limits_by_customer: dict[ids.CustomerId, EarlierLimits] = {}
     key_by_id: dict[ids.KeyId, Key] = {}
     withdrawn_key_by_id: dict[ids.KeyId, WithdrawnKey] = {}
     service_by_id: dict[ids.ServiceId, Service] = {}
@@ -298,6 +321,7 @@
     "domain_by_id": Domain,
     "block_by_cidr": ClientBlock,
     "customer_by_id": Customer,
+    "earlier_limits_by_customer": EarlierLimits,
     "key_by_id": Key,
     "withdrawn_key_by_id": WithdrawnKey,
     "service_by_id": Service,
--- a/chicorydoor/protocol/peer_messages.py
+++ b/chicorydoor/protocol/peer_messages.py
@@ -117,11 +117,15 @@
         held (float): Left of the own failure domain's tokens.
         urgent (float): Wanted by requests that wait.
         target (float): The instance would like to hold that many.
+        lent (float): Left of other failure domains' tokens.
+        demand_per_s (float): Smoothed demand.
     """
 
     held: float
     urgent: float
     target: float
+    lent: float = 0.0
+    demand_per_s: float = 0.0
 
 
 class TokenGrant(msgspec.Struct, frozen=True):
@@ -133,12 +137,14 @@
         lent_valid_s (float): From the receipt of the allotment.
         retry_after_s (float): If over 0, the bucket is empty everywhere
             and a token is expected after so many seconds.
+        spare (float): What a lender could still lend.
     """
 
     granted: float = 0.0
     lent: float = 0.0
     lent_valid_s: float = 0.0
     retry_after_s: float = 0.0
+    spare: float = 0.0
 
 
 class RouteLoad(msgspec.Struct, frozen=True):
--- a/chicorydoor/state/config_snapshot.py
+++ b/chicorydoor/state/config_snapshot.py
@@ -45,9 +45,6 @@
             route.path_prefix: (route_id, route)
             for route_id, route in configuration.route_by_id.items()
         }
-        self._floor_by_customer: dict[
-            tuple[ids.CustomerId, ids.DomainId], float
-        ] = {}
         self.blocks = self._block_table(earlier)
 
     def _block_table(
@@ -75,31 +72,6 @@
             path = path.rpartition("/")[0]
         return None
 
-    def domain_share(
-        self, customer_id: ids.CustomerId, domain: ids.DomainId
-    ) -> float:
-        """Part of a customer's limits that a failure domain holds, 0 to 1.
-
-        It depends on the configuration alone, so that every failure domain
-        computes the same parts, which sum to 1.
-        """
-        known = (customer_id, domain)
-        share = self._floor_by_customer.get(known)
-        if share is None:
-            share = self._compute_share(customer_id, domain)
-            self._floor_by_customer[known] = share
-        return share
-
-    def _compute_share(
-        self, customer_id: ids.CustomerId, domain: ids.DomainId
-    ) -> float:
-        customer = self.customer_by_id[customer_id]
-        if customer.share_by_domain:
-            total = sum(customer.share_by_domain.values())
-            return customer.share_by_domain.get(domain, 0.0) / total
-        domains = self.configuration.domain_by_id
-        return 1.0 / len(domains) if domain in domains else 0.0
-
     def region_of(self, domain: ids.DomainId) -> ids.RegionId | None:
         """Region of a failure domain, or None if it is not configured."""
         record = self.configuration.domain_by_id.get(domain)
--- a/chicorydoor/state/token_ledger.py
+++ b/chicorydoor/state/token_ledger.py
@@ -187,8 +187,9 @@
         *,
         valid_s: float,
         reserve: float = 0.0,
-    ) -> int:
-        """Grant whole tokens to a holder.
+        is_whole: bool = True,
+    ) -> float:
+        """Grant tokens to a holder.
 
         Args:
             bucket_id (str): The bucket.
@@ -196,18 +197,22 @@
             wanted (float): Most tokens.
             valid_s (float): How long the holder may spend them, seconds.
             reserve (float): Tokens that stay in the bucket. Defaults to 0.
+            is_whole (bool): Grant no fraction, not even if all that is
+                wanted is there. Defaults to True.
 
         Returns:
             The tokens granted, 0 if there are none.
         """
         bucket = self._bucket_by_id.get(bucket_id)
         if bucket is None or wanted <= 0:
-            return 0
+            return 0.0
         now = self._clock.now()
         bucket.advance(now)
-        available = bucket.tokens - reserve + _EPSILON
-        granted = math.floor(min(wanted, max(0.0, available)))
-        if granted:
+        available = max(0.0, bucket.tokens - reserve)
+        granted = wanted
+        if is_whole or available < wanted:
+            granted = float(math.floor(min(wanted, available) + _EPSILON))
+        if granted > 0:
             bucket.grant(holder, _Grant(granted, now + valid_s))
         return granted
 
@@ -224,10 +229,12 @@
         bucket = self._bucket_by_id.get(bucket_id)
         return bucket.limit if bucket else None
 
-    def retry_after(self, bucket_id: ids.BucketId) -> float:
-        """Seconds until the bucket holds a whole token."""
+    def retry_after(
+        self, bucket_id: ids.BucketId, wanted: float = 1.0
+    ) -> float:
+        """Seconds until the bucket holds some tokens, by default one."""
         bucket = self._bucket_by_id.get(bucket_id)
         if bucket is None or bucket.limit.rate_per_s <= 0:
             return 1.0
-        missing = max(0.0, 1.0 - self.tokens(bucket_id))
+        missing = max(0.0, wanted - self.tokens(bucket_id))
         return missing / bucket.limit.rate_per_s
--- a/chicorydoor/state/token_purse.py
+++ b/chicorydoor/state/token_purse.py
@@ -26,8 +26,7 @@
 
     amount: float = 0.0
     expires_at: float = 0.0
-    lent: float = 0.0
-    lent_expires_at: float = 0.0
+    lent: list[tuple[float, float]] = []
     asked: float = 0.0
 
 
@@ -59,23 +58,43 @@
     def add_lent(
         self, bucket_id: ids.BucketId, amount: float, expires_at: float
     ) -> None:
-        """Replace the tokens that another failure domain lent."""
-        holding = self._holding_by_bucket[bucket_id]
-        holding.lent = amount
-        holding.lent_expires_at = expires_at
+        """Add tokens that other failure domains lent."""
+        lots = self._holding_by_bucket[bucket_id].lent
+        lots.append((expires_at, amount))
+        lots.sort()
 
     def spend(self, bucket_id: ids.BucketId, amount: float = 1.0) -> bool:
         """Take tokens out; False if there are not enough."""
         holding = self._holding_by_bucket[bucket_id]
         now = self._clock.now()
-        if holding.lent >= amount and holding.lent_expires_at > now:
-            holding.lent -= amount
-        elif holding.amount >= amount and holding.expires_at > now:
+        if self._spend_lent(holding, amount, now):
+            return True
+        if holding.amount >= amount and holding.expires_at > now:
             holding.amount -= amount
-        else:
+            return True
+        return False
+
+    def _spend_lent(
+        self, holding: _Holding, amount: float, now: float
+    ) -> bool:
+        """Spend from the lot that expires first."""
+        while holding.lent and holding.lent[0][0] <= now:
+            holding.lent.pop(0)
+        if not holding.lent or holding.lent[0][1] < amount:
             return False
+        expires_at, left = holding.lent.pop(0)
+        if left > amount:
+            holding.lent.insert(0, (expires_at, left - amount))
         return True
 
+    def lent(self, bucket_id: ids.BucketId) -> float:
+        """Tokens of other failure domains that may still be spent."""
+        holding = self._holding_by_bucket.get(bucket_id)
+        if holding is None:
+            return 0.0
+        now = self._clock.now()
+        return sum(amount for at, amount in holding.lent if at > now)
+
     def note_demand(self, bucket_id: ids.BucketId, amount: float) -> None:
         """Count tokens that were asked for, granted or not."""
         self._holding_by_bucket[bucket_id].asked += amount
@@ -115,4 +134,4 @@
         """Forget all tokens."""
         for holding in self._holding_by_bucket.values():
             holding.amount = 0.0
-            holding.lent = 0.0
+            holding.lent.clear()
--- a/chicorydoor/transport/target_connection.py
+++ b/chicorydoor/transport/target_connection.py
@@ -8,11 +8,12 @@
 import collections
 from collections import abc
 import ssl
-import time
+import typing
 
 import httpx
 
 from chicorydoor import errors
+from chicorydoor.transport import clock as clock_module
 
 _CONNECT_TIMEOUT_S = 0.5
 _FRESH_FOR_S = 1.0
@@ -41,7 +42,6 @@
             verify=_NO_TLS,
             trust_env=False,
         )
-        self.used_at = time.monotonic()
 
     async def send(
         self,
@@ -91,46 +91,73 @@
         await self._transport.aclose()
 
 
+class Connection(typing.Protocol):
+    """What the executor needs of a connection."""
+
+    async def send(
+        self,
+        method: str,
+        target: str,
+        headers: Headers,
+        body: bytes | abc.AsyncIterator[bytes],
+        timeout: float,
+    ) -> httpx.Response:
+        """Send a request and wait for the head of its answer."""
+
+    async def close(self) -> None:
+        """Close the connection."""
+
+
+Connect = abc.Callable[[str], Connection]
+
+
 class ConnectionList:
     """Idle connections to one target, most recently used first.
 
     Args:
         address (str): ``ip:port`` of the target.
+        connect (callable): Makes a connection.
+        clock (Clock): Time.
     """
 
-    def __init__(self, address: str) -> None:
+    def __init__(
+        self, address: str, connect: Connect, clock: clock_module.Clock
+    ) -> None:
         self._address = address
-        self._idle: collections.deque[TargetConnection] = collections.deque()
+        self._connect = connect
+        self._clock = clock
+        self._idle: collections.deque[tuple[float, Connection]] = (
+            collections.deque()
+        )
 
     def __len__(self) -> int:
         return len(self._idle)
 
-    def take(self, must_be_fresh: bool) -> TargetConnection:
+    def take(self, must_be_fresh: bool) -> Connection:
         """A connection that nobody else uses.
 
         Args:
             must_be_fresh (bool): Not one that the target may be about to
                 close, which would leave the outcome unknown.
         """
-        now = time.monotonic()
         longest = _FRESH_FOR_S if must_be_fresh else _IDLE_LIMIT_S
-        if self._idle and now - self._idle[-1].used_at < longest:
-            return self._idle.pop()
-        return TargetConnection(self._address)
+        oldest_use = self._clock.now() - longest
+        if self._idle and self._idle[-1][0] > oldest_use:
+            return self._idle.pop()[1]
+        return self._connect(self._address)
 
-    async def put_back(self, connection: TargetConnection, keep: int) -> None:
+    async def put_back(self, connection: Connection, keep: int) -> None:
         """Return a connection whose answer was read to its end.
 
         Args:
-            connection (TargetConnection): What ``take`` gave.
+            connection (Connection): What ``take`` gave.
             keep (int): Most idle connections.
         """
-        connection.used_at = time.monotonic()
-        self._idle.append(connection)
+        self._idle.append((self._clock.now(), connection))
         while len(self._idle) > keep:
-            await self._idle.popleft().close()
+            await self._idle.popleft()[1].close()
 
     async def close(self) -> None:
         """Close all idle connections."""
         while self._idle:
-            await self._idle.pop().close()
+            await self._idle.pop()[1].close()
--- /dev/null
+++ b/tests/support/fleet.py
@@ -0,0 +1,269 @@
+"""Several entries' real parts on virtual time, over the fakes."""
+
+import asyncio
+import dataclasses
+import itertools
+import random
+
+import msgspec
+
+from chicorydoor import compose
+from chicorydoor.protocol import admin_api
+from chicorydoor.protocol import config_records as records
+from chicorydoor.protocol import settings as settings_module
+from chicorydoor.state import config_snapshot
+from chicorydoor.transport import clock as clock_module
+from tests.support import fakes
+
+KEY_BY_CUSTOMER = {"acme": b"cdk_acme-key", "blinds": b"cdk_blinds-key"}
+
+
+@dataclasses.dataclass
+class Reply:
+    """What a caller sees."""
+
+    status: int
+    header_by_name: dict
+    body: bytes
+
+    @property
+    def code(self):
+        return int(self.header_by_name[b"x-chicorydoor-code"])
+
+    @property
+    def outcome(self):
+        return self.header_by_name[b"x-chicorydoor-outcome"].decode()
+
+
+class Node:
+    """One entry: it can be frozen, thawed and killed."""
+
+    def __init__(self, fleet, parts):
+        self.fleet = fleet
+        self.parts = parts
+        self.task = asyncio.create_task(parts.run())
+
+    @property
+    def in_office(self):
+        return self.parts.membership.in_office()
+
+    async def freeze(self):
+        self.task.cancel()
+        await asyncio.gather(self.task, return_exceptions=True)
+
+    def thaw(self):
+        self.task = asyncio.create_task(self.parts.run())
+
+    async def kill(self):
+        self.fleet.network.remove(self.parts.me.peer_address)
+        await self.freeze()
+        await self.parts.close()
+        del self.fleet.node_by_id[self.parts.me.instance]
+
+    async def ask(
+        self, path="/read/x", customer="acme", method="GET", body=b"", **extra
+    ):
+        headers = [
+            (name.replace("_", "-").encode(), str(value).encode())
+            for name, value in extra.items()
+        ]
+        if customer:
+            headers.append((b"x-api-key", KEY_BY_CUSTOMER[customer]))
+        headers.append((b"content-length", str(len(body)).encode()))
+        return await call(self.parts.caller_app, method, path, headers, body)
+
+
+async def call(app, method, path, headers, body=b"", query=b""):
+    """Call an ASGI application once."""
+    messages = [{"type": "http.request", "body": body}]
+    sent = []
+
+    async def receive():
+        if messages:
+            return messages.pop()
+        await asyncio.Event().wait()
+
+    async def send(message):
+        sent.append(message)
+
+    scope = {
+        "type": "http",
+        "method": method,
+        "path": path,
+        "raw_path": path.encode(),
+        "query_string": query,
+        "headers": headers,
+        "client": ("127.0.0.1", 1),
+    }
+    await app(scope, receive, send)
+    content = b"".join(message.get("body", b"") for message in sent[1:])
+    return Reply(sent[0]["status"], dict(sent[0]["headers"]), content)
+
+
+def configuration(
+    domains=6,
+    targets=2,
+    slots=4,
+    rate=60.0,
+    burst=60.0,
+    **route_options,
+):
+    """A configuration with one service, a read and an order route."""
+    regions = [f"r{number}" for number in range(max(1, domains // 2))]
+    result = records.Configuration()
+    for region in regions:
+        result.region_by_id[region] = records.Region()
+    for number in range(domains):
+        region = regions[number // 2 % len(regions)]
+        domain = f"d{number}"
+        result.domain_by_id[domain] = records.Domain(region)
+        for index in range(targets):
+            name = f"{domain}-t{index}"
+            result.target_by_id[name] = records.Target(
+                "svc", domain, "10.0.0.1", number * 100 + index + 1, slots, 64
+            )
+    result.service_by_id["svc"] = records.Service(slow_start_s=0.0)
+    for customer, key in KEY_BY_CUSTOMER.items():
+        result.customer_by_id[customer] = records.Customer(rate, burst)
+        digest = config_snapshot.key_digest(key)
+        result.key_by_id[f"{customer}-key"] = records.Key(customer, digest)
+    options = {"deadline_s": 2.0, **route_options}
+    result.route_by_id["read"] = records.Route("svc", "/read", **options)
+    result.route_by_id["open"] = records.Route(
+        "svc", "/open", open=True, **options
+    )
+    result.policy_by_id["default"] = records.Policy(lookup_ttl_s=2.0)
+    return result
+
+
+class Fleet:
+    """Entries over a fake network, a fake store and fake targets."""
+
+    def __init__(self, config, domains, seed=1, work_s=0.01, timing=None):
+        self.rng = random.Random(seed)
+        self.config = config
+        self.network = fakes.FakeNetwork(self.rng)
+        self.store = fakes.FakeStore()
+        self.clock = clock_module.LoopClock()
+        self.timing = timing or settings_module.Timing()
+        self.node_by_id = {}
+        self.target_by_address = {}
+        self._numbers = itertools.count(1)
+        for record in config.target_by_id.values():
+            address = f"{record.address}:{record.port}"
+            self.target_by_address[address] = fakes.FakeTarget(work_s)
+        for domain in domains:
+            self.add(domain)
+
+    def add(self, domain):
+        """Start an entry."""
+        number = next(self._numbers)
+        instance = f"{domain}-e{number}"
+        address = f"10.1.0.{number}:9000"
+        region = self.config.domain_by_id[domain].region
+        endpoint = settings_module.Endpoint("10.1.0.1", 1)
+        settings = settings_module.Settings(
+            instance=instance,
+            domain=domain,
+            callers=endpoint,
+            administration=endpoint,
+            peer=endpoint,
+            store=endpoint,
+            peer_secret="s" * 16,
+            minting_secret="m" * 16,
+            operator_digest_by_name={},
+            timing=self.timing,
+        )
+        parts = compose.EntryParts(
+            settings=settings,
+            http_address=f"10.1.0.{number}:80",
+            peer_address=address,
+            link=self.network.link(address, domain, region),
+            store=fakes.StoreView(self.store, domain),
+            clock=self.clock,
+            rng=random.Random(self.rng.random()),
+            incarnation=number,
+            connect=self._connect,
+        )
+        node = Node(self, parts)
+        for other in self.node_by_id.values():
+            parts.learn(other.parts.me)
+            other.parts.learn(parts.me)
+        self.node_by_id[instance] = node
+        return node
+
+    def cut_off(self, domain):
+        """Cut a failure domain off from the others and from the store."""
+        self.network.cut_off(domain)
+        self.store.cut_domains.add(domain)
+
+    def heal(self):
+        """End all cuts."""
+        self.network.heal()
+        self.store.cut_domains.clear()
+
+    def _connect(self, address):
+        return fakes.FakeConnection(self.target_by_address[address])
+
+    def nodes(self, domain=None):
+        return [
+            node
+            for node in self.node_by_id.values()
+            if domain is None or node.parts.me.domain == domain
+        ]
+
+    def coordinator(self, domain):
+        """The node in office in a domain, or None; never two."""
+        holders = [node for node in self.nodes(domain) if node.in_office]
+        assert len(holders) <= 1
+        return holders[0] if holders else None
+
+    async def apply(self, config=None, node=None):
+        """Apply a configuration through a node."""
+        chosen = node or self.nodes()[0]
+        base = chosen.parts.keeper.snapshot.revision
+        documents = msgspec.to_builtins(config or self.config)
+        del documents["withdrawn_key_by_id"]
+        call = admin_api.ApplyCall(base, documents)
+        return await chosen.parts.administration.apply(call, "tests")
+
+    async def ready(self):
+        """Apply the configuration and wait until slots are known."""
+        await asyncio.sleep(3.0)
+        await self.apply()
+        await asyncio.sleep(8.0)
+
+    def outstanding_over_slots(self):
+        """Targets that ever had more than their slots."""
+        return [
+            target_id
+            for target_id, record in self.config.target_by_id.items()
+            if self.target(target_id).most_running > record.slots
+        ]
+
+    def target(self, target_id):
+        record = self.config.target_by_id[target_id]
+        return self.target_by_address[f"{record.address}:{record.port}"]
+
+    def seen(self):
+        """All (time, request id, method) that targets saw, in order."""
+        targets = self.target_by_address.values()
+        return sorted(item for target in targets for item in target.seen)
+
+
+async def offer(node, rate_per_s, duration_s, rng, replies, **request):
+    """Send requests at random times and collect (time, reply)."""
+    loop = asyncio.get_running_loop()
+    end = loop.time() + duration_s
+    tasks = []
+
+    async def one():
+        at = loop.time()
+        replies.append((at, await node.ask(**request)))
+
+    while True:
+        await asyncio.sleep(rng.expovariate(rate_per_s))
+        if loop.time() >= end:
+            break
+        tasks.append(asyncio.create_task(one()))
+    await asyncio.gather(*tasks)
