Test rates, slots, fairness, membership and configuration under faults

Cause: nothing proved the decisions yet. Found by the tests: an instance that starved for slots got none while another with a queue took each one that came free; the equal part now binds both. A newcomer or an instance that woke from a pause cost the coordinator its office until it followed; it now tells its age, and counts as harmless while it is too young to take office itself.

--- a/chicorydoor/coordination/membership.py
+++ b/chicorydoor/coordination/membership.py
@@ -39,6 +39,7 @@
         self.member = member
         self.heard_at = float("-inf")
         self.lease_until = float("-inf")
+        self.harmless_until = float("-inf")
         self.last_sent_at = -1.0
         self.in_office = False
         self.follows = NOBODY
@@ -150,7 +151,7 @@
         if now - self._started_at < self._timing.lease_s:
             return 0.0
         ends = [
-            mate.lease_until
+            max(mate.lease_until, mate.harmless_until)
             for mate in self._mate_by_id.values()
             if mate.is_live and mate.successor == NOBODY
         ]
@@ -267,6 +268,7 @@
             echo_sent_at=mate.last_sent_at,
             follows=self._follows if self._is_renewing else NOBODY,
             in_office=self.in_office(),
+            age_s=now - self._started_at,
             successor=self._successor,
             revision=self.revision,
             store_age_s=now - self.store_contact_at,
@@ -289,6 +291,7 @@
         mate.in_office = heartbeat.in_office
         mate.follows = ids.InstanceId(heartbeat.follows)
         mate.successor = ids.InstanceId(heartbeat.successor)
+        self._note_age(mate, heartbeat, now)
         mate.revision = heartbeat.revision
         if heartbeat.follows == self.me.instance:
             if heartbeat.echo_sent_at >= 0:
@@ -302,6 +305,15 @@
         if mate.successor != NOBODY and self._follows == sender:
             self.tick()
 
+    def _note_age(
+        self, mate: _Mate, heartbeat: pm.Heartbeat, now: float
+    ) -> None:
+        """A process that is young can take no office yet."""
+        mate.harmless_until = float("-inf")
+        if heartbeat.follows != mate.member.instance:
+            left_s = self._timing.lease_s - heartbeat.age_s
+            mate.harmless_until = now + left_s - self._timing.heartbeat_s
+
     def _note_office(self) -> None:
         in_office = self.in_office()
         if in_office == self._was_in_office:
--- a/chicorydoor/protocol/peer_messages.py
+++ b/chicorydoor/protocol/peer_messages.py
@@ -60,6 +60,8 @@
             receiver, or -1.
         follows (str): The coordinator that the sender accepts, or empty.
         in_office (bool): Whether the sender coordinates.
+        age_s (float): Since the sender started or woke from a pause; it
+            takes no office before ``lease_s``.
         successor (str): Whom the sender, which has resigned, handed its
             office to; else empty.
         revision (int): In force at the sender.
@@ -72,6 +74,7 @@
     echo_sent_at: float
     follows: str
     in_office: bool
+    age_s: float
     successor: str
     revision: ids.Revision
     store_age_s: float
--- a/chicorydoor/state/slot_ledger.py
+++ b/chicorydoor/state/slot_ledger.py
@@ -204,7 +204,7 @@
         holder.number += 1
         self._trim(holder)
         for service, wanted in holder.wanted_by_service.items():
-            self._give(holder, service, wanted)
+            self._give(holder, service, self._fair(holder, service, wanted))
         for target, limit in holder.limit_by_target.items():
             held = holder.held_by_target.get(target, 0)
             holder.held_by_target[target] = max(held, limit)
@@ -226,6 +226,30 @@
             if excess > 0:
                 holder.limit_by_target[target_id] = max(0, limit - excess)
 
+    def _fair(
+        self, holder: _Holder, service: ids.ServiceId, wanted: int
+    ) -> int:
+        """No more than an equal part while another holder lacks its own."""
+        part = self._equal_part(service)
+        oldest = self._clock.now() - self._valid_s
+        is_other_short = any(
+            other is not holder
+            and other.reported_at > oldest
+            and other.wanted_by_service.get(service, 0) > 0
+            and self._total(other, service) < part
+            for other in self._holder_by_id.values()
+        )
+        if not is_other_short:
+            return wanted
+        return min(wanted, max(0, part - self._total(holder, service)))
+
+    def _equal_part(self, service: ids.ServiceId) -> int:
+        slots = sum(
+            self._target_by_id[target].slots
+            for target in self._targets_of(service)
+        )
+        return math.floor(slots / max(1, len(self._holder_by_id)))
+
     def _give(
         self, holder: _Holder, service: ids.ServiceId, wanted: int
     ) -> None:
@@ -372,10 +396,7 @@
         service: ids.ServiceId,
         total_by_instance: dict[ids.HolderId, int],
     ) -> list[ids.HolderId]:
-        slots = sum(
-            self._target_by_id[t].slots for t in self._targets_of(service)
-        )
-        part = math.floor(slots / max(1, len(total_by_instance)))
+        part = self._equal_part(service)
         missing = part - total_by_instance[instance]
         lowered: list[ids.HolderId] = []
         for other, total in total_by_instance.items():
--- /dev/null
+++ b/tests/test_configuration.py
@@ -0,0 +1,313 @@
+"""Revisions: how they are kept, applied, spread, and never reverted."""
+
+import asyncio
+import pathlib
+
+import msgspec
+import pytest
+
+from chicorydoor import errors
+from chicorydoor.protocol import admin_api
+from chicorydoor.protocol import config_records as records
+from chicorydoor.protocol import manifest as manifest_module
+from chicorydoor.state import config_chunks
+from chicorydoor.state import config_folder
+from tests.support import fleet as fleet_module
+from tests.support import virtual_time
+
+_EXAMPLES = pathlib.Path(__file__).parent.parent / "examples"
+_DOMAINS = ["d0", "d0", "d1", "d2"]
+
+
+def _run(course, domains=_DOMAINS):
+    async def wrapped():
+        config = fleet_module.configuration(domains=4)
+        fleet = fleet_module.Fleet(config, domains)
+        await asyncio.sleep(3.0)
+        await course(fleet)
+
+    virtual_time.run(wrapped())
+
+
+def _revisions(fleet):
+    return [node.parts.keeper.snapshot.revision for node in fleet.nodes()]
+
+
+async def _change_rate(fleet, rate, node=None):
+    config = fleet_module.configuration(domains=4, rate=rate)
+    return await fleet.apply(config, node)
+
+
+class TestFolder:
+    @pytest.mark.parametrize("name", ["mwangaza", "anadolu"])
+    def test_examples_are_valid_at_their_sizes(self, name):
+        config = config_folder.read_folder(_EXAMPLES / name)
+        assert len(config.domain_by_id) == 6
+        assert len(config.region_by_id) == 3
+        assert len(config.customer_by_id) == 8
+        sizes = {"mwangaza": 32, "anadolu": 40}
+        assert len(config.target_by_id) == sizes[name]
+
+    @pytest.mark.parametrize(
+        ("document", "words"),
+        [
+            ({"customers": {}}, "customers: no such collection"),
+            ({"region_by_id": {"r": {"x": 1}}}, "region_by_id.r"),
+            (
+                {"customer_by_id": {"c": {"rate_per_s": "1", "burst": 1}}},
+                "customer_by_id.c: Expected `float`",
+            ),
+            (
+                {"customer_by_id": {"c": {"rate_per_s": 0, "burst": 1}}},
+                "rate_per_s must be over 0",
+            ),
+            ({"domain_by_id": {"d": {"region": "r"}}}, "'r' is not in"),
+            ({"block_by_cidr": {"10.0.0.1/8": {"region": "r"}}}, "10.0.0.1"),
+        ],
+    )
+    def test_mistakes_are_named(self, tmp_path, document, words):
+        if "block_by_cidr" in document:
+            document["region_by_id"] = {"r": {}}
+        (tmp_path / "a.json").write_bytes(msgspec.json.encode(document))
+        with pytest.raises(errors.ConfigurationError, match="") as caught:
+            config_folder.read_folder(tmp_path)
+        assert words in str(caught.value)
+
+    def test_a_record_given_twice_is_refused(self, tmp_path):
+        for name in ("a", "b"):
+            path = tmp_path / f"{name}.json"
+            path.write_text('{"region_by_id": {"r": {}}}')
+        with pytest.raises(errors.ConfigurationError, match="given twice"):
+            config_folder.read_folder(tmp_path)
+
+
+class TestChunks:
+    def test_a_change_of_one_customer_changes_one_chunk(self):
+        config = records.Configuration()
+        for number in range(1000):
+            config.customer_by_id[f"c{number}"] = records.Customer(10.0, 20.0)
+        first, data = config_chunks.next_manifest(
+            manifest_module.EMPTY, config, "a", 1
+        )
+        config.customer_by_id["c7"] = records.Customer(11.0, 20.0)
+        second, changed = config_chunks.next_manifest(first, config, "b", 2)
+        assert len(data) > 10
+        assert len(changed) == 1
+        delta = manifest_module.difference(first, second)
+        assert len(delta.manifest.digest_by_chunk) == 1
+        assert manifest_module.patch(first, delta) == second
+
+
+class TestSpreading:
+    def test_in_force_everywhere_within_3_s(self):
+        async def course(fleet):
+            await fleet.apply()
+            await asyncio.sleep(3.0)
+            assert set(_revisions(fleet)) == {1}
+
+        _run(course)
+
+    def test_a_newcomer_learns_from_peers_while_the_store_is_away(self):
+        async def course(fleet):
+            await fleet.apply()
+            await asyncio.sleep(3.0)
+            fleet.store.is_down = True
+            in_known_domain = fleet.add("d0")
+            in_new_domain = fleet.add("d3")
+            await asyncio.sleep(8.0)
+            assert in_known_domain.parts.keeper.snapshot.revision == 1
+            assert in_new_domain.parts.keeper.snapshot.revision == 1
+
+        _run(course)
+
+    def test_answers_from_the_past_change_nothing(self):
+        async def course(fleet):
+            await fleet.apply()
+            await asyncio.sleep(1.0)
+            past = dict(fleet.store.value_by_key)
+            await _change_rate(fleet, 70.0)
+            await asyncio.sleep(3.0)
+            fleet.store.answer_from = past
+            for _ in range(20):
+                await asyncio.sleep(0.5)
+                assert set(_revisions(fleet)) == {2}
+
+        _run(course)
+
+    def test_a_domain_that_was_cut_off_catches_up_from_its_peers(self):
+        async def course(fleet):
+            await fleet.apply()
+            await asyncio.sleep(3.0)
+            fleet.cut_off("d2")
+            await _change_rate(fleet, 70.0)
+            await asyncio.sleep(5.0)
+            cut_off = fleet.nodes("d2")[0]
+            assert cut_off.parts.keeper.snapshot.revision == 1
+            fleet.network.heal()
+            await asyncio.sleep(3.0)
+            assert cut_off.parts.keeper.snapshot.revision == 2
+
+        _run(course)
+
+
+class TestApply:
+    def test_lost_answer_is_resolved(self):
+        async def course(fleet):
+            fleet.store.lose_answers = 1
+            result = await fleet.apply()
+            assert result.ending is admin_api.Ending.COMMITTED
+            assert fleet.nodes()[0].parts.keeper.snapshot.revision == 1
+
+        _run(course)
+
+    def test_a_write_that_lands_late_is_fenced_off(self):
+        async def course(fleet):
+            fleet.store.hold_writes = True
+            result = await fleet.apply()
+            assert result.ending is admin_api.Ending.NOT_COMMITTED
+            assert fleet.store.land_late_writes() == [False]
+            await asyncio.sleep(5.0)
+            assert set(_revisions(fleet)) == {0}
+
+        _run(course)
+
+    def test_store_that_stays_away_leaves_the_outcome_unknown(self):
+        async def course(fleet):
+            fleet.store.hold_writes = True
+            applying = asyncio.create_task(fleet.apply())
+            await asyncio.sleep(0.003)
+            fleet.store.is_down = True
+            result = await applying
+            assert result.ending is admin_api.Ending.UNKNOWN
+
+        _run(course)
+
+    def test_racing_operators(self):
+        async def course(fleet):
+            nodes = fleet.nodes()
+            results = await asyncio.gather(
+                _change_rate(fleet, 10.0, nodes[0]),
+                _change_rate(fleet, 20.0, nodes[2]),
+                _change_rate(fleet, 30.0, nodes[3]),
+                return_exceptions=True,
+            )
+            conflicts = [
+                r for r in results if isinstance(r, errors.ConflictError)
+            ]
+            assert len(conflicts) == 2
+            await asyncio.sleep(3.0)
+            assert set(_revisions(fleet)) == {1}
+
+        _run(course)
+
+    def test_an_outdated_base_is_refused(self):
+        async def course(fleet):
+            await fleet.apply()
+            node = fleet.nodes()[0]
+            call = admin_api.ApplyCall(0, msgspec.to_builtins(fleet.config))
+            with pytest.raises(errors.ConflictError):
+                await node.parts.administration.apply(call, "late")
+
+        _run(course)
+
+    def test_a_domain_drain_without_notice_is_refused(self):
+        async def course(fleet):
+            await fleet.apply()
+            node = fleet.nodes()[0]
+            drain = msgspec.convert(
+                {
+                    "kind": "domain",
+                    "subject": "d1",
+                    "starts_at": "2020-01-01T00:00:00Z",
+                },
+                records.Drain,
+            )
+            with pytest.raises(errors.ConfigurationError, match="caps takes"):
+                await node.parts.administration.plan_drain("x", drain, "op")
+
+        _run(course)
+
+
+class TestKeys:
+    def test_a_withdrawn_key_is_refused_everywhere_and_for_good(self):
+        async def course(fleet):
+            await fleet.ready()
+            for node in fleet.nodes():
+                assert (await node.ask()).code == 0
+            first = fleet.nodes()[0].parts.administration
+            await first.withdraw_key("acme-key", "op")
+            await asyncio.sleep(3.0)
+            for node in fleet.nodes():
+                assert (await node.ask()).code == 111
+            with pytest.raises(errors.ConfigurationError, match="withdrawn"):
+                await fleet.apply()
+
+        _run(course)
+
+    def test_an_issued_key_survives_an_apply_without_keys(self):
+        async def course(fleet):
+            await fleet.ready()
+            administration = fleet.nodes()[0].parts.administration
+            issued = await administration.issue_key("new", "acme", "op")
+            documents = msgspec.to_builtins(fleet.config)
+            del documents["key_by_id"]
+            base = issued.result.revision
+            call = admin_api.ApplyCall(base, documents)
+            await administration.apply(call, "op")
+            snapshot = fleet.nodes()[0].parts.keeper.snapshot
+            assert "new" in snapshot.configuration.key_by_id
+
+        _run(course)
+
+    def test_no_key_in_store_messages_or_events(self):
+        async def course(fleet):
+            await fleet.ready()
+            node = fleet.nodes()[0]
+            issued = await node.parts.administration.issue_key(
+                "new", "acme", "op"
+            )
+            await asyncio.sleep(1.0)
+            reply = await node.ask(customer=None, x_api_key=issued.text)
+            assert reply.code == 0
+            text = issued.text.encode()
+            kept = [v.value for v in fleet.store.value_by_key.values()]
+            for other in fleet.nodes():
+                kept += other.parts.link.sent
+                events = other.parts.events.latest(0, 10**6)
+                kept.append(msgspec.json.encode(events))
+            assert not any(text in data for data in kept)
+
+        _run(course)
+
+
+class TestBeingCutOff:
+    def test_keys_stay_fresh_while_every_domain_is_heard(self):
+        async def course(fleet):
+            await fleet.ready()
+            fleet.store.is_down = True
+            await asyncio.sleep(60.0)
+            for node in fleet.nodes():
+                assert node.parts.freshness.doubt_s() == 0
+
+        _run(course, ["d0", "d1", "d2", "d3"])
+
+    def test_a_cut_off_domain_serves_for_its_time_and_then_refuses(self):
+        async def course(fleet):
+            acme = fleet.config.customer_by_id["acme"]
+            fleet.config.customer_by_id["acme"] = msgspec.structs.replace(
+                acme, stale_keys_serve_s=30.0
+            )
+            await fleet.ready()
+            fleet.cut_off("d3")
+            node = fleet.nodes("d3")[0]
+            await asyncio.sleep(20.0)
+            assert node.parts.freshness.doubt_s() > 0
+            assert (await node.ask()).code == 0
+            await asyncio.sleep(30.0)
+            assert (await node.ask()).code == 112
+            assert (await node.ask("/open/x", customer=None)).code == 0
+            fleet.heal()
+            await asyncio.sleep(5.0)
+            assert (await node.ask()).code == 0
+
+        _run(course, ["d0", "d1", "d2", "d3"])
--- /dev/null
+++ b/tests/test_fair_queue.py
@@ -0,0 +1,57 @@
+"""Weighted fair order, against the exact fluid share."""
+
+from hypothesis import given
+from hypothesis import seed
+from hypothesis import settings
+from hypothesis import strategies as st
+
+from chicorydoor.state import fair_queue
+
+
+def fluid_served(backlog, weight_by_customer, total):
+    """Exact shares of customers that always have work."""
+    weights = sum(weight_by_customer[c] for c in backlog)
+    return {c: total * weight_by_customer[c] / weights for c in backlog}
+
+
+class TestFairQueue:
+    @seed(3)
+    @settings(max_examples=100, deadline=None, database=None)
+    @given(
+        st.dictionaries(
+            st.sampled_from("abcdef"),
+            st.integers(1, 8),
+            min_size=2,
+            max_size=6,
+        ),
+        st.randoms(use_true_random=False),
+    )
+    def test_within_one_item_of_the_fluid_share(self, weights, rng):
+        queue = fair_queue.FairQueue()
+        pushes = [c for c in weights for _ in range(200)]
+        rng.shuffle(pushes)
+        for customer in pushes:
+            queue.push(customer, weights[customer], customer)
+        served = dict.fromkeys(weights, 0)
+        for total in range(1, 101):
+            served[queue.pop()] += 1
+            fluid = fluid_served(weights, weights, total)
+            for customer, exact in fluid.items():
+                assert served[customer] >= exact - len(weights)
+
+    def test_small_customer_passes_a_long_queue(self):
+        queue = fair_queue.FairQueue()
+        for number in range(100):
+            queue.push("big", 1.0, f"big-{number}")
+        queue.pop()
+        queue.push("small", 1.0, "small")
+        assert "small" in (queue.pop(), queue.pop())
+
+    def test_removed_item_is_not_served(self):
+        queue = fair_queue.FairQueue()
+        ticket = queue.push("a", 1.0, "first")
+        queue.push("a", 1.0, "second")
+        queue.remove(ticket)
+        assert len(queue) == 1
+        assert queue.pop() == "second"
+        assert queue.pop() is None
