Carry more than one request in flight on each lent slot

Below capacity, chance queues raised every domain's share until all of them sent away and none received. Slots in use were taken from reports, and reports are made when requests wait, so load looked near full at 70%. State events were driven out of the ring by those of requests. Change: credits scale by round trip over hold time, grow by a part of the free slots, hold, or shrink; a share rises only when the queue is longer than chance makes it; instances report their mean use; two rings for events.

--- a/chicorydoor/coordination/allotments.py
+++ b/chicorydoor/coordination/allotments.py
@@ -77,6 +77,9 @@
         self.on_slots: abc.Callable[[], None] = lambda: None
         self.slot_wants: abc.Callable[[], dict[ids.ServiceId, int]] = dict
         self.avoided: abc.Callable[[], list[ids.TargetId]] = list
+        self.slot_use: abc.Callable[[], dict[ids.ServiceId, pm.ServiceUse]] = (
+            dict
+        )
         self.credit_wants: abc.Callable[[], dict[ids.ServiceId, int]] = dict
         self.give_back_idle: abc.Callable[[list[ids.ServiceId]], None] = (
             lambda services: None
@@ -220,7 +223,10 @@
         return pm.Demand(
             acks=self._acks,
             slots=pm.SlotReport(
-                self.slots.state(), self.slot_wants(), self.avoided()
+                self.slots.state(),
+                self.slot_wants(),
+                self.avoided(),
+                self.slot_use(),
             ),
             credits=pm.SlotReport(self.credits.state(), self.credit_wants()),
             token_by_bucket=self._token_reports(),
--- a/chicorydoor/coordination/coordinator.py
+++ b/chicorydoor/coordination/coordinator.py
@@ -33,6 +33,8 @@
 _LEAST_BURST_TO_PREFETCH = 8.0
 _CREDIT_RESERVE = 0.1
 _CREDIT_PART = 0.5
+_CREDIT_CUT = 0.8
+_MOST_PER_SLOT = 32.0
 _SUMMARY_MEMBERS = 16
 _HANDOVER_TIMEOUT_S = 0.5
 
@@ -62,6 +64,11 @@
     def __init__(self) -> None:
         self.grants: list[tuple[float, int]] = []
         self.in_flight = 0
+        self.per_slot = 1.0
+
+    def latest(self) -> int:
+        """The latest grant."""
+        return self.grants[-1][1] if self.grants else 0
 
     def outstanding(self, now: float) -> int:
         """Most requests that it may have in flight, by unexpired grants."""
@@ -295,7 +302,8 @@
         loads: dict[ids.ServiceId, pm.ServiceLoad] = {}
         for service in self._slots.services():
             slots, in_use = self._slots.usage(service)
-            loads[service] = pm.ServiceLoad(slots, in_use)
+            hold_s = self._slots.hold_s(service)
+            loads[service] = pm.ServiceLoad(slots, in_use, hold_s)
         return loads
 
     def _tell(self) -> None:
@@ -529,7 +537,7 @@
                 domain,
                 service,
                 wanted,
-                message.credits_in_flight.get(service, 0),
+                message,
             )
             for service, wanted in message.credit_wants.items()
         }
@@ -570,27 +578,60 @@
         domain: ids.DomainId,
         service: ids.ServiceId,
         wanted: int,
-        in_flight: int,
+        message: pm.Exchange,
     ) -> int:
+        """Requests that another domain may have in flight here.
+
+        A request is in flight for longer than it holds a slot, so a slot
+        carries more than one from far away. The number grows by a part of
+        the free slots and shrinks while there are none.
+        """
         now = self._clock.now()
         record = self._granted_by_domain.setdefault(
             (domain, service), _CreditGrants()
         )
+        in_flight = message.credits_in_flight.get(service, 0)
         record.in_flight = in_flight
+        record.per_slot = self._in_flight_per_slot(service, message)
         if not self.shifts.may_receive(service) or wanted <= 0:
             return 0
+        free = self._free_for_others(service, record)
+        count = max(in_flight, record.latest())
+        if free < 0:
+            count = math.floor(count * _CREDIT_CUT)
+        elif free >= 1:
+            extra = max(1.0, free * _CREDIT_PART) * record.per_slot
+            count = in_flight + math.floor(extra)
+        count = min(math.ceil(wanted * record.per_slot), count)
+        record.grants.append((now + exchange_module.CREDITS_VALID_S, count))
+        return count
+
+    def credit_out(self, domain: ids.DomainId, service: ids.ServiceId) -> int:
+        """Requests that another domain may have in flight here now."""
+        record = self._granted_by_domain.get((domain, service))
+        return record.outstanding(self._clock.now()) if record else 0
+
+    def _in_flight_per_slot(
+        self, service: ids.ServiceId, message: pm.Exchange
+    ) -> float:
+        hold_s = self._slots.hold_s(service)
+        if hold_s <= 0:
+            return 1.0
+        in_flight_s = 2 * message.round_trip_s + hold_s
+        return min(_MOST_PER_SLOT, in_flight_s / hold_s)
+
+    def _free_for_others(
+        self, service: ids.ServiceId, receiver: _CreditGrants
+    ) -> float:
+        """Slots neither in use nor promised nor kept for the own domain."""
+        now = self._clock.now()
         slots, in_use = self._slots.usage(service)
         promised = sum(
-            max(0, other.outstanding(now) - other.in_flight)
+            max(0, other.outstanding(now) - other.in_flight) / other.per_slot
             for (_, s), other in self._granted_by_domain.items()
-            if s == service and other is not record
+            if s == service and other is not receiver
         )
-        reserve = math.ceil(slots * _CREDIT_RESERVE)
-        headroom = slots - in_use - promised - reserve
-        extra = max(0, math.floor(headroom * _CREDIT_PART))
-        count = min(wanted, in_flight + extra)
-        record.grants.append((now + exchange_module.CREDITS_VALID_S, count))
-        return count
+        return slots - in_use - promised - slots * _CREDIT_RESERVE
 
     def _on_exchanged(
         self,
--- a/chicorydoor/coordination/dispatcher.py
+++ b/chicorydoor/coordination/dispatcher.py
@@ -88,8 +88,8 @@
         Raises:
             RefusedError: If there is no whole answer.
         """
-        is_free = self._placement.has_free_slot(request.route.service)
-        self._allotments.note_arrival(request.route_id, not is_free)
+        is_delayed = self._placement.is_wait_long(request)
+        self._allotments.note_arrival(request.route_id, is_delayed)
         if not request.may_go_away or not self._is_due_away(request.route_id):
             return await self._executor.run(request)
         domain = await self._take_credit(request)
--- a/chicorydoor/coordination/exchange.py
+++ b/chicorydoor/coordination/exchange.py
@@ -27,6 +27,7 @@
 _CALL_TIMEOUT_S = 0.4
 _LEAST_GAP_S = 0.03
 _LEAST_RETRY_S = 0.05
+_ROUND_TRIP_WEIGHT = 0.3
 _MOST_LENDERS = 4
 _HEARD_AFTER_S = 3.0
 
@@ -78,6 +79,7 @@
         self.spare_by_bucket: dict[ids.BucketId, float] = {}
         self.credit_by_service: dict[ids.ServiceId, int] = {}
         self.credits_until = float("-inf")
+        self.round_trip_s = 0.0
         self.task: asyncio.Task | None = None
 
     def asked_for(self, bucket: ids.BucketId) -> float:
@@ -276,6 +278,7 @@
             token_wants=wants,
             credit_wants=credit_wants,
             credits_in_flight=in_flight,
+            round_trip_s=neighbour.round_trip_s,
         )
         sent_at = self._clock.now()
         try:
@@ -315,6 +318,8 @@
     ) -> None:
         self.note_summary(reply.summary)
         now = self._clock.now()
+        step = now - sent_at - neighbour.round_trip_s
+        neighbour.round_trip_s += _ROUND_TRIP_WEIGHT * step
         for bucket in wants:
             grant = reply.token_by_bucket.get(bucket, pm.TokenGrant())
             neighbour.spare_by_bucket[bucket] = grant.spare
--- a/chicorydoor/coordination/placement.py
+++ b/chicorydoor/coordination/placement.py
@@ -14,6 +14,7 @@
 from chicorydoor.coordination import requests
 from chicorydoor.policies import target_choice
 from chicorydoor.protocol import ids
+from chicorydoor.protocol import peer_messages as pm
 from chicorydoor.protocol import result_codes
 from chicorydoor.state import fair_queue
 from chicorydoor.state import target_table
@@ -22,6 +23,8 @@
 
 _HOLD_WEIGHT = 0.1
 _FIRST_HOLD_S = 0.02
+_LONG_WAIT_HOLDS = 2.0
+_MEAN_TIME_CONSTANT_S = 0.5
 _IDLE_KEPT = 2
 _IDLE_PART = 0.25
 _IDLE_AFTER_S = 1.0
@@ -47,6 +50,16 @@
         self.in_use = 0
         self.peak = 0
         self.peak_at = float("-inf")
+        self._mean = 0.0
+        self._mean_at = 0.0
+
+    def mean_use(self, now: float) -> float:
+        """Mean of the slots in use, over about half a second."""
+        elapsed = now - self._mean_at
+        self._mean_at = now
+        weight = 1.0 - math.exp(-elapsed / _MEAN_TIME_CONSTANT_S)
+        self._mean += weight * (self.in_use - self._mean)
+        return self._mean
 
 
 class Placement:
@@ -79,6 +92,7 @@
         allotments.on_slots = self._serve_all
         allotments.slot_wants = self._wants
         allotments.avoided = self._avoided
+        allotments.slot_use = self._slot_use
         allotments.give_back_idle = self.give_back_idle
 
     def _service(self, service_id: ids.ServiceId) -> _Service:
@@ -92,11 +106,18 @@
         """Requests in all queues."""
         return sum(len(s.queue) for s in self._service_by_id.values())
 
-    def has_free_slot(self, service_id: ids.ServiceId) -> bool:
-        """Whether a request would be placed at once."""
-        if len(self._service(service_id).queue):
+    def is_wait_long(self, request: requests.Request) -> bool:
+        """Whether the queue is longer than chance makes it.
+
+        A short queue forms now and then below the capacity; one that takes
+        several times as long as a request means too little capacity.
+        """
+        service = self._service(request.route.service)
+        if not len(service.queue):
             return False
-        return bool(self._candidates(service_id, frozenset()))
+        held = self._held(request.route.service)
+        wait_s = len(service.queue) * service.hold_s / max(1, held)
+        return wait_s > _LONG_WAIT_HOLDS * service.hold_s
 
     def _candidates(
         self, service_id: ids.ServiceId, exclude: frozenset[ids.TargetId]
@@ -126,8 +147,9 @@
         return state
 
     def _note_use(self, service: _Service, change: int) -> None:
-        service.in_use += change
         now = self._clock.now()
+        service.mean_use(now)
+        service.in_use += change
         if service.in_use >= service.peak or (
             now - service.peak_at > _IDLE_AFTER_S
         ):
@@ -206,16 +228,19 @@
     ) -> float:
         """Time until a new request of a customer would get a slot."""
         service = self._service(request.route.service)
-        slots = self._allotments.slots
-        held = sum(
-            slots.limit(state.target_id)
-            for state in self._targets.usable(request.route.service)
-        )
+        held = self._held(request.route.service)
         ahead = service.queue.ahead(request.customer, weight)
-        if held == 0 or not slots.is_valid():
+        if held == 0 or not self._allotments.slots.is_valid():
             return 0.0
         return (ahead + 1) * service.hold_s / held
 
+    def _held(self, service_id: ids.ServiceId) -> int:
+        slots = self._allotments.slots
+        return sum(
+            slots.limit(state.target_id)
+            for state in self._targets.usable(service_id)
+        )
+
     def _refusal(
         self,
         service: _Service,
@@ -284,6 +309,13 @@
             for state in self._targets.usable(service_id)
         )
 
+    def _slot_use(self) -> dict[ids.ServiceId, pm.ServiceUse]:
+        now = self._clock.now()
+        return {
+            service_id: pm.ServiceUse(service.mean_use(now), service.hold_s)
+            for service_id, service in self._service_by_id.items()
+        }
+
     def _avoided(self) -> list[ids.TargetId]:
         """Targets that get no work; their free slots are given back."""
         slots = self._allotments.slots
--- a/chicorydoor/coordination/shifts.py
+++ b/chicorydoor/coordination/shifts.py
@@ -21,7 +21,7 @@
 from chicorydoor.state import event_ring
 from chicorydoor.transport import clock as clock_module
 
-_BUSY = 0.95
+_DELAYED_PART = 0.02
 _IDLE = 0.75
 _ASK_CREDIT = 0.5
 _STEP_DOWN_PART = 0.25
@@ -66,7 +66,7 @@
             return 1.0
         used = load.in_use / load.slots
         delayed_part = self.delayed / self.arrived if self.arrived else 0.0
-        if used >= _BUSY and delayed_part > 0:
+        if delayed_part >= _DELAYED_PART:
             return min(1.0, self.share + delayed_part * (1 - self.share))
         if used < _IDLE and not self.delayed:
             down = max(_LEAST_STEP, self.share * _STEP_DOWN_PART)
--- a/chicorydoor/protocol/peer_messages.py
+++ b/chicorydoor/protocol/peer_messages.py
@@ -87,6 +87,18 @@
     in_use: int
 
 
+class ServiceUse(msgspec.Struct, frozen=True, array_like=True):
+    """How an instance uses its slots of a service.
+
+    Args:
+        busy (float): Mean number in use lately.
+        hold_s (float): Smoothed time for which a request holds a slot.
+    """
+
+    busy: float
+    hold_s: float
+
+
 class SlotReport(msgspec.Struct, frozen=True):
     """What an instance holds and wants of one kind of slots.
 
@@ -95,11 +107,15 @@
         wanted_by_service (dict): Further slots wanted.
         avoid (list): Targets whose slots would not be used. Defaults to
             none.
+        use_by_service (dict): Means; reports are made when requests wait,
+            so that what is in use just then says too much. Defaults to
+            empty.
     """
 
     state_by_target: dict[ids.TargetId, SlotState]
     wanted_by_service: dict[ids.ServiceId, int]
     avoid: list[ids.TargetId] = []
+    use_by_service: dict[ids.ServiceId, ServiceUse] = {}
 
 
 class SlotGrant(msgspec.Struct, frozen=True):
@@ -155,7 +171,7 @@
 
     Args:
         arrived (int): Admitted requests.
-        delayed (int): Those that found no free slot.
+        delayed (int): Those that had to expect a long wait.
     """
 
     arrived: int
@@ -254,10 +270,16 @@
 
 
 class ServiceLoad(Message, frozen=True, tag="service-load"):
-    """Slots of one service in a failure domain."""
+    """Slots of one service in a failure domain.
+
+    Args:
+        in_use (float): Smoothed number of slots in use or in doubt.
+        hold_s (float): Smoothed time for which a request holds a slot.
+    """
 
     slots: int
-    in_use: int
+    in_use: float
+    hold_s: float = 0.0
 
 
 class DomainSummary(Message, frozen=True, tag="summary"):
@@ -289,12 +311,14 @@
         token_wants (dict): Tokens asked for, by bucket.
         credit_wants (dict): Requests wished to be in flight, by service.
         credits_in_flight (dict): Requests in flight, by service.
+        round_trip_s (float): Smoothed time of an exchange.
     """
 
     summary: DomainSummary
     token_wants: dict[ids.BucketId, float]
     credit_wants: dict[ids.ServiceId, int]
     credits_in_flight: dict[ids.ServiceId, int]
+    round_trip_s: float
 
 
 class ExchangeReply(Message, frozen=True, tag="exchange-reply"):
--- a/chicorydoor/state/event_ring.py
+++ b/chicorydoor/state/event_ring.py
@@ -16,6 +16,7 @@
 
 import collections
 from collections import abc
+import heapq
 
 from chicorydoor.protocol import event as event_module
 from chicorydoor.protocol import ids
@@ -24,6 +25,15 @@
 
 EventKind = event_module.EventKind
 Event = event_module.Event
+_REQUEST_KINDS = frozenset(
+    {
+        EventKind.LOOKED_UP,
+        EventKind.RECEIVED,
+        EventKind.FORWARDED,
+        EventKind.SENT,
+        EventKind.FINISHED,
+    }
+)
 
 _COUNTER_BITS = 16
 _MILLISECONDS = 1000
@@ -62,18 +72,27 @@
     Args:
         instance (str): The process's instance id.
         clock (Clock): For the stamps.
-        size (int): Events kept. Defaults to 8,000.
+        request_events (int): Events of requests that are kept. Defaults to
+            6,000.
+        state_events (int): Other events that are kept. Defaults to 2,000;
+            they are not driven out by requests.
     """
 
     def __init__(
         self,
         instance: ids.InstanceId,
         clock: clock_module.Clock,
-        size: int = 8_000,
+        request_events: int = 6_000,
+        state_events: int = 2_000,
     ) -> None:
         self._instance = instance
         self.stamps = HybridClock(clock)
-        self._events: collections.deque[Event] = collections.deque(maxlen=size)
+        self._of_requests: collections.deque[Event] = collections.deque(
+            maxlen=request_events
+        )
+        self._of_states: collections.deque[Event] = collections.deque(
+            maxlen=state_events
+        )
 
     def add(
         self,
@@ -86,7 +105,9 @@
         detail: str = "",
     ) -> None:
         """Record an event now."""
-        if len(self._events) == self._events.maxlen:
+        is_request = kind in _REQUEST_KINDS
+        ring = self._of_requests if is_request else self._of_states
+        if len(ring) == ring.maxlen:
             metrics.EVENTS_DROPPED.inc()
         event = Event(
             self.stamps.next(),
@@ -98,7 +119,7 @@
             subject,
             detail,
         )
-        self._events.append(event)
+        ring.append(event)
 
     def latest(self, since: int, limit: int) -> list[Event]:
         """Events with a higher stamp, oldest first.
@@ -107,13 +128,22 @@
             since (int): Exclusive lower bound.
             limit (int): Most events returned; the latest win.
         """
-        found: list[Event] = []
-        for event in reversed(self._events):
-            if event.stamp <= since or len(found) >= limit:
-                break
-            found.append(event)
-        found.reverse()
-        return found
+        found = heapq.merge(
+            _after(self._of_requests, since),
+            _after(self._of_states, since),
+            key=lambda event: event.stamp,
+        )
+        return list(found)[-limit:]
+
+
+def _after(ring: collections.deque[Event], since: int) -> list[Event]:
+    found: list[Event] = []
+    for event in reversed(ring):
+        if event.stamp <= since:
+            break
+        found.append(event)
+    found.reverse()
+    return found
 
 
 def merge(rings: abc.Iterable[abc.Iterable[Event]]) -> list[Event]:
--- a/chicorydoor/state/slot_ledger.py
+++ b/chicorydoor/state/slot_ledger.py
@@ -41,6 +41,7 @@
         self.in_use_by_target: dict[ids.TargetId, int] = {}
         self.wanted_by_service: dict[ids.ServiceId, int] = {}
         self.avoid: frozenset[ids.TargetId] = frozenset()
+        self.use_by_service: dict[ids.ServiceId, pm.ServiceUse] = {}
 
 
 class _Doubt(msgspec.Struct):
@@ -158,6 +159,7 @@
         holder.reported_at = now
         holder.wanted_by_service = dict(slots.wanted_by_service)
         holder.avoid = frozenset(slots.avoid)
+        holder.use_by_service = dict(slots.use_by_service)
         holder.in_use_by_target = {
             target: state.in_use for target, state in state_by_target.items()
         }
@@ -327,17 +329,29 @@
             for holder in self._holder_by_id.values()
         )
 
-    def usage(self, service: ids.ServiceId) -> tuple[int, int]:
-        """Slots of a service and how many are in use or in doubt."""
+    def usage(self, service: ids.ServiceId) -> tuple[int, float]:
+        """Slots of a service, and how many are in use or in doubt."""
         slots = 0
-        in_use = 0
+        busy = sum(
+            holder.use_by_service[service].busy
+            for holder in self._holder_by_id.values()
+            if service in holder.use_by_service
+        )
         for target in self._targets_of(service):
             slots += self._target_by_id[target].slots
             self._committed(target)
             doubt = self._doubt_by_target.get(target)
-            in_use += doubt.slots if doubt else 0
-            in_use += self.in_use(target)
-        return slots, in_use
+            busy += doubt.slots if doubt else 0
+        return slots, busy
+
+    def hold_s(self, service: ids.ServiceId) -> float:
+        """Mean time for which a request holds a slot, 0 if not known."""
+        times = [
+            holder.use_by_service[service].hold_s
+            for holder in self._holder_by_id.values()
+            if service in holder.use_by_service
+        ]
+        return sum(times) / len(times) if times else 0.0
 
     def wanted(self, service: ids.ServiceId) -> int:
         """Slots of a service that instances asked for and did not get."""
--- a/tests/support/fakes.py
+++ b/tests/support/fakes.py
@@ -9,6 +9,8 @@
 from chicorydoor import errors
 from chicorydoor.transport import store_client
 
+_IN_ORDER_S = 1e-6
+
 
 class FakeNetwork:
     """Carries messages between fake links, with delay, loss and cuts."""
@@ -22,6 +24,7 @@
         self.region_by_address = {}
         self.domain_by_address = {}
         self._queue_by_address = {}
+        self._latest_by_pair = {}
         self.delivered = []
 
     def link(self, address, domain, region):
@@ -51,7 +54,11 @@
             return
         delay_s = self._delay_s if len(regions) == 1 else self._far_delay_s
         loop = asyncio.get_running_loop()
-        loop.call_later(delay_s, self._deliver, receiver, data)
+        pair = (sender, receiver)
+        earliest = self._latest_by_pair.get(pair, 0.0) + _IN_ORDER_S
+        at = max(loop.time() + delay_s, earliest)
+        self._latest_by_pair[pair] = at
+        loop.call_at(at, self._deliver, receiver, data)
 
     def _deliver(self, receiver, data):
         queue = self._queue_by_address.get(receiver)
--- /dev/null
+++ b/tests/test_steering.py
@@ -0,0 +1,262 @@
+"""Shares of traffic that go elsewhere, credits, look-ups and drains."""
+
+import asyncio
+import collections
+import datetime
+import itertools
+import random
+
+import msgspec
+
+from chicorydoor.protocol import admin_api
+from chicorydoor.protocol import config_records as records
+from chicorydoor.state import event_ring
+from tests.support import fleet as fleet_module
+from tests.support import virtual_time
+
+_CAP = 0.2
+_DOMAINS = ["d0", "d1", "d2", "d3", "d4", "d5"]
+_ROUNDING = 0.006
+
+
+def _fleet(**options):
+    config = fleet_module.configuration(
+        rate=20000.0, burst=20000.0, shift_cap=_CAP, **options
+    )
+    return fleet_module.Fleet(config, _DOMAINS, seed=6)
+
+
+def _steps(fleet):
+    """All changes of shares, as (stamp, subject, before, after)."""
+    steps = []
+    for node in fleet.nodes():
+        for event in node.parts.events.latest(0, 10**6):
+            if event.kind is event_ring.EventKind.SHIFT_CHANGED:
+                before, after = map(float, event.detail.split(" to "))
+                steps.append((event.stamp, event.subject, before, after))
+    return sorted(steps)
+
+
+def _home_share(fleet, domain, seen):
+    """Part of the requests that ran at a domain's own targets."""
+    own = {
+        fleet.target(target_id)
+        for target_id, record in fleet.config.target_by_id.items()
+        if record.domain == domain
+    }
+    total = sum(len(t.seen) for t in fleet.target_by_address.values())
+    return sum(len(t.seen) for t in own) / max(1, total)
+
+
+async def _plan(fleet, kind, subject, in_s):
+    wall = fleet.clock.wall() + in_s
+    starts_at = datetime.datetime.fromtimestamp(wall, datetime.UTC)
+    drain = records.Drain(records.DrainKind(kind), subject, starts_at)
+    administration = fleet.nodes()[0].parts.administration
+    return await administration.plan_drain("planned", drain, "op")
+
+
+class TestOverload:
+    def _overloaded(self, course_after=None):
+        async def course():
+            fleet = _fleet(targets=2, slots=3)
+            await fleet.ready()
+            replies = []
+            rng = random.Random(1)
+            capacity = 6 / 0.011
+            node = fleet.nodes("d0")[0]
+            await fleet_module.offer(node, 1.6 * capacity, 12.0, rng, replies)
+            return fleet, replies
+
+        return virtual_time.run(course())
+
+    def test_excess_goes_elsewhere_under_the_cap(self):
+        fleet, replies = self._overloaded()
+        steps = _steps(fleet)
+        assert steps
+        for _, _, before, after in steps:
+            assert abs(after - before) <= _CAP + _ROUNDING
+        assert not fleet.outstanding_over_slots()
+        late = [r for at, r in replies if at > replies[-1][0] - 5.0]
+        served = sum(reply.code == 0 for reply in late)
+        assert served >= 0.97 * len(late)
+
+    def test_the_share_does_not_oscillate(self):
+        fleet, _ = self._overloaded()
+        shares = [after for _, subject, _, after in _steps(fleet)]
+        changes = [b - a for a, b in itertools.pairwise(shares)]
+        signs = [change > 0 for change in changes if change]
+        turns = sum(a != b for a, b in itertools.pairwise(signs))
+        assert turns <= 4
+
+    def test_never_in_flight_beyond_the_credit(self):
+        async def course():
+            fleet = _fleet(targets=1, slots=3)
+            await fleet.ready()
+            rng = random.Random(1)
+            node = fleet.nodes("d0")[0]
+            loading = asyncio.create_task(
+                fleet_module.offer(node, 600.0, 8.0, rng, [])
+            )
+            most = 0
+            while not loading.done():
+                await asyncio.sleep(0.003)
+                for other in fleet.nodes()[1:]:
+                    running = other.parts.forwarder.running()
+                    granted = other.parts.coordinator.credit_out("d0", "svc")
+                    assert running <= granted
+                    most = max(most, running)
+            assert most > 0
+            assert not fleet.outstanding_over_slots()
+
+        virtual_time.run(course())
+
+
+class TestLostDomain:
+    def test_callers_of_a_lost_domain_are_served_within_5_s(self):
+        async def course():
+            fleet = _fleet(targets=2, slots=4)
+            await fleet.ready()
+            rng = random.Random(2)
+            rate = 0.7 * 8 / 0.011
+            replies = []
+            for node in fleet.nodes("d0"):
+                await node.kill()
+            lost_at = asyncio.get_running_loop().time()
+            loads = [
+                fleet_module.offer(node, rate, 10.0, rng, replies)
+                for node in fleet.nodes()
+            ]
+            sister = fleet.nodes("d1")[0]
+            loads.append(fleet_module.offer(sister, rate, 10.0, rng, replies))
+            await asyncio.gather(*loads)
+            late = [r for at, r in replies if at > lost_at + 5.0]
+            served = sum(reply.code == 0 for reply in late)
+            assert served >= 0.99 * len(late)
+            assert not fleet.outstanding_over_slots()
+
+        virtual_time.run(course())
+
+
+class TestLookups:
+    def test_near_domains_first_and_no_leaving_entry(self):
+        async def course():
+            fleet = _fleet()
+            fleet.config.block_by_cidr["10.9.0.0/16"] = records.ClientBlock(
+                "r1"
+            )
+            await fleet.ready()
+            node = fleet.nodes("d0")[0]
+            entries = node.parts.directory.lookup("10.9.1.1").entries
+            assert {e.domain for e in entries} == {"d2", "d3"}
+            fleet.nodes("d2")[0].parts.membership.leave()
+            await asyncio.sleep(2.5)
+            entries = node.parts.directory.lookup("10.9.1.1").entries
+            assert {e.domain for e in entries} == {"d3"}
+
+        virtual_time.run(course())
+
+    def test_lost_region_is_replaced_by_the_others(self):
+        async def course():
+            fleet = _fleet()
+            fleet.config.block_by_cidr["10.9.0.0/16"] = records.ClientBlock(
+                "r1"
+            )
+            await fleet.ready()
+            for domain in ("d2", "d3"):
+                await fleet.nodes(domain)[0].kill()
+            await asyncio.sleep(9.0)
+            node = fleet.nodes("d0")[0]
+            entries = node.parts.directory.lookup("10.9.1.1").entries
+            assert {e.domain for e in entries} == {"d0", "d1", "d4", "d5"}
+
+        virtual_time.run(course())
+
+
+class TestPlannedDrain:
+    def test_target_gets_no_new_work_2_s_after_its_start(self):
+        async def course():
+            fleet = _fleet(targets=2, slots=4)
+            await fleet.ready()
+            replies = []
+            rng = random.Random(3)
+            loading = asyncio.create_task(
+                fleet_module.offer(
+                    fleet.nodes("d0")[0], 100.0, 8.0, rng, replies
+                )
+            )
+            await asyncio.sleep(1.0)
+            start = asyncio.get_running_loop().time() + 2.0
+            await _plan(fleet, "target", "d0-t0", 2.0)
+            await loading
+            seen = [at for at, _, _ in fleet.target("d0-t0").seen]
+            assert any(at < start for at in seen)
+            assert max(seen) <= start + 2.0
+            assert all(reply.code == 0 for _, reply in replies)
+
+        virtual_time.run(course())
+
+    def test_region_is_empty_at_its_date_and_nothing_is_refused(self):
+        async def course():
+            fleet = _fleet(targets=2, slots=4)
+            fleet.config.block_by_cidr["10.9.0.0/16"] = records.ClientBlock(
+                "r1"
+            )
+            await fleet.ready()
+            replies = []
+            rng = random.Random(3)
+            leaving = fleet.nodes("d2") + fleet.nodes("d3")
+            loads = [
+                asyncio.create_task(
+                    fleet_module.offer(node, 60.0, 24.0, rng, replies)
+                )
+                for node in leaving
+            ]
+            start = asyncio.get_running_loop().time() + 18.0
+            await _plan(fleet, "region", "r1", 18.0)
+            weights = collections.defaultdict(list)
+            watcher = fleet.nodes("d0")[0].parts.directory
+            for _ in range(22):
+                await asyncio.sleep(1.0)
+                answer = watcher.lookup("10.9.1.1")
+                total = sum(e.weight for e in answer.entries)
+                part = sum(
+                    e.weight
+                    for e in answer.entries
+                    if e.domain in ("d2", "d3")
+                )
+                weights["r1"].append(part / total)
+            await asyncio.gather(*loads)
+            for target_id, record in fleet.config.target_by_id.items():
+                if record.domain in ("d2", "d3"):
+                    seen = [at for at, _, _ in fleet.target(target_id).seen]
+                    assert max(seen) <= start + 2.0
+            steps = zip(weights["r1"], weights["r1"][1:], strict=False)
+            assert all(abs(b - a) <= 2 * _CAP + _ROUNDING for a, b in steps)
+            assert weights["r1"][0] == 1.0
+            assert weights["r1"][-1] == 0.0
+            for _, _, before, after in _steps(fleet):
+                assert abs(after - before) <= _CAP + _ROUNDING
+            codes = collections.Counter(r.code for _, r in replies)
+            assert set(codes) == {0}
+
+        virtual_time.run(course())
+
+
+class TestApplyOfDrains:
+    def test_a_cancelled_drain_brings_the_domain_back(self):
+        async def course():
+            fleet = _fleet()
+            await fleet.ready()
+            await _plan(fleet, "domain", "d1", 16.0)
+            await asyncio.sleep(8.0)
+            planner = fleet.nodes("d1")[0].parts.coordinator.shifts
+            assert planner.leaving_share > 0
+            administration = fleet.nodes()[0].parts.administration
+            result = await administration.cancel_drain("planned", "op")
+            assert result.ending is admin_api.Ending.COMMITTED
+            await asyncio.sleep(8.0)
+            assert planner.leaving_share == 0
+            assert msgspec.to_builtins(result)["ending"] == "committed"
+
+        virtual_time.run(course())
