--- a/chicorydoor/compose.py
+++ b/chicorydoor/compose.py
@@ -231,7 +231,7 @@
             clock=self.clock,
             events=self.events,
         )
-        self.prober = prober.Prober(self.targets, self.clock)
+        self.prober = prober.Prober(self.targets, self.clock, self.connect)
         self.administration = administration.Administration(
             keeper=self.keeper,
             relay=self.relay,
@@ -377,7 +377,6 @@
         await self.coordinator.exchange.close()
         self.network.close()
         await self.executor.close()
-        await self.prober.close()
 
 
 class Entry:
--- a/chicorydoor/coordination/prober.py
+++ b/chicorydoor/coordination/prober.py
@@ -10,9 +10,11 @@
 import httpx
 import msgspec
 
+from chicorydoor import errors
 from chicorydoor.state import target_table
 from chicorydoor.transport import clock as clock_module
 from chicorydoor.transport import metrics
+from chicorydoor.transport import target_connection
 
 _INTERVAL_S = 0.5
 _TIMEOUT_S = 0.5
@@ -32,14 +34,18 @@
     Args:
         targets (TargetTable): Whose targets are probed.
         clock (Clock): Time.
+        connect (callable): Makes a connection to a target.
     """
 
     def __init__(
-        self, targets: target_table.TargetTable, clock: clock_module.Clock
+        self,
+        targets: target_table.TargetTable,
+        clock: clock_module.Clock,
+        connect: target_connection.Connect,
     ) -> None:
         self._targets = targets
         self._clock = clock
-        self._client: httpx.AsyncClient | None = None
+        self._connect = connect
 
     async def run(self) -> None:
         """Probe until cancelled."""
@@ -61,20 +67,16 @@
 
     async def _probe(self, state: target_table.TargetState) -> None:
         metrics.PROBES.inc()
-        if self._client is None:
-            self._client = httpx.AsyncClient(
-                timeout=_TIMEOUT_S, trust_env=False
-            )
-        url = f"http://{state.record.address}:{state.record.port}/health"
+        record = state.record
+        connection = self._connect(f"{record.address}:{record.port}")
         try:
-            response = await self._client.get(url)
-            response.raise_for_status()
-            report = msgspec.json.decode(response.content, type=TargetReport)
+            response = await connection.send(
+                "GET", "/health", [], b"", _TIMEOUT_S
+            )
+            content = b"".join([piece async for piece in response.stream])
+            report = msgspec.json.decode(content, type=TargetReport)
             state.reported_load = report.load
-        except (httpx.HTTPError, msgspec.DecodeError):
+        except (errors.TargetError, httpx.HTTPError, msgspec.DecodeError):
             state.ejected_until = self._clock.now() + _FAILED_PROBE_PAUSE_S
-
-    async def close(self) -> None:
-        """Close the connections."""
-        if self._client is not None:
-            await self._client.aclose()
+        finally:
+            await connection.close()
--- a/tests/support/fakes.py
+++ b/tests/support/fakes.py
@@ -207,6 +207,9 @@
         await asyncio.sleep(0.001)
         if target.is_down:
             raise errors.TargetError("refused", sent=False)
+        if path == "/health":
+            report = httpx.ByteStream(b'{"load": 0.0}')
+            return httpx.Response(200, stream=report)
         header_by_name = dict(headers)
         request_id = header_by_name[b"x-request-id"].decode()
         now = asyncio.get_running_loop().time()
