--- a/chicorydoor/coordination/allotments.py
+++ b/chicorydoor/coordination/allotments.py
@@ -105,11 +105,15 @@
         self.wake()
 
     def note_arrival(self, route: ids.RouteId, is_delayed: bool) -> None:
-        """Count a request, and whether it found no free slot."""
-        counts = self._load_by_route.setdefault(route, [0, 0])
+        """Count a request, and whether it must expect a long wait."""
+        counts = self._load_by_route.setdefault(route, [0, 0, 0])
         counts[0] += 1
         counts[1] += is_delayed
 
+    def note_forwarded(self, route: ids.RouteId) -> None:
+        """Count a request that is sent to another failure domain."""
+        self._load_by_route.setdefault(route, [0, 0, 0])[2] += 1
+
     async def take_tokens(
         self, bucket: ids.BucketId, amount: float, remaining_s: float
     ) -> None:
@@ -215,8 +219,8 @@
         if self._acked_from != term:
             self._acks = 0
         loads = {
-            route: pm.RouteLoad(arrived, delayed)
-            for route, (arrived, delayed) in self._load_by_route.items()
+            route: pm.RouteLoad(*counts)
+            for route, counts in self._load_by_route.items()
         }
         self._load_by_route.clear()
         self.tokens.decay()
--- a/chicorydoor/coordination/dispatcher.py
+++ b/chicorydoor/coordination/dispatcher.py
@@ -173,6 +173,7 @@
                 detail=peer,
             )
             metrics.FORWARDED.labels(domain).inc()
+            self._allotments.note_forwarded(request.route_id)
             assert self.forwarder is not None
             answer = await self.forwarder.forward(
                 peer, request, own_target=False
--- a/chicorydoor/coordination/shifts.py
+++ b/chicorydoor/coordination/shifts.py
@@ -2,9 +2,10 @@
 
 The part changes by at most the route's shift cap in each of its intervals,
 over look-ups and forwarding together. It rises while requests find no free
-slot at home, falls when there is room again, and stays in between: the gap
-between the two thresholds keeps two domains from trading load. A domain that
-sends a service's requests away receives none of that service.
+slot at home and what it already asks for finds credit, falls when there is
+room again, and stays in between: the gap between the two thresholds keeps
+two domains from trading load. A domain that sends a service's requests away
+receives none of that service.
 
 A planned drain is known ahead. The domain first leaves the look-up answers,
 step by step, and then sends what still comes elsewhere, step by step, so
@@ -22,6 +23,7 @@
 from chicorydoor.transport import clock as clock_module
 
 _DELAYED_PART = 0.02
+_FOLLOWED_PART = 0.8
 _IDLE = 0.75
 _ASK_CREDIT = 0.5
 _STEP_DOWN_PART = 0.25
@@ -59,6 +61,7 @@
         self.changed_at = now
         self.arrived = 0
         self.delayed = 0
+        self.forwarded = 0
 
     def desired(self, load: pm.ServiceLoad | None) -> float:
         """Where the share should be by the load at home."""
@@ -67,6 +70,8 @@
         used = load.in_use / load.slots
         delayed_part = self.delayed / self.arrived if self.arrived else 0.0
         if delayed_part >= _DELAYED_PART:
+            if self.forwarded < _FOLLOWED_PART * self.share * self.arrived:
+                return self.share
             return min(1.0, self.share + delayed_part * (1 - self.share))
         if used < _IDLE and not self.delayed:
             down = max(_LEAST_STEP, self.share * _STEP_DOWN_PART)
@@ -81,6 +86,7 @@
         self.changed_at = now
         self.arrived = 0
         self.delayed = 0
+        self.forwarded = 0
 
     def is_due(self, now: float) -> bool:
         return now - self.changed_at >= self.route.shift_interval_s
@@ -140,6 +146,7 @@
             if shift is not None:
                 shift.arrived += load.arrived
                 shift.delayed += load.delayed
+                shift.forwarded += load.forwarded
 
     def plan(
         self, load_by_service: abc.Mapping[ids.ServiceId, pm.ServiceLoad]
--- a/chicorydoor/protocol/peer_messages.py
+++ b/chicorydoor/protocol/peer_messages.py
@@ -172,10 +172,12 @@
     Args:
         arrived (int): Admitted requests.
         delayed (int): Those that had to expect a long wait.
+        forwarded (int): Those sent to another failure domain.
     """
 
     arrived: int
     delayed: int
+    forwarded: int
 
 
 class Demand(Message, frozen=True, tag="demand"):
--- a/chicorydoor/state/token_ledger.py
+++ b/chicorydoor/state/token_ledger.py
@@ -17,7 +17,7 @@
     >>> ledger.configure({"acme": Limit(rate_per_s=10, burst=5)})
     >>> clock.t = 0.2
     >>> ledger.take("acme", "entry-1", 4, valid_s=1.0)
-    2
+    2.0
 """
 
 from collections import abc
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -69,7 +69,7 @@
         if "block_by_cidr" in document:
             document["region_by_id"] = {"r": {}}
         (tmp_path / "a.json").write_bytes(msgspec.json.encode(document))
-        with pytest.raises(errors.ConfigurationError, match="") as caught:
+        with pytest.raises(errors.ConfigurationError) as caught:
             config_folder.read_folder(tmp_path)
         assert words in str(caught.value)
 
--- /dev/null
+++ b/tests/test_state.py
@@ -0,0 +1,199 @@
+"""Small data structures, against naive versions."""
+
+import ipaddress
+
+from hypothesis import given
+from hypothesis import seed
+from hypothesis import settings
+from hypothesis import strategies as st
+import pytest
+
+from chicorydoor.protocol import config_records as records
+from chicorydoor.state import client_blocks
+from chicorydoor.state import config_snapshot
+from chicorydoor.state import domain_parts
+from chicorydoor.state import event_ring
+from chicorydoor.state import token_ledger
+from tests.support import naive
+
+
+class ManualClock:
+    """Time that a test moves."""
+
+    def __init__(self):
+        self.at = 0.0
+
+    def now(self):
+        return self.at
+
+    def wall(self):
+        return self.at
+
+
+def _naive_find(region_by_cidr, address):
+    """The region of the longest block that holds an address."""
+    parsed = ipaddress.ip_address(address)
+    best = None
+    for cidr, region in region_by_cidr.items():
+        network = ipaddress.ip_network(cidr)
+        if network.version == parsed.version and parsed in network:
+            if best is None or network.prefixlen > best[0]:
+                best = (network.prefixlen, region)
+    return best[1] if best else None
+
+
+class TestClientBlockTable:
+    @seed(5)
+    @settings(max_examples=150, deadline=None, database=None)
+    @given(
+        st.lists(
+            st.tuples(
+                st.integers(0, 2**32 - 1),
+                st.integers(0, 32),
+                st.sampled_from("abc"),
+            ),
+            max_size=30,
+        ),
+        st.lists(st.integers(0, 2**32 - 1), min_size=1, max_size=20),
+    )
+    def test_longest_prefix(self, blocks, addresses):
+        region_by_cidr = {}
+        for number, length, region in blocks:
+            network = ipaddress.ip_network((number, length), strict=False)
+            region_by_cidr[str(network)] = region
+        table = client_blocks.ClientBlockTable(region_by_cidr)
+        edges = [
+            int(ipaddress.ip_network(cidr)[edge])
+            for cidr in region_by_cidr
+            for edge in (0, -1)
+        ]
+        for number in addresses + edges:
+            address = str(ipaddress.ip_address(number))
+            assert table.find(address) == _naive_find(region_by_cidr, address)
+
+    def test_ipv6(self):
+        blocks = {"2a02::/32": "a", "2a02:1::/48": "b", "::/0": "c"}
+        table = client_blocks.ClientBlockTable(blocks)
+        assert table.find("2a02::1") == "a"
+        assert table.find("2a02:1::1") == "b"
+        assert table.find("ffff::1") == "c"
+
+
+class TestTokenLedger:
+    @seed(7)
+    @settings(max_examples=150, deadline=None, database=None)
+    @given(
+        st.lists(
+            st.tuples(
+                st.sampled_from(["take", "spend", "report", "pass", "lose"]),
+                st.integers(0, 2),
+                st.integers(1, 6),
+            ),
+            max_size=80,
+        )
+    )
+    def test_spent_tokens_stay_within_rate_and_burst(self, actions):
+        """Holders that spend at the worst moments, against one bucket."""
+        clock = ManualClock()
+        ledger = token_ledger.TokenLedger(clock)
+        ledger.configure({"b": token_ledger.Limit(4.0, 5.0)})
+        held = [[] for _ in range(3)]
+        spent = []
+        for kind, index, amount in actions:
+            lots = held[index]
+            lots[:] = [lot for lot in lots if lot[0] > clock.at]
+            if kind == "pass":
+                clock.at += amount * 0.13
+            elif kind in ("take", "lose"):
+                granted = ledger.take("b", index, amount, valid_s=1.0)
+                if kind == "take" and granted:
+                    lots.append((clock.at + 1.0, granted))
+            elif kind == "report":
+                left = sum(count for _, count in lots)
+                ledger.report("b", index, left, 1.0)
+                lots[:] = [(clock.at + 1.0, left)]
+            elif kind == "spend" and lots:
+                expires_at, left = lots.pop()
+                spent += [clock.at] * int(min(left, amount))
+                if left > amount:
+                    lots.append((expires_at, left - amount))
+        assert naive.burst_needed(spent, 4.0) <= 5.0 + 1e-6
+
+
+class TestDomainParts:
+    @seed(9)
+    @settings(max_examples=150, deadline=None, database=None)
+    @given(
+        st.integers(1, 50),
+        st.integers(1, 50),
+        st.lists(st.booleans(), min_size=5, max_size=5),
+        st.lists(st.integers(1, 9), min_size=5, max_size=5),
+    )
+    def test_parts_never_exceed_the_rate(self, before, after, knows, shares):
+        """Domains that know the new rate make room for those that do not."""
+        domains = [f"d{number}" for number in range(5)]
+        old = _configuration(before, domains, {})
+        share_by_domain = dict(zip(domains, map(float, shares), strict=True))
+        new = _configuration(after, domains, share_by_domain)
+        domain_parts.note_changes(old, new, 2, 1)
+        revisions = {
+            domain: 2 if known else 1
+            for domain, known in zip(domains, knows, strict=True)
+        }
+        total = 0.0
+        for domain, known in zip(domains, knows, strict=True):
+            config = new if known else old
+            parts = domain_parts.DomainParts(config, revisions)
+            total += parts.limit("c", domain).rate_per_s
+        if any(knows):
+            unaware = before / 5 * sum(not known for known in knows)
+            assert total <= max(after, unaware) + 1e-6
+
+
+def _configuration(rate, domains, share_by_domain):
+    config = records.Configuration()
+    config.domain_by_id = {d: records.Domain("r") for d in domains}
+    config.customer_by_id["c"] = records.Customer(
+        float(rate), float(rate), share_by_domain=share_by_domain
+    )
+    return config
+
+
+class TestEventRing:
+    def test_effects_come_after_their_causes_though_clocks_differ(self):
+        fast, slow = ManualClock(), ManualClock()
+        fast.at, slow.at = 1000.0, 10.0
+        first = event_ring.EventRing("first", fast)
+        second = event_ring.EventRing("second", slow)
+        kinds = event_ring.EventKind
+        first.add(kinds.FORWARDED, request_id="r")
+        second.stamps.merge(first.stamps.next())
+        second.add(kinds.SENT, request_id="r")
+        merged = event_ring.merge([second.latest(0, 10), first.latest(0, 10)])
+        assert [event.instance for event in merged] == ["first", "second"]
+
+    def test_requests_do_not_drive_out_changes_of_state(self):
+        ring = event_ring.EventRing("i", ManualClock(), 10, 10)
+        kinds = event_ring.EventKind
+        ring.add(kinds.OFFICE_TAKEN)
+        for _ in range(100):
+            ring.add(kinds.RECEIVED)
+        found = [event.kind for event in ring.latest(0, 1000)]
+        assert len(found) == 11
+        assert found[0] is kinds.OFFICE_TAKEN
+
+
+class TestRoutes:
+    @pytest.mark.parametrize(
+        ("path", "expected"),
+        [("/a", "a"), ("/a/b/c", "ab"), ("/ab", None), ("/", None)],
+    )
+    def test_longest_prefix_by_segments(self, path, expected):
+        config = records.Configuration()
+        config.route_by_id["a"] = records.Route("s", "/a")
+        config.route_by_id["ab"] = records.Route("s", "/a/b")
+        snapshot = config_snapshot.ConfigSnapshot(
+            config_snapshot.EMPTY.manifest, config
+        )
+        found = snapshot.find_route(path)
+        assert (found[0] if found else None) == expected
