Cut the cost of control at rest

Cause: both coordinators of a pair called each other, views were sent whole twice a second, instances with nothing to tell reported four times a second, and messages named every field. Change: of two domains at rest the one with the lower id calls, once a second; views are sent when their essence changes; reports at rest are rare; messages are positional; heartbeats 0.4 s. Found on the way: domains that were half busy asked for credits ahead, which promised away the headroom that an overloaded one needed; only nearly full ones ask ahead now, for one slot.

--- a/chicorydoor/compose.py
+++ b/chicorydoor/compose.py
@@ -370,7 +370,7 @@
                 self.take_view(self.coordinator.view())
             self.freshness.note_state()
             self.drains.tick()
-            await asyncio.sleep(self.settings.timing.heartbeat_s)
+            await asyncio.sleep(self.settings.timing.exchange_s)
 
     async def close(self) -> None:
         """Release what the parts hold."""
--- a/chicorydoor/coordination/allotments.py
+++ b/chicorydoor/coordination/allotments.py
@@ -24,6 +24,8 @@
 from chicorydoor.transport import clock as clock_module
 
 _LEAST_GAP_S = 0.004
+_REPORT_S = 0.25
+_REPORTS_AT_REST = 4
 _CALL_TIMEOUT_S = 0.5
 _PREFETCH_S = 0.25
 _LENT_WAIT_S = 0.6
@@ -186,9 +188,22 @@
             await self._report()
             await asyncio.sleep(_LEAST_GAP_S)
             with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(self._timing.heartbeat_s):
+                async with asyncio.timeout(self._pause_s()):
                     await self._wake.wait()
 
+    def _pause_s(self) -> float:
+        """Reports are rare while there is nothing to renew or to tell."""
+        is_busy = (
+            self._load_by_route
+            or self._waiters_by_bucket
+            or self.tokens.active()
+            or self.away_share_by_route
+            or any(s.in_use for s in self.slots.state().values())
+        )
+        if is_busy:
+            return _REPORT_S
+        return self._timing.slots_valid_s / _REPORTS_AT_REST
+
     async def _report(self) -> None:
         coordinator = self._membership.coordinator()
         if coordinator is None:
--- a/chicorydoor/coordination/coordinator.py
+++ b/chicorydoor/coordination/coordinator.py
@@ -36,6 +36,8 @@
 _CREDIT_CUT = 0.8
 _MOST_PER_SLOT = 32.0
 _SUMMARY_MEMBERS = 16
+_PLAN_S = 0.25
+_VIEW_REFRESH_S = 2.0
 _HANDOVER_TIMEOUT_S = 0.5
 
 
@@ -58,6 +60,17 @@
     return ids.TargetId(f"{domain}/{service}")
 
 
+def _essence(summary: pm.DomainSummary) -> tuple:
+    """What instances should be told of at once when it changes."""
+    return (
+        summary.domain,
+        summary.coordinator,
+        summary.revision,
+        summary.members,
+        summary.leaving_share,
+    )
+
+
 class _CreditGrants:
     """Credits that one other failure domain holds here."""
 
@@ -126,6 +139,7 @@
             ids.BucketId, dict[ids.HolderId, float]
         ] = {}
         self._view_sent_at = float("-inf")
+        self._essence_sent: list[tuple] = []
         self.exchange = exchange_module.Exchange(
             me=me,
             membership=membership,
@@ -261,7 +275,7 @@
     async def run(self) -> None:
         """Plan shifts and tell the instances, until cancelled."""
         while True:
-            await asyncio.sleep(self._timing.heartbeat_s)
+            await asyncio.sleep(_PLAN_S)
             if self.is_in_office():
                 self._plan()
                 self._tell()
@@ -308,10 +322,15 @@
 
     def _tell(self) -> None:
         now = self._clock.now()
-        if now - self._view_sent_at < self._timing.exchange_s:
+        age_s = now - self._view_sent_at
+        if age_s < self._timing.exchange_s:
             return
-        self._view_sent_at = now
         view = self.view()
+        essence = [_essence(summary) for summary in view.summaries]
+        if essence == self._essence_sent and age_s < _VIEW_REFRESH_S:
+            return
+        self._essence_sent = essence
+        self._view_sent_at = now
         for member in self._membership.live_members():
             if member.instance != self._me.instance:
                 self._post(member.instance, view)
--- a/chicorydoor/coordination/exchange.py
+++ b/chicorydoor/coordination/exchange.py
@@ -10,6 +10,7 @@
 
 import asyncio
 from collections import abc
+import contextlib
 import math
 import random
 
@@ -27,6 +28,8 @@
 _CALL_TIMEOUT_S = 0.4
 _LEAST_GAP_S = 0.03
 _LEAST_RETRY_S = 0.05
+_REST_FACTOR = 2.0
+_SECOND_REST_FACTOR = 3.0
 _ROUND_TRIP_WEIGHT = 0.3
 _MOST_LENDERS = 4
 _HEARD_AFTER_S = 3.0
@@ -70,6 +73,7 @@
         self.domain = domain
         self.summary: pm.DomainSummary | None = None
         self.heard_at = float("-inf")
+        self.exchanged_at = float("-inf")
         self.member_by_id: dict[ids.InstanceId, pm.Member] = {}
         self.contact: ids.InstanceId | None = None
         self.wake = asyncio.Event()
@@ -256,15 +260,32 @@
         """Exchange with one failure domain until cancelled."""
         await asyncio.sleep(self._rng.uniform(0, self._timing.exchange_s))
         while True:
-            if self._membership.in_office():
+            if self._membership.in_office() and self._is_due(neighbour):
+                neighbour.exchanged_at = self._clock.now()
                 await self._exchange(neighbour)
             neighbour.wake.clear()
-            await asyncio.sleep(_LEAST_GAP_S)
-            try:
+            with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(self._timing.exchange_s):
                     await neighbour.wake.wait()
-            except TimeoutError:
-                continue
+                await asyncio.sleep(_LEAST_GAP_S)
+
+    def _is_due(self, neighbour: Neighbour) -> bool:
+        """Whether anything is wanted, or nobody called for a while.
+
+        One exchange tells both sides, so of two domains at rest only the
+        one with the lower id calls, as long as it does.
+        """
+        has_credit = any(neighbour.credit_by_service.values())
+        if neighbour.token_wants or has_credit:
+            return True
+        wants, in_flight = self._credit_report(neighbour.domain)
+        if any(wants.values()) or any(in_flight.values()):
+            return True
+        is_first = self._me.domain < neighbour.domain
+        factor = _REST_FACTOR if is_first else _SECOND_REST_FACTOR
+        rest_s = factor * self._timing.exchange_s
+        rested_s = self._clock.now() - neighbour.exchanged_at
+        return rested_s >= rest_s - _LEAST_GAP_S
 
     async def _exchange(self, neighbour: Neighbour) -> None:
         contact = self._contact(neighbour)
@@ -353,6 +374,7 @@
         self.note_summary(message.summary)
         neighbour = self.neighbour(message.summary.domain)
         neighbour.contact = sender
+        neighbour.exchanged_at = self._clock.now()
         reply = self._answer(message)
         self._on_change(neighbour, [])
         return reply
--- a/chicorydoor/coordination/shifts.py
+++ b/chicorydoor/coordination/shifts.py
@@ -25,7 +25,7 @@
 _DELAYED_PART = 0.02
 _FOLLOWED_PART = 0.8
 _IDLE = 0.75
-_ASK_CREDIT = 0.5
+_ASK_CREDIT = 0.85
 _STEP_DOWN_PART = 0.25
 _LEAST_STEP = 0.01
 _DRAIN_MARGIN_S = 1.0
@@ -249,7 +249,7 @@
         used = load.in_use / load.slots
         if self.is_leaving() or sends_away:
             return load.slots
-        return math.ceil(load.slots / 4) if used >= _ASK_CREDIT else 0
+        return 1 if used >= _ASK_CREDIT else 0
 
     def _remote_slots(self, service: ids.ServiceId) -> int:
         targets = self._snapshot.configuration.target_by_id.values()
--- a/chicorydoor/protocol/peer_messages.py
+++ b/chicorydoor/protocol/peer_messages.py
@@ -14,9 +14,7 @@
 PROTOCOL_VERSION = 1
 
 
-class Message(
-    msgspec.Struct, frozen=True, tag_field="kind", forbid_unknown_fields=False
-):
+class Message(msgspec.Struct, frozen=True, tag_field="kind", array_like=True):
     """Base of all messages."""
 
 
--- a/chicorydoor/protocol/settings.py
+++ b/chicorydoor/protocol/settings.py
@@ -61,9 +61,9 @@
 
     Args:
         heartbeat_s (float): Between instances of a failure domain.
-            Defaults to 0.25.
+            Defaults to 0.4.
         dead_after_s (float): Silence after which a peer counts as gone.
-            Defaults to 1.
+            Defaults to 1.25.
         lease_s (float): How long a coordinator's followers are bound.
             Defaults to 2.
         slots_valid_s (float): How long a slot grant may be used without
@@ -75,8 +75,8 @@
             to which keys are not in doubt. Defaults to 6.
     """
 
-    heartbeat_s: float = 0.25
-    dead_after_s: float = 1.0
+    heartbeat_s: float = 0.4
+    dead_after_s: float = 1.25
     lease_s: float = 2.0
     slots_valid_s: float = 3.0
     exchange_s: float = 0.5
