--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -264,10 +264,43 @@
         elapsed = time.process_time() - began
         memory_points.append((size, taken))
         time_points.append((size, elapsed / len(addresses)))
-    fit("blocks-memory", memory_points, "B")
+    fit("blocks-memory", memory_points, "B of the table")
     fit("blocks-lookup", time_points, "s")
 
 
+def measure_blocks_in_entry() -> None:
+    """Memory of a region's client blocks with all that keeps them."""
+    points = []
+    for size in (1000, 10_000, 52_000, 104_000):
+        config = _configuration()
+        for number in range(size):
+            cidr = f"{number >> 16}.{number >> 8 & 255}.{number & 255}.0/24"
+            config.block_by_cidr[cidr] = records.ClientBlock("r")
+        manifest, data = config_chunks.next_manifest(
+            manifest_module.EMPTY, config, "first", ids.Revision(1)
+        )
+        encoded = msgspec.json.encode(manifest)
+        chunks = [bytes(chunk) for chunk in data.values()]
+        del config, data
+        taken, keeper = _allocated(lambda c=chunks, m=encoded: _adopted(c, m))
+        points.append((size, taken))
+        del keeper
+    fit("blocks-in-entry", points, "B for one entry")
+
+
+def _adopted(
+    chunks: list[bytes], encoded: bytes
+) -> config_keeper.ConfigKeeper:
+    clock = clock_module.SystemClock()
+    ring = event_ring.EventRing(ids.InstanceId("bench"), clock)
+    keeper = config_keeper.ConfigKeeper(clock, ring)
+    manifest = msgspec.json.decode(encoded, type=manifest_module.Manifest)
+    for chunk in chunks:
+        keeper.cache.add(bytes(bytearray(chunk)))
+    keeper.adopt(manifest)
+    return keeper
+
+
 def measure_store() -> None:
     """Calls of ten entries at rest to the store stand-in."""
     asyncio.run(_store_at_rest())
@@ -298,6 +331,7 @@
     "records": measure_records,
     "changes": measure_changes,
     "blocks": measure_blocks,
+    "blocks-in-entry": measure_blocks_in_entry,
     "store": measure_store,
     "ten": measure_ten_entries,
     "peers": measure_peers,
--- a/chicorydoor/coordination/administration.py
+++ b/chicorydoor/coordination/administration.py
@@ -6,7 +6,6 @@
 import hashlib
 import hmac
 import secrets
-import typing
 import uuid
 
 import msgspec
@@ -94,7 +93,8 @@
         """The configuration in force."""
         snapshot = self._keeper.snapshot
         return admin_api.ConfigurationView(
-            snapshot.revision, msgspec.to_builtins(snapshot.configuration)
+            snapshot.revision,
+            msgspec.to_builtins(self._keeper.full_configuration()),
         )
 
     # Changes.
@@ -283,7 +283,7 @@
         """Commit a change of the latest configuration."""
         await self._catch_up()
         snapshot = self._keeper.snapshot
-        configuration = _copy(snapshot.configuration)
+        configuration = self._keeper.full_configuration()
         change(configuration)
         config_folder.check_references(configuration)
         self._check_drains(configuration)
@@ -381,14 +381,3 @@
         self, sender: ids.InstanceId, request: pm.EventsRequest
     ) -> pm.Events:
         return pm.Events(self._events.latest(request.since, request.limit))
-
-
-def _copy(
-    configuration: config_records.Configuration,
-) -> config_records.Configuration:
-    """A copy whose collections may be changed; records are frozen."""
-    fields: dict[str, typing.Any] = {
-        name: dict(getattr(configuration, name))
-        for name in config_records.RECORD_TYPE_BY_COLLECTION
-    }
-    return config_records.Configuration(**fields)
--- a/chicorydoor/coordination/config_keeper.py
+++ b/chicorydoor/coordination/config_keeper.py
@@ -15,9 +15,11 @@
 from chicorydoor import errors
 from chicorydoor.coordination import membership as membership_module
 from chicorydoor.coordination import peer_network
+from chicorydoor.protocol import config_records
 from chicorydoor.protocol import ids
 from chicorydoor.protocol import manifest as manifest_module
 from chicorydoor.protocol import peer_messages as pm
+from chicorydoor.state import client_blocks
 from chicorydoor.state import config_chunks
 from chicorydoor.state import config_snapshot
 from chicorydoor.state import event_ring
@@ -71,8 +73,9 @@
         if manifest.revision <= self.snapshot.revision:
             return False
         configuration = self.cache.assemble(manifest)
+        blocks = self._block_table(manifest)
         self.snapshot = config_snapshot.ConfigSnapshot(
-            manifest, configuration, self.snapshot
+            manifest, configuration, blocks
         )
         self._remember(manifest)
         self.cache.keep_only(manifest)
@@ -84,6 +87,27 @@
             observer(self.snapshot)
         return True
 
+    def _block_table(
+        self, manifest: manifest_module.Manifest
+    ) -> client_blocks.ClientBlockTable:
+        digests = config_chunks.block_digests(manifest)
+        if digests == config_chunks.block_digests(self.snapshot.manifest):
+            return self.snapshot.blocks
+        blocks = self.cache.blocks(manifest)
+        return client_blocks.ClientBlockTable(
+            {cidr: block.region for cidr, block in blocks.items()}
+        )
+
+    def full_configuration(self) -> config_records.Configuration:
+        """A copy of the revision in force with its client blocks.
+
+        Records are frozen; the collections may be changed.
+        """
+        manifest = self.snapshot.manifest
+        configuration = self.cache.assemble(manifest)
+        configuration.block_by_cidr = self.cache.blocks(manifest)
+        return configuration
+
     def _remember(self, manifest: manifest_module.Manifest) -> None:
         self._manifests[manifest.revision] = manifest
         while len(self._manifests) > _KEPT_MANIFESTS:
--- a/chicorydoor/state/config_chunks.py
+++ b/chicorydoor/state/config_chunks.py
@@ -2,7 +2,8 @@
 
 A change of one record changes one chunk, so only that chunk travels. The
 number of chunks of a collection grows with its records, a power of two at a
-time, so that a chunk stays small.
+time, so that a chunk stays small; it is bounded, so that the manifest fits
+into one value of the store.
 """
 
 import hashlib
@@ -14,8 +15,10 @@
 from chicorydoor.protocol import manifest as manifest_module
 
 _RECORDS_PER_CHUNK = 16
+_MOST_CHUNKS = 2048
 _DIGEST_BYTES = 12
 RETIRED_KEPT = 16
+BLOCKS = "block_by_cidr"
 
 
 def digest_of(data: bytes) -> str:
@@ -25,7 +28,7 @@
 
 def _bucket_count(records: int) -> int:
     count = 1
-    while count * _RECORDS_PER_CHUNK < records:
+    while count < _MOST_CHUNKS and count * _RECORDS_PER_CHUNK < records:
         count *= 2
     return count
 
@@ -69,6 +72,19 @@
     return chunk.collection, records
 
 
+def _collection(chunk_name: str) -> str:
+    return chunk_name.partition("/")[0]
+
+
+def block_digests(manifest: manifest_module.Manifest) -> set[str]:
+    """Digests of the chunks that hold client blocks."""
+    return {
+        digest
+        for name, digest in manifest.digest_by_chunk.items()
+        if _collection(name) == BLOCKS
+    }
+
+
 class ChunkCache:
     """Decoded chunks of the revision in force, by digest."""
 
@@ -99,9 +115,15 @@
     def assemble(
         self, manifest: manifest_module.Manifest
     ) -> config_records.Configuration:
-        """Build the configuration of a manifest whose chunks are held."""
+        """Build the configuration of a manifest whose chunks are held.
+
+        Client blocks are left out: there may be a hundred thousand, and
+        requests need only their table.
+        """
         configuration = config_records.Configuration()
-        for digest in manifest.digest_by_chunk.values():
+        for name, digest in manifest.digest_by_chunk.items():
+            if _collection(name) == BLOCKS:
+                continue
             decoded = self._decoded_by_digest.get(digest)
             if decoded is None:
                 decoded = decode(self._data_by_digest[digest])
@@ -110,6 +132,16 @@
             getattr(configuration, collection).update(records)
         return configuration
 
+    def blocks(
+        self, manifest: manifest_module.Manifest
+    ) -> dict[str, config_records.ClientBlock]:
+        """Client blocks by CIDR, decoded anew at each call."""
+        blocks: dict[str, config_records.ClientBlock] = {}
+        for name, digest in manifest.digest_by_chunk.items():
+            if _collection(name) == BLOCKS:
+                blocks.update(decode(self._data_by_digest[digest])[1])
+        return blocks
+
     def keep_only(self, manifest: manifest_module.Manifest) -> None:
         """Forget the chunks that the manifest does not name."""
         wanted = set(manifest.digest_by_chunk.values())
--- a/chicorydoor/state/config_snapshot.py
+++ b/chicorydoor/state/config_snapshot.py
@@ -20,15 +20,15 @@
     Args:
         manifest (Manifest): Names the revision.
         configuration (Configuration): Its records.
-        earlier (ConfigSnapshot): The revision before, whose block table is
-            shared when the blocks did not change. Defaults to None.
+        blocks (ClientBlockTable): Regions by client block. Defaults to
+            an empty table.
     """
 
     def __init__(
         self,
         manifest: manifest_module.Manifest,
         configuration: config_records.Configuration,
-        earlier: "ConfigSnapshot | None" = None,
+        blocks: client_blocks.ClientBlockTable | None = None,
     ) -> None:
         self.manifest = manifest
         self.revision = manifest.revision
@@ -45,17 +45,7 @@
             route.path_prefix: (route_id, route)
             for route_id, route in configuration.route_by_id.items()
         }
-        self.blocks = self._block_table(earlier)
-
-    def _block_table(
-        self, earlier: "ConfigSnapshot | None"
-    ) -> client_blocks.ClientBlockTable:
-        blocks = self.configuration.block_by_cidr
-        if earlier and earlier.configuration.block_by_cidr == blocks:
-            return earlier.blocks
-        return client_blocks.ClientBlockTable(
-            {cidr: block.region for cidr, block in blocks.items()}
-        )
+        self.blocks = blocks or client_blocks.ClientBlockTable({})
 
     def find_key(self, digest: str) -> tuple[ids.KeyId, ids.CustomerId] | None:
         """Key id and customer of a key's digest, if it is in force."""
