Name no entry in look-ups that has no configuration or is drained

Change: members say whether they are ready; an instance's drain takes it out of the look-up answers and puts it back. Two tests hold both cases.

--- a/chicorydoor/compose.py
+++ b/chicorydoor/compose.py
@@ -305,6 +305,7 @@
         self.coordinator.configure(snapshot)
         self.drains.configure(snapshot)
         self.membership.revision = snapshot.revision
+        self.membership.set_ready()
 
     def is_ready(self) -> bool:
         """Whether requests can be served."""
@@ -371,6 +372,7 @@
                 self.take_view(self.coordinator.view())
             self.freshness.note_state()
             self.drains.tick()
+            self.membership.set_drained(self.drains.is_instance_drained)
             await asyncio.sleep(self.settings.timing.exchange_s)
 
     async def close(self) -> None:
--- a/chicorydoor/coordination/directory.py
+++ b/chicorydoor/coordination/directory.py
@@ -149,7 +149,7 @@
         summary = self._summaries().get(domain)
         if summary is None:
             return None
-        serving = [m.instance for m in summary.members if not m.leaving]
+        serving = [m.instance for m in summary.members if m.is_serving]
         return rng.choice(serving) if serving else None
 
     def lookup(self, address: str) -> caller_api.LookupAnswer:
@@ -182,7 +182,7 @@
             serving = [
                 m
                 for m in summaries[domain].members
-                if not m.leaving and m.http_address
+                if m.is_serving and m.http_address
             ]
             for member in serving:
                 entries.append(
@@ -216,7 +216,7 @@
         usable = {
             domain: summary
             for domain, summary in summaries.items()
-            if any(not m.leaving for m in summary.members)
+            if any(m.is_serving for m in summary.members)
         }
         home = {
             domain: summary
--- a/chicorydoor/coordination/membership.py
+++ b/chicorydoor/coordination/membership.py
@@ -80,6 +80,7 @@
         self._bound_until = float("-inf")
         self._is_renewing = False
         self._successor = NOBODY
+        self._is_stopping = False
         self._was_in_office = False
         self.office_number = 0
         self.store_contact_at = float("-inf")
@@ -97,9 +98,21 @@
         elif member.http_address:
             mate.member = member
 
+    def set_ready(self) -> None:
+        """Tell the others that this entry has a configuration."""
+        if not self.me.is_ready:
+            self.me = msgspec.structs.replace(self.me, is_ready=True)
+
     def leave(self) -> None:
         """Tell the others that this entry is about to stop."""
-        self.me = msgspec.structs.replace(self.me, leaving=True)
+        self._is_stopping = True
+        self.set_drained(True)
+
+    def set_drained(self, is_drained: bool) -> None:
+        """Take this entry out of the look-up answers, or put it back."""
+        leaving = is_drained or self._is_stopping
+        if leaving != self.me.leaving:
+            self.me = msgspec.structs.replace(self.me, leaving=leaving)
 
     def successor(self) -> ids.InstanceId | None:
         """Who should take this instance's office over, if anybody can."""
--- a/chicorydoor/protocol/peer_messages.py
+++ b/chicorydoor/protocol/peer_messages.py
@@ -39,13 +39,24 @@
 
 
 class Member(Message, frozen=True, tag="member"):
-    """An entry as others see it."""
+    """An entry as others see it.
+
+    Args:
+        leaving (bool): About to stop. Defaults to False.
+        is_ready (bool): Has a configuration. Defaults to False.
+    """
 
     instance: ids.InstanceId
     domain: ids.DomainId
     peer_address: str
     http_address: str
     leaving: bool = False
+    is_ready: bool = False
+
+    @property
+    def is_serving(self) -> bool:
+        """Whether callers and other domains should be sent to it."""
+        return self.is_ready and not self.leaving
 
 
 class Heartbeat(Message, frozen=True, tag="heartbeat"):
--- a/tests/test_steering.py
+++ b/tests/test_steering.py
@@ -156,6 +156,41 @@
 
         virtual_time.run(course())
 
+    def test_an_entry_without_configuration_is_not_named(self):
+        async def course():
+            fleet = _fleet()
+            await fleet.ready()
+            fleet.store.is_down = True
+            fleet.network.cuts = {frozenset(("d0", "d1"))}
+            newcomer = fleet.add("d0")
+            newcomer.parts.keeper.take_offer = lambda offer: False
+            await asyncio.sleep(4.0)
+            node = fleet.nodes("d0")[0]
+            entries = node.parts.directory.lookup("10.9.1.1").entries
+            named = {entry.instance for entry in entries}
+            assert node.parts.me.instance in named
+            assert newcomer.parts.me.instance not in named
+
+        virtual_time.run(course())
+
+    def test_a_drained_instance_is_named_no_more_and_comes_back(self):
+        async def course():
+            fleet = _fleet()
+            await fleet.ready()
+            node = fleet.nodes("d0")[0]
+            subject = fleet.nodes("d1")[0].parts.me.instance
+            await _plan(fleet, "instance", subject, 0.5)
+            await asyncio.sleep(3.0)
+            entries = node.parts.directory.lookup("10.9.1.1").entries
+            assert subject not in {entry.instance for entry in entries}
+            administration = node.parts.administration
+            await administration.cancel_drain("planned", "op")
+            await asyncio.sleep(3.0)
+            entries = node.parts.directory.lookup("10.9.1.1").entries
+            assert subject in {entry.instance for entry in entries}
+
+        virtual_time.run(course())
+
     def test_lost_region_is_replaced_by_the_others(self):
         async def course():
             fleet = _fleet()
