--- a/Makefile
+++ b/Makefile
@@ -29,3 +29,4 @@
 bench: $(VENV)/.installed
 	$(BIN)/python -m bench.throughput
 	$(BIN)/python -m bench.decisions
+	$(BIN)/python -m bench.rates
--- a/chicorydoor/cli/plot.py
+++ b/chicorydoor/cli/plot.py
@@ -40,8 +40,11 @@
         elif event.kind in _MARKED:
             axes[0].axvline(second, color=_MARKED[event.kind], alpha=0.3)
     for domain, count_by_second in sorted(served.items()):
-        points = sorted(count_by_second.items())
-        axes[0].plot(*zip(*points, strict=True), label=domain)
+        seconds = range(min(count_by_second), max(count_by_second) + 1)
+        counts = [count_by_second[second] for second in seconds]
+        axes[0].plot(seconds, counts, label=domain)
+    for kind, color in _MARKED.items():
+        axes[0].plot([], [], color=color, alpha=0.3, label=kind.value)
     axes[0].set_ylabel("answers per second")
     axes[0].legend(loc="upper right", fontsize="small")
     points = sorted(refused.items()) or [(0, 0)]
--- a/chicorydoor/coordination/forwarding.py
+++ b/chicorydoor/coordination/forwarding.py
@@ -28,31 +28,38 @@
 Run = abc.Callable[[requests.Request], abc.Awaitable[requests.Answer]]
 
 
-class _Opened:
-    """A stream that this entry opened."""
+class _Stream:
+    """The bodies of one forwarded request."""
 
     def __init__(
         self,
-        sender: streams.PieceSender,
-        receiver: streams.PieceReceiver,
+        post: abc.Callable[[pm.Message], None],
+        number: int,
+        is_opener: bool,
     ) -> None:
-        self.sender = sender
-        self.receiver = receiver
+        self.sender = streams.PieceSender(post, number, not is_opener)
+        self.receiver = streams.PieceReceiver(post, number, is_opener)
+
+
+class _Opened(_Stream):
+    """A stream that this entry opened."""
+
+    def __init__(
+        self, post: abc.Callable[[pm.Message], None], number: int
+    ) -> None:
+        super().__init__(post, number, is_opener=True)
         self.head: asyncio.Future[pm.ForwardHead] = (
             asyncio.get_running_loop().create_future()
         )
 
 
-class _Accepted:
+class _Accepted(_Stream):
     """A stream that another entry opened."""
 
     def __init__(
-        self,
-        sender: streams.PieceSender,
-        receiver: streams.PieceReceiver,
+        self, post: abc.Callable[[pm.Message], None], number: int
     ) -> None:
-        self.sender = sender
-        self.receiver = receiver
+        super().__init__(post, number, is_opener=False)
         self.task: asyncio.Task | None = None
 
 
@@ -117,10 +124,7 @@
         """
         stream = next(self._numbers)
         post = self._poster(peer)
-        opened = _Opened(
-            streams.PieceSender(post, stream, False),
-            streams.PieceReceiver(post, stream, True),
-        )
+        opened = _Opened(post, stream)
         self._opened_by_stream[stream] = opened
         try:
             await self._open(peer, stream, request, own_target)
@@ -247,10 +251,7 @@
         self, sender: ids.InstanceId, message: pm.ForwardOpen
     ) -> pm.Message:
         post = self._poster(sender)
-        accepted = _Accepted(
-            streams.PieceSender(post, message.stream, True),
-            streams.PieceReceiver(post, message.stream, False),
-        )
+        accepted = _Accepted(post, message.stream)
         stream = (sender, message.stream)
         self._accepted_by_stream[stream] = accepted
         accepted.task = asyncio.create_task(
--- a/chicorydoor/demo/session.py
+++ b/chicorydoor/demo/session.py
@@ -88,7 +88,7 @@
             self._console.print(step, highlight=False)
 
     def _say_where(self) -> None:
-        entry = self.fleet.any_entry()
+        entry = list(self.fleet.entry_by_id.values())[-1]
         self._say(
             f"holding; administration {entry.administration.endpoint}, "
             f"callers {entry.callers.endpoint}, token "
--- a/tests/test_rates.py
+++ b/tests/test_rates.py
@@ -52,11 +52,11 @@
         return max(0, allowed - served) / len(judged)
 
 
-def _even():
+def even():
     return {f"d{number}": 1 / 6 for number in range(6)}
 
 
-def _mostly_one():
+def mostly_one():
     return {"d0": 0.9, **{f"d{number}": 0.02 for number in range(1, 6)}}
 
 
@@ -66,7 +66,7 @@
         async def course():
             session = Session(rate, rate)
             await session.fleet.ready()
-            await session.load(_even(), 0.8, 20.0)
+            await session.load(even(), 0.8, 20.0)
             assert session.wrongly_refused() < 0.001
             assert session.excess() <= 0
 
@@ -78,7 +78,7 @@
             session = Session(rate, rate)
             await session.fleet.ready()
             start = asyncio.get_running_loop().time()
-            await session.load(_mostly_one(), 0.8, 20.0)
+            await session.load(mostly_one(), 0.8, 20.0)
             assert session.wrongly_refused(start + 5.0) < 0.01
             assert session.excess() <= 0
 
@@ -88,7 +88,7 @@
         async def course():
             session = Session()
             await session.fleet.ready()
-            await session.load(_even(), 3.0, 10.0)
+            await session.load(even(), 3.0, 10.0)
             served = sum(reply.code == 0 for _, reply in session.replies)
             assert session.excess() <= 0
             assert served >= 0.95 * session.rate * 10.0
@@ -105,7 +105,7 @@
             await session.fleet.ready()
             session.fleet.store.is_down = True
             await asyncio.sleep(10.0)
-            await session.load(_even(), 0.8, 15.0)
+            await session.load(even(), 0.8, 15.0)
             assert session.wrongly_refused() < 0.01
             assert session.excess() <= 0
 
@@ -117,7 +117,7 @@
             await session.fleet.ready()
             session.fleet.cut_off("d3")
             await asyncio.sleep(1.0)
-            await session.load(_even(), 0.8, 15.0)
+            await session.load(even(), 0.8, 15.0)
             assert session.wrongly_refused() < 0.01
             assert session.excess() <= 0
 
@@ -141,7 +141,7 @@
             session = Session()
             await session.fleet.ready()
             session.fleet.network.loss = 0.2
-            await session.load(_mostly_one(), 2.0, 10.0)
+            await session.load(mostly_one(), 2.0, 10.0)
             assert session.excess() <= 0
 
         virtual_time.run(course())
@@ -153,7 +153,7 @@
             session = Session()
             await session.fleet.ready()
             loading = asyncio.create_task(
-                session.load(_mostly_one(), 2.0, 15.0)
+                session.load(mostly_one(), 2.0, 15.0)
             )
             await asyncio.sleep(4.0)
             killed_at = asyncio.get_running_loop().time()
@@ -178,7 +178,7 @@
         async def course():
             session = Session()
             await session.fleet.ready()
-            loading = asyncio.create_task(session.load(_even(), 2.0, 20.0))
+            loading = asyncio.create_task(session.load(even(), 2.0, 20.0))
             await asyncio.sleep(4.0)
             frozen = session.fleet.coordinator("d0")
             await frozen.freeze()
@@ -204,7 +204,7 @@
             await fleet.apply(lower)
             await asyncio.sleep(5.0)
             began_at = asyncio.get_running_loop().time()
-            await session.load(_even(), 2.0, 15.0)
+            await session.load(even(), 2.0, 15.0)
             times = [at for at, _, _ in fleet.seen() if at >= began_at]
             assert naive.burst_needed(times, 30.0) <= 30.0
 
--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -11,6 +11,7 @@
 from chicorydoor.protocol import peer_messages as pm
 from chicorydoor.state import slot_ledger
 from chicorydoor.state import slot_purse
+from tests.support import clocks
 from tests.support import fleet as fleet_module
 from tests.support import virtual_time
 
@@ -19,19 +20,6 @@
 _SLOTS = 4
 
 
-class ManualClock:
-    """Time that a test moves."""
-
-    def __init__(self):
-        self.at = 0.0
-
-    def now(self):
-        return self.at
-
-    def wall(self):
-        return self.at
-
-
 class Instance:
     """A purse and the requests that run under it."""
 
@@ -61,7 +49,7 @@
     """Instances and coordinators driven by a list of actions."""
 
     def __init__(self):
-        self.clock = ManualClock()
+        self.clock = clocks.ManualClock()
         self.instances = [Instance(self.clock, f"i{n}") for n in range(3)]
         self.orphans = []
         self.ledger = self._new_ledger()
--- a/tests/test_state.py
+++ b/tests/test_state.py
@@ -14,22 +14,10 @@
 from chicorydoor.state import domain_parts
 from chicorydoor.state import event_ring
 from chicorydoor.state import token_ledger
+from tests.support import clocks
 from tests.support import naive
 
 
-class ManualClock:
-    """Time that a test moves."""
-
-    def __init__(self):
-        self.at = 0.0
-
-    def now(self):
-        return self.at
-
-    def wall(self):
-        return self.at
-
-
 def _naive_find(region_by_cidr, address):
     """The region of the longest block that holds an address."""
     parsed = ipaddress.ip_address(address)
@@ -94,7 +82,7 @@
     )
     def test_spent_tokens_stay_within_rate_and_burst(self, actions):
         """Holders that spend at the worst moments, against one bucket."""
-        clock = ManualClock()
+        clock = clocks.ManualClock()
         ledger = token_ledger.TokenLedger(clock)
         ledger.configure({"b": token_ledger.Limit(4.0, 5.0)})
         held = [[] for _ in range(3)]
@@ -161,7 +149,7 @@
 
 class TestEventRing:
     def test_effects_come_after_their_causes_though_clocks_differ(self):
-        fast, slow = ManualClock(), ManualClock()
+        fast, slow = clocks.ManualClock(), clocks.ManualClock()
         fast.at, slow.at = 1000.0, 10.0
         first = event_ring.EventRing("first", fast)
         second = event_ring.EventRing("second", slow)
@@ -173,7 +161,7 @@
         assert [event.instance for event in merged] == ["first", "second"]
 
     def test_requests_do_not_drive_out_changes_of_state(self):
-        ring = event_ring.EventRing("i", ManualClock(), 10, 10)
+        ring = event_ring.EventRing("i", clocks.ManualClock(), 10, 10)
         kinds = event_ring.EventKind
         ring.add(kinds.OFFICE_TAKEN)
         for _ in range(100):
