--- a/chicorydoor/compose.py
+++ b/chicorydoor/compose.py
@@ -38,6 +38,7 @@
 from chicorydoor.state import target_table
 from chicorydoor.transport import clock as clock_module
 from chicorydoor.transport import http_server
+from chicorydoor.transport import metrics
 from chicorydoor.transport import nng_link
 from chicorydoor.transport import store_client
 from chicorydoor.transport import target_connection
@@ -371,10 +372,17 @@
             if self.membership.in_office():
                 self.take_view(self.coordinator.view())
             self.freshness.note_state()
+            self._note_store_age()
             self.drains.tick()
             self.membership.set_drained(self.drains.is_instance_drained)
             await asyncio.sleep(self.settings.timing.exchange_s)
 
+    def _note_store_age(self) -> None:
+        contact_at = self.membership.store_contact_at
+        if contact_at > float("-inf"):
+            age_s = self.clock.now() - contact_at
+            metrics.STORE_AGE_SECONDS.set(age_s)
+
     async def close(self) -> None:
         """Release what the parts hold."""
         await self.coordinator.exchange.close()
--- a/chicorydoor/coordination/caller_app.py
+++ b/chicorydoor/coordination/caller_app.py
@@ -10,7 +10,6 @@
 import prometheus_client
 
 from chicorydoor.coordination import allotments as allotments_module
-from chicorydoor.coordination import coordinator as coordinator_module
 from chicorydoor.coordination import directory as directory_module
 from chicorydoor.coordination import dispatcher as dispatcher_module
 from chicorydoor.coordination import gate as gate_module
@@ -18,6 +17,7 @@
 from chicorydoor.coordination import requests
 from chicorydoor.protocol import caller_api
 from chicorydoor.protocol import headers as header_names
+from chicorydoor.protocol import names
 from chicorydoor.protocol import result_codes
 from chicorydoor.state import event_ring
 from chicorydoor.state import idempotency
@@ -265,7 +265,7 @@
     async def _take_token(
         self, admission: gate_module.Admission, deadline: float
     ) -> None:
-        bucket = coordinator_module.customer_bucket(admission.customer)
+        bucket = names.customer_bucket(admission.customer)
         remaining_s = deadline - self.clock.now()
         await self._allotments.take_tokens(bucket, 1.0, remaining_s)
 
--- a/chicorydoor/coordination/directory.py
+++ b/chicorydoor/coordination/directory.py
@@ -4,9 +4,9 @@
 
 import msgspec
 
-from chicorydoor.coordination import coordinator as coordinator_module
 from chicorydoor.protocol import caller_api
 from chicorydoor.protocol import ids
+from chicorydoor.protocol import names
 from chicorydoor.protocol import peer_messages as pm
 from chicorydoor.state import config_snapshot
 from chicorydoor.transport import clock as clock_module
@@ -122,7 +122,7 @@
         links = self._snapshot.configuration.link_by_id.values()
         for link in links:
             if (link.from_region, link.to_region) == (here, there):
-                return coordinator_module.link_bucket(here, there)
+                return names.link_bucket(here, there)
         return None
 
     def coordinator_by_domain(self) -> dict[ids.DomainId, ids.InstanceId]:
--- a/chicorydoor/coordination/dispatcher.py
+++ b/chicorydoor/coordination/dispatcher.py
@@ -4,13 +4,13 @@
 import random
 
 from chicorydoor.coordination import allotments as allotments_module
-from chicorydoor.coordination import coordinator as coordinator_module
 from chicorydoor.coordination import directory as directory_module
 from chicorydoor.coordination import executor as executor_module
 from chicorydoor.coordination import forwarding
 from chicorydoor.coordination import placement as placement_module
 from chicorydoor.coordination import requests
 from chicorydoor.protocol import ids
+from chicorydoor.protocol import names
 from chicorydoor.protocol import result_codes
 from chicorydoor.state import event_ring
 from chicorydoor.transport import clock as clock_module
@@ -29,7 +29,6 @@
         _CODES.PEER_UNREACHABLE,
         _CODES.NO_ROUTE,
         _CODES.KEY_REFUSED,
-        _CODES.ENTRY_STOPPING,
     }
 )
 
@@ -126,7 +125,7 @@
         for domain in candidates:
             if not await self._has_link(request, domain):
                 continue
-            target = coordinator_module.credit_target(domain, service)
+            target = names.credit_target(domain, service)
             if self._allotments.credits.take(target):
                 return domain
         self._credit_misses[service] += 1
@@ -135,7 +134,7 @@
     def _credit_left(
         self, domain: ids.DomainId, service: ids.ServiceId
     ) -> int:
-        target = coordinator_module.credit_target(domain, service)
+        target = names.credit_target(domain, service)
         return self._allotments.credits.free(target)
 
     async def _has_link(
@@ -158,9 +157,7 @@
     async def _forward(
         self, request: requests.Request, domain: ids.DomainId
     ) -> requests.Answer:
-        target = coordinator_module.credit_target(
-            domain, request.route.service
-        )
+        target = names.credit_target(domain, request.route.service)
         try:
             peer = self._directory.entry_of(domain, self._rng)
             if peer is None:
--- a/chicorydoor/coordination/exchange.py
+++ b/chicorydoor/coordination/exchange.py
@@ -24,7 +24,6 @@
 from chicorydoor.transport import clock as clock_module
 
 LENT_TOKENS_VALID_S = 0.3
-CREDITS_VALID_S = 1.5
 _CALL_TIMEOUT_S = 0.4
 _LEAST_GAP_S = 0.03
 _LEAST_RETRY_S = 0.05
--- a/chicorydoor/demo/callers.py
+++ b/chicorydoor/demo/callers.py
@@ -92,7 +92,6 @@
         self._client = httpx.AsyncClient(timeout=_TIMEOUT_S, trust_env=False)
         self._answer: caller_api.LookupAnswer | None = None
         self._expires_at = 0.0
-        self._keys: list[str] = []
 
     async def close(self) -> None:
         """Close the connections."""
--- a/chicorydoor/protocol/event.py
+++ b/chicorydoor/protocol/event.py
@@ -29,7 +29,6 @@
     DRAIN_STARTED = "drain-started"
     DRAIN_ENDED = "drain-ended"
     SHIFT_CHANGED = "shift-changed"
-    SLOTS_CHANGED = "slots-changed"
     LOOKED_UP = "looked-up"
     RECEIVED = "received"
     FORWARDED = "forwarded"
--- a/chicorydoor/protocol/result_codes.py
+++ b/chicorydoor/protocol/result_codes.py
@@ -59,7 +59,6 @@
         "the request could not finish before its deadline",
     )
     NO_TARGET = (133, 503, Outcome.NOT_RUN, "no target serves the route")
-    ENTRY_STOPPING = (134, 503, Outcome.NOT_RUN, "the entry is stopping")
     NOT_READY = (135, 503, Outcome.NOT_RUN, "no configuration yet")
     TARGET_UNREACHABLE = (
         140,
--- a/chicorydoor/state/slot_ledger.py
+++ b/chicorydoor/state/slot_ledger.py
@@ -353,13 +353,6 @@
         ]
         return sum(times) / len(times) if times else 0.0
 
-    def wanted(self, service: ids.ServiceId) -> int:
-        """Slots of a service that instances asked for and did not get."""
-        return sum(
-            holder.wanted_by_service.get(service, 0)
-            for holder in self._holder_by_id.values()
-        )
-
     def services(self) -> set[ids.ServiceId]:
         """Services with targets in the failure domain."""
         return {target.service for target in self._target_by_id.values()}
--- a/chicorydoor/state/token_purse.py
+++ b/chicorydoor/state/token_purse.py
@@ -129,9 +129,3 @@
             for bucket_id, holding in self._holding_by_bucket.items()
             if holding.asked > 0.01
         ]
-
-    def drop(self) -> None:
-        """Forget all tokens."""
-        for holding in self._holding_by_bucket.values():
-            holding.amount = 0.0
-            holding.lent.clear()
--- a/chicorydoor/transport/http_server.py
+++ b/chicorydoor/transport/http_server.py
@@ -129,9 +129,10 @@
 
     def close_after_answers(self) -> None:
         """Let each further answer close its connection."""
-        self._server.config.headers = []
-        state = self._server.server_state
-        state.default_headers = [(b"connection", b"close")]
+        headers = [(b"connection", b"close")]
+        # uvicorn copies the configuration's headers to the state each second.
+        self._server.config.encoded_headers = headers
+        self._server.server_state.default_headers = headers
 
     async def stop(self, grace_s: float = 0.0) -> None:
         """Stop accepting, finish running requests, close connections.
--- a/tests/support/fakes.py
+++ b/tests/support/fakes.py
@@ -194,6 +194,7 @@
         self.seen = []
         self.is_failing = False
         self.is_down = False
+        self.answer = b"ok"
 
 
 class FakeConnection:
@@ -224,8 +225,8 @@
             raise errors.TargetError("reset", sent=True)
         return httpx.Response(
             200,
-            headers={"content-length": "2"},
-            stream=httpx.ByteStream(b"ok"),
+            headers={"content-length": str(len(target.answer))},
+            stream=httpx.ByteStream(target.answer),
         )
 
     async def close(self):
--- a/tests/test_steering.py
+++ b/tests/test_steering.py
@@ -103,7 +103,9 @@
                 await asyncio.sleep(0.003)
                 for other in fleet.nodes()[1:]:
                     running = other.parts.forwarder.running()
-                    granted = other.parts.coordinator.credit_out("d0", "svc")
+                    granted = other.parts.coordinator.credit_desk.outstanding(
+                        "d0", "svc"
+                    )
                     assert running <= granted
                     most = max(most, running)
             assert most > 0
@@ -112,6 +114,38 @@
         virtual_time.run(course())
 
 
+class TestLinks:
+    def test_forwarding_stays_within_the_budget(self):
+        async def course():
+            fleet = _fleet(targets=1, slots=3)
+            answer = bytes(4096)
+            for region in ("r1", "r2"):
+                fleet.config.link_by_id[region] = records.Link(
+                    "r0", region, 40_000.0
+                )
+            for target in fleet.target_by_address.values():
+                target.answer = answer
+            await fleet.ready()
+            loop = asyncio.get_running_loop()
+            began_at = loop.time()
+            await fleet_module.offer(
+                fleet.nodes("d0")[0], 600.0, 10.0, random.Random(1), []
+            )
+            lasted_s = loop.time() - began_at
+            far = [
+                item
+                for target_id, record in fleet.config.target_by_id.items()
+                if record.domain not in ("d0", "d1")
+                for item in fleet.target(target_id).seen
+            ]
+            # Two links, each in equal parts for the region's two domains,
+            # with a burst of one second.
+            budget = 2 * 20_000.0 * (lasted_s + 1)
+            assert 0.3 * budget <= len(far) * len(answer) <= budget
+
+        virtual_time.run(course())
+
+
 class TestLostDomain:
     def test_callers_of_a_lost_domain_are_served_within_5_s(self):
         async def course():
