Show metrics to operators only; forget fair shares of an empty queue

Cause: the metrics name customers and were on the callers' port. A customer that had used a queue long ago started behind others in a new one. A planned stop did not wait for requests with an idempotency key whose caller had gone. Change: metrics are on the administration port; an empty queue owes nobody; the stop waits for such requests. Measured: a test for the first two; the third by reading.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -76,7 +76,7 @@
 
 
 def _counters(entries: processes.ProcessFleet, name: str) -> dict[str, float]:
-    endpoint = entries.settings_by_id[name].callers
+    endpoint = entries.settings_by_id[name].administration
     text = httpx.get(f"http://{endpoint}/metrics", trust_env=False).text
     values: dict[str, float] = {}
     for line in text.splitlines():
--- a/chicorydoor/compose.py
+++ b/chicorydoor/compose.py
@@ -486,13 +486,15 @@
             default=1.0,
         )
         await self.callers.stop(grace_s=longest_s)
-        await self._finish_forwarded(longest_s)
+        await self._finish_running(longest_s)
         await self.close()
 
-    async def _finish_forwarded(self, longest_s: float) -> None:
+    async def _finish_running(self, longest_s: float) -> None:
+        """Wait for requests that no connection of a caller shows."""
+        parts = self.parts
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(longest_s):
-                while self.parts.forwarder.running():
+                while parts.forwarder.running() or parts.once.running():
                     await asyncio.sleep(0.05)
 
     async def close(self) -> None:
--- a/chicorydoor/coordination/admin_app.py
+++ b/chicorydoor/coordination/admin_app.py
@@ -8,6 +8,7 @@
 from litestar import exceptions
 from litestar import openapi
 import msgspec
+import prometheus_client
 
 from chicorydoor import errors
 from chicorydoor.coordination import administration as administration_module
@@ -19,6 +20,7 @@
 
 _BEARER = "Bearer "
 _MOST_EVENTS = 5000
+_NEEDS_NO_TOKEN = "needs_no_token"
 
 
 class ErrorBody(msgspec.Struct, frozen=True):
@@ -57,6 +59,9 @@
         self._status = status
         get, post = litestar.get, litestar.post
         handlers = [
+            get("/metrics", sync_to_thread=False, opt={_NEEDS_NO_TOKEN: True})(
+                self.get_metrics
+            ),
             get("/v1/configuration", sync_to_thread=False)(
                 self.get_configuration
             ),
@@ -94,6 +99,8 @@
         call: connection.ASGIConnection,
         handler: typing.Any,
     ) -> None:
+        if handler.opt.get(_NEEDS_NO_TOKEN):
+            return
         if self._operator(call) is None:
             raise exceptions.NotAuthorizedException("no valid operator token")
 
@@ -106,6 +113,13 @@
     def _name(self, request: litestar.Request) -> str:
         return self._operator(request) or ""
 
+    def get_metrics(self) -> litestar.Response[bytes]:
+        """Counters and gauges, for a scraper on the operators' network."""
+        return litestar.Response(
+            prometheus_client.generate_latest(),
+            media_type=prometheus_client.CONTENT_TYPE_LATEST,
+        )
+
     def get_configuration(self) -> admin_api.ConfigurationView:
         """The configuration in force at this entry."""
         return self._administration.documents()
--- a/chicorydoor/coordination/caller_app.py
+++ b/chicorydoor/coordination/caller_app.py
@@ -7,7 +7,6 @@
 
 import litestar
 import msgspec
-import prometheus_client
 
 from chicorydoor.coordination import allotments as allotments_module
 from chicorydoor.coordination import directory as directory_module
@@ -111,7 +110,6 @@
             [
                 litestar.get("/healthz", sync_to_thread=False)(self._health),
                 litestar.get("/readyz", sync_to_thread=False)(self._ready),
-                litestar.get("/metrics", sync_to_thread=False)(self._metrics),
             ],
             openapi_config=None,
             logging_config=None,
@@ -124,7 +122,7 @@
         path = scope.get("path", "")
         if path == "/v1/lookup":
             await self._lookup(scope, send)
-        elif path in ("/healthz", "/readyz", "/metrics"):
+        elif path in ("/healthz", "/readyz"):
             await self.app(scope, receive, send)
         elif scope["type"] == "http":
             await self._handle(scope, receive, send)
@@ -137,12 +135,6 @@
             return litestar.Response("ready")
         return litestar.Response("not ready", status_code=503)
 
-    def _metrics(self) -> litestar.Response[bytes]:
-        return litestar.Response(
-            prometheus_client.generate_latest(),
-            media_type=prometheus_client.CONTENT_TYPE_LATEST,
-        )
-
     # Look-ups.
 
     async def _lookup(self, scope: Scope, send: Send) -> None:
@@ -206,8 +198,8 @@
         except Exception:
             call.code = _CODES.INTERNAL
             if not call.has_started:
-                error = requests.RefusedError(_CODES.INTERNAL)
-                await self._send_refusal(send, error, call.request_id)
+                fault = requests.RefusedError(_CODES.INTERNAL)
+                await self._send_refusal(send, fault, call.request_id)
             raise
         finally:
             self.running -= 1
--- a/chicorydoor/coordination/coordinator.py
+++ b/chicorydoor/coordination/coordinator.py
@@ -93,6 +93,9 @@
         self.credit_desk = credit_desk.CreditDesk(
             self._slots, self.shifts, clock
         )
+        self.on_recall: abc.Callable[[list[ids.ServiceId]], None] = (
+            lambda services: None
+        )
         self._handover: pm.Handover | None = None
         self._handover_at = float("-inf")
         network.on(pm.Demand, self._on_demand)
@@ -380,9 +383,6 @@
                 else:
                     self.on_recall([service])
 
-    def on_recall(self, services: list[ids.ServiceId]) -> None:
-        """Replaced by the composition: the own instance's recall."""
-
     # Exchanges with other failure domains.
 
     def _credit_report(
--- a/chicorydoor/coordination/once.py
+++ b/chicorydoor/coordination/once.py
@@ -55,6 +55,11 @@
         self._clock = clock
         self._kept_answer_bytes = kept_answer_bytes
         self.forwarder: forwarding.Forwarder | None = None
+        self._tasks: set[asyncio.Task] = set()
+
+    def running(self) -> int:
+        """Requests under way, those of callers that went away included."""
+        return len(self._tasks)
 
     async def run(
         self, request: requests.Request, execute: forwarding.Run
@@ -155,6 +160,8 @@
         The caller may go away: the outcome is recorded all the same.
         """
         task = asyncio.create_task(self._execute(request, record, execute))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
         return await asyncio.shield(task)
 
     async def _execute(
--- a/chicorydoor/state/fair_queue.py
+++ b/chicorydoor/state/fair_queue.py
@@ -66,6 +66,10 @@
         Returns:
             A ticket for ``remove``.
         """
+        if not self._length:
+            # Nobody waits, so nobody is owed anything for the past.
+            self._finish_by_customer.clear()
+            self._heap.clear()
         finish = self._finish_by_customer.get(customer, 0.0)
         start = max(self._virtual_time, finish)
         self._finish_by_customer[customer] = start + 1.0 / weight
@@ -83,7 +87,6 @@
                 self._virtual_time = max(self._virtual_time, start)
                 self._leave(ticket)
                 return ticket.item
-        self._finish_by_customer.clear()
         return None
 
     def ahead(self, customer: str, weight: float) -> int:
--- a/tests/test_fair_queue.py
+++ b/tests/test_fair_queue.py
@@ -47,6 +47,17 @@
         queue.push("small", 1.0, "small")
         assert "small" in (queue.pop(), queue.pop())
 
+    def test_past_use_does_not_count_once_the_queue_was_empty(self):
+        queue = fair_queue.FairQueue()
+        for number in range(50):
+            queue.push("big", 1.0, f"big-{number}")
+        while queue.pop():
+            pass
+        queue.push("big", 1.0, "big")
+        for number in range(50):
+            queue.push("small", 1.0, f"small-{number}")
+        assert "big" in (queue.pop(), queue.pop())
+
     def test_removed_item_is_not_served(self):
         queue = fair_queue.FairQueue()
         ticket = queue.push("a", 1.0, "first")
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -298,6 +298,15 @@
 
         assert world.run(call()) == (401, 401)
 
+    def test_metrics_are_for_operators(self, world):
+        async def call():
+            url = f"http://{world.entry.administration.endpoint}"
+            async with httpx.AsyncClient(trust_env=False) as client:
+                return await client.get(f"{url}/metrics")
+
+        assert 'customer="acme"' in world.run(call()).text
+        assert _code(world.ask(path="/metrics")) == 100
+
     def test_bad_configuration_is_refused(self, world):
         async def call():
             async with world.fleet.admin_client() as client:
