Send to targets over httpcore connections without a pool

Cause: a profile of a proxied request showed 60% of it in httpx and httpcore's pool, which did nothing here: each connection has a list of its own.

--- a/chicorydoor/coordination/executor.py
+++ b/chicorydoor/coordination/executor.py
@@ -9,8 +9,6 @@
 from collections import abc
 import random
 
-import httpx
-
 from chicorydoor import errors
 from chicorydoor.coordination import placement as placement_module
 from chicorydoor.coordination import requests
@@ -29,6 +27,9 @@
 _MOST_ATTEMPTS = 3
 _CANCEL_GRACE_S = 0.05
 _SERVER_ERROR = 500
+_SHED_STATUS = 503
+_WITHOUT_BODY = (204, 304)
+_FRAMING = (b"content-length", b"transfer-encoding")
 
 _CODES = result_codes.ResultCode
 _TARGET_FAULTS = frozenset(
@@ -241,7 +242,7 @@
         self._clock = executor._clock
         self._started_at = self._clock.now()
         self._is_done = False
-        self._response: httpx.Response | None = None
+        self._answered: target_connection.TargetAnswer | None = None
 
     def _remaining_s(self) -> float:
         return self._request.deadline - self._clock.now()
@@ -264,8 +265,8 @@
         )
         try:
             async with asyncio.timeout(remaining_s):
-                self._response = await self._send(remaining_s)
-                return await self._answer(self._response)
+                self._answered = await self._send(remaining_s)
+                return await self._answer(self._answered)
         except TimeoutError as error:
             raise requests.RefusedError(_CODES.DEADLINE_PASSED) from error
         except errors.TargetError as error:
@@ -274,11 +275,13 @@
                 code = _CODES.TARGET_UNREACHABLE
             raise requests.RefusedError(code, str(error)) from error
 
-    async def _send(self, remaining_s: float) -> httpx.Response:
+    async def _send(
+        self, remaining_s: float
+    ) -> target_connection.TargetAnswer:
         request = self._request
-        target = request.path
+        target = request.path.encode("latin-1")
         if request.query:
-            target = f"{target}?{request.query.decode('latin-1')}"
+            target += b"?" + request.query
         headers = [
             *request.headers,
             (header_names.REQUEST_ID, request.request_id.encode()),
@@ -294,40 +297,40 @@
             request.method, target, headers, body, remaining_s
         )
 
-    async def _answer(self, response: httpx.Response) -> requests.Answer:
-        headers = response.headers
-        echoed = headers.get("x-request-id", self._request.request_id)
-        if echoed != self._request.request_id:
-            raise errors.TargetError("answer to another request", sent=True)
-        if response.status_code == 503 and "x-not-processed" in headers:
-            raise requests.RefusedError(_CODES.TARGET_SHED)
-        self._check_framing(response)
-        passed_on = header_names.end_to_end(headers.raw)
-        pieces = response.stream.__aiter__()
+    async def _answer(
+        self, answered: target_connection.TargetAnswer
+    ) -> requests.Answer:
+        self._check_head(answered)
+        passed_on = header_names.end_to_end(answered.headers)
         first = bytearray()
-        async for piece in _guarded(pieces):
+        async for piece in answered.pieces:
             first += piece
             if len(first) >= requests.REPLAYABLE_BYTES:
-                rest = self._rest(pieces)
+                rest = self._rest(answered.pieces)
                 return requests.Answer(
-                    response.status_code,
+                    answered.status,
                     passed_on,
                     bytes(first),
                     rest,
                     self.give_up,
                 )
-        self._note_status(response.status_code)
-        return requests.Answer(response.status_code, passed_on, bytes(first))
-
-    def _check_framing(self, response: httpx.Response) -> None:
-        """An answer whose end cannot be told from a cut is refused."""
-        headers = response.headers
-        has_body = (
-            self._request.method != "HEAD"
-            and response.status_code not in (204, 304)
+        self._note_status(answered.status)
+        return requests.Answer(answered.status, passed_on, bytes(first))
+
+    def _check_head(self, answered: target_connection.TargetAnswer) -> None:
+        """Refuse answers that are not to this request, or have no end."""
+        request = self._request
+        echoed = answered.header(header_names.REQUEST_ID)
+        if echoed not in (None, request.request_id.encode()):
+            raise errors.TargetError("answer to another request", sent=True)
+        is_shed = answered.header(header_names.NOT_PROCESSED) is not None
+        if answered.status == _SHED_STATUS and is_shed:
+            raise requests.RefusedError(_CODES.TARGET_SHED)
+        has_body = request.method != "HEAD" and (
+            answered.status not in _WITHOUT_BODY
         )
-        framed = "content-length" in headers or "transfer-encoding" in headers
-        if has_body and not framed:
+        is_framed = any(answered.header(name) is not None for name in _FRAMING)
+        if has_body and not is_framed:
             raise errors.TargetError("answer without length", sent=True)
 
     def _note_status(self, status: int) -> None:
@@ -344,7 +347,7 @@
         """The rest of a large answer; frees the slot at its end."""
         try:
             async with asyncio.timeout(self._remaining_s()):
-                async for piece in _guarded(pieces):
+                async for piece in pieces:
                     if not self._executor._key_holds(self._request):
                         raise requests.RefusedError(_CODES.KEY_WITHDRAWN)
                     yield piece
@@ -371,8 +374,8 @@
         connections = self._executor._connections(state)
         self._release()
         keep = max(0, limit - state.in_use)
-        if self._response is not None:
-            await self._response.aclose()
+        if self._answered is not None:
+            await self._answered.close()
         await connections.put_back(self._connection, keep)
 
     async def fail(self, is_fault: bool) -> None:
@@ -398,15 +401,3 @@
     def _release(self) -> None:
         held_s = self._clock.now() - self._started_at
         self._executor._placement.release(self._state, held_s)
-
-
-async def _guarded(
-    pieces: abc.AsyncIterator[bytes],
-) -> abc.AsyncIterator[bytes]:
-    """Turn the transport's errors into the package's own."""
-    try:
-        async for piece in pieces:
-            yield piece
-    except httpx.HTTPError as error:
-        reason = f"{type(error).__name__} {error}"
-        raise errors.TargetError(reason, sent=True) from error
--- a/chicorydoor/coordination/prober.py
+++ b/chicorydoor/coordination/prober.py
@@ -7,7 +7,6 @@
 
 import asyncio
 
-import httpx
 import msgspec
 
 from chicorydoor import errors
@@ -70,13 +69,13 @@
         record = state.record
         connection = self._connect(f"{record.address}:{record.port}")
         try:
-            response = await connection.send(
-                "GET", "/health", [], b"", _TIMEOUT_S
+            answered = await connection.send(
+                "GET", b"/health", [], b"", _TIMEOUT_S
             )
-            content = b"".join([piece async for piece in response.stream])
+            content = b"".join([piece async for piece in answered.pieces])
             report = msgspec.json.decode(content, type=TargetReport)
             state.reported_load = report.load
-        except (errors.TargetError, httpx.HTTPError, msgspec.DecodeError):
+        except (errors.TargetError, msgspec.DecodeError):
             state.ejected_until = self._clock.now() + _FAILED_PROBE_PAUSE_S
         finally:
             await connection.close()
--- a/tests/support/fakes.py
+++ b/tests/support/fakes.py
@@ -4,10 +4,9 @@
 import collections
 import contextlib
 
-import httpx
-
 from chicorydoor import errors
 from chicorydoor.transport import store_client
+from chicorydoor.transport import target_connection
 
 _IN_ORDER_S = 1e-6
 
@@ -208,9 +207,8 @@
         await asyncio.sleep(0.001)
         if target.is_down:
             raise errors.TargetError("refused", sent=False)
-        if path == "/health":
-            report = httpx.ByteStream(b'{"load": 0.0}')
-            return httpx.Response(200, stream=report)
+        if path == b"/health":
+            return _answer(b'{"load": 0.0}')
         header_by_name = dict(headers)
         request_id = header_by_name[b"x-request-id"].decode()
         now = asyncio.get_running_loop().time()
@@ -223,11 +221,18 @@
             target.running -= 1
         if target.is_failing:
             raise errors.TargetError("reset", sent=True)
-        return httpx.Response(
-            200,
-            headers={"content-length": str(len(target.answer))},
-            stream=httpx.ByteStream(target.answer),
-        )
+        return _answer(target.answer)
+
+    def is_usable(self):
+        return True
 
     async def close(self):
         return None
+
+
+def _answer(body):
+    async def pieces():
+        yield body
+
+    headers = [(b"content-length", str(len(body)).encode())]
+    return target_connection.TargetAnswer(200, headers, pieces())
