--- a/chicorydoor/cli/entry.py
+++ b/chicorydoor/cli/entry.py
@@ -2,6 +2,7 @@
 
 import argparse
 import asyncio
+import gc
 import pathlib
 import signal
 
@@ -12,6 +13,8 @@
 from chicorydoor.protocol import settings
 from chicorydoor.transport import logs
 
+_COLLECTION_THRESHOLDS = (20_000, 50, 100)
+
 
 def add_parser(commands: argparse._SubParsersAction) -> None:
     """Add the sub-command."""
@@ -29,6 +32,17 @@
     return exit_codes.ExitCode.OK
 
 
+def _calm_collector() -> None:
+    """Collect garbage rarely and leave what start-up made out of it.
+
+    Full collections stop the process for tens of milliseconds, which shows
+    in the slowest requests.
+    """
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(*_COLLECTION_THRESHOLDS)
+
+
 async def _serve(checked: settings.Settings) -> None:
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
@@ -36,6 +50,7 @@
         loop.add_signal_handler(number, stop.set)
     entry = compose.Entry(checked)
     await entry.start()
+    _calm_collector()
     waiting = asyncio.create_task(stop.wait())
     await asyncio.wait(
         [waiting, entry.task], return_when=asyncio.FIRST_COMPLETED
