--- a/chicorydoor/demo/promises.py
+++ b/chicorydoor/demo/promises.py
@@ -88,7 +88,7 @@
                 steps.append(abs(float(after) - float(before)))
     broken = sum(step > cap + 0.011 for step in steps)
     return Verdict(
-        "a shift of traffic stays under its cap",
+        "traffic shares change within the shift cap",
         f"{len(steps)} steps, largest {max(steps, default=0):.2f}, cap {cap}",
         broken,
     )
@@ -107,7 +107,7 @@
     )
     most = max(t.most_running / t.slots for t in fleet.target_by_id.values())
     return Verdict(
-        "no steering decision overloads a region",
+        "outstanding requests stay within the targets' slots",
         f"{len(fleet.target_by_id)} targets, fullest at {most:.0%} of slots",
         broken,
     )
@@ -130,7 +130,7 @@
             if record is None or (not record.key and "catal" not in seen.path):
                 broken += 1
     return Verdict(
-        "a request runs only for the customer whose key came with it",
+        "targets see only requests with an accepted key",
         f"{total} requests at targets, each traced to its caller",
         broken,
     )
@@ -151,7 +151,9 @@
             raw = b"".join(n + v for n, v in seen.headers) + seen.body
             broken += b"cdk_" in raw or "cdk_" in seen.path
     return Verdict(
-        "no target sees a caller's key", f"{total} requests searched", broken
+        "keys are stripped before targets",
+        f"{total} requests searched",
+        broken,
     )
 
 
@@ -169,7 +171,7 @@
     last = max((r.started_at for r in served), default=run.withdrawn_at)
     broken = sum(r.started_at > limit for r in served)
     return Verdict(
-        "a withdrawn key stops working within seconds",
+        "withdrawn keys are rejected within 3 s",
         f"{len(after)} requests after the withdrawal, last served after "
         f"{last - run.withdrawn_at:.2f} s",
         broken + (not after),
@@ -196,7 +198,7 @@
         fullest = max(fullest, excess / customer.burst)
         broken += excess > customer.burst
     return Verdict(
-        "no customer gets more than its rate and burst",
+        "admissions stay within rate limit and burst",
         f"{len(fleet.configuration.customer_by_id)} customers, most of a "
         f"burst used {fullest:.0%}",
         broken,
@@ -233,7 +235,7 @@
     """Every answer is whole and the caller's own."""
     answered = [r for r in journal.records if r.code >= 0]
     return Verdict(
-        "a caller receives the whole answer to its own request",
+        "answers are complete and correlated",
         f"{len(answered)} answers compared",
         sum(not r.is_whole for r in answered),
     )
@@ -249,7 +251,7 @@
     seen = _seen_ids(fleet)
     refused = [r for r in journal.records if r.outcome == "not-run"]
     return Verdict(
-        'a refusal that says "not run" is true',
+        "not-run refusals never reached a target",
         f"{len(refused)} such refusals looked for at the targets",
         sum(seen[r.request_id] > 0 for r in refused),
     )
@@ -268,7 +270,7 @@
     for pair in run.repeated:
         broken += sum(seen[record.request_id] for record in pair) > 1
     return Verdict(
-        "a request that may not be repeated runs at most once",
+        "non-repeatable requests run at most once",
         f"{len(orders)} orders, {len(run.repeated)} of them sent twice",
         broken,
     )
@@ -286,7 +288,7 @@
     before = [s.at for s in target.seen if s.at <= run.drain_started_at]
     after = [s.at for s in target.seen if s.at > limit]
     return Verdict(
-        "a leaving target receives no new work after a few seconds",
+        "draining targets get no new requests",
         f"{len(before)} requests before its start, {len(after)} later than "
         f"{DRAINED_WITHIN_S:.0f} s after it",
         len(after) + (not before),
@@ -309,7 +311,7 @@
     names = sorted({r.error for r in cut})
     detail = f" ({', '.join(names)})" if cut else ""
     return Verdict(
-        "a planned stop cuts no request",
+        "graceful shutdown drops no request",
         f"{len(during)} requests while an entry stopped, "
         f"{len(cut)} cut{detail}",
         len(cut) + (not during),
@@ -330,7 +332,7 @@
         for earlier, later in itertools.pairwise(seen)
     )
     return Verdict(
-        "an accepted configuration is in force everywhere and never reverts",
+        "configuration converges within 3 s and is monotonic",
         f"{len(run.in_force_s)} revisions, slowest "
         f"{max(run.in_force_s, default=0):.2f} s; {reverted} reverts",
         late + reverted,
