--- a/chicorydoor/coordination/caller_app.py
+++ b/chicorydoor/coordination/caller_app.py
@@ -428,6 +428,8 @@
     headers: list[tuple[bytes, bytes]],
     body: bytes,
 ) -> None:
-    headers.append((b"content-length", b"%d" % len(body)))
+    if not any(name == header_names.CONTENT_LENGTH for name, _ in headers):
+        length = b"%d" % len(body)
+        headers.append((header_names.CONTENT_LENGTH, length))
     await send(_start(status, headers))
     await send(_body(body, more=False))
--- a/chicorydoor/coordination/executor.py
+++ b/chicorydoor/coordination/executor.py
@@ -29,7 +29,7 @@
 _SERVER_ERROR = 500
 _SHED_STATUS = 503
 _WITHOUT_BODY = (204, 304)
-_FRAMING = (b"content-length", b"transfer-encoding")
+_FRAMING = (header_names.CONTENT_LENGTH, b"transfer-encoding")
 
 _CODES = result_codes.ResultCode
 _TARGET_FAULTS = frozenset(
@@ -302,6 +302,9 @@
     ) -> requests.Answer:
         self._check_head(answered)
         passed_on = header_names.end_to_end(answered.headers)
+        length = answered.header(header_names.CONTENT_LENGTH)
+        if self._request.method == "HEAD" and length is not None:
+            passed_on.append((header_names.CONTENT_LENGTH, length))
         first = bytearray()
         async for piece in answered.pieces:
             first += piece
--- a/chicorydoor/protocol/headers.py
+++ b/chicorydoor/protocol/headers.py
@@ -2,6 +2,7 @@
 
 from collections import abc
 
+CONTENT_LENGTH = b"content-length"
 KEY = b"x-api-key"
 KEY_PREFIX = b"cdk_"
 REQUEST_ID = b"x-request-id"
@@ -31,7 +32,7 @@
     {
         *_HOP_BY_HOP,
         b"host",
-        b"content-length",
+        CONTENT_LENGTH,
         KEY,
         REQUEST_ID,
         DEADLINE,
@@ -70,6 +71,6 @@
         (name, value)
         for raw_name, value in headers
         if (name := raw_name.lower()) not in _HOP_BY_HOP
-        and name not in (b"content-length", REQUEST_ID)
+        and name not in (CONTENT_LENGTH, REQUEST_ID)
         and not name.startswith(_INTERNAL_PREFIX)
     ]
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -133,6 +133,11 @@
         names = {name for name, _ in world.target().seen[-1].headers}
         assert not names & {b"x-chicorydoor-code", b"x-forward", b"cookie"}
 
+    def test_head_tells_the_length_of_the_body(self, world):
+        reply = world.ask("HEAD")
+        assert (_code(reply), reply.content) == (0, b"")
+        assert reply.headers["content-length"] == "64"
+
     def test_bodies_pass_both_ways(self, world):
         body = bytes(range(256)) * (_LARGE // 256)
         reply = world.ask("POST", content=body)
