Forget instances that were replaced

Change: a mate not heard of for 120 s is forgotten; a sender with nothing to send for 60 s closes its socket. Measured: five replacements on virtual time leave two known mates, not seven.

--- a/chicorydoor/coordination/exchange.py
+++ b/chicorydoor/coordination/exchange.py
@@ -362,8 +362,7 @@
             self.learn(member)
         listed = {member.instance for member in summary.members}
         for instance in neighbour.member_by_id.keys() - listed:
-            if neighbour.member_by_id[instance].http_address:
-                del neighbour.member_by_id[instance]
+            del neighbour.member_by_id[instance]
 
     def _on_exchange(
         self, sender: ids.InstanceId, message: pm.Exchange
--- a/chicorydoor/coordination/membership.py
+++ b/chicorydoor/coordination/membership.py
@@ -29,14 +29,17 @@
 
 _LOG = logging.getLogger(__name__)
 
+_FORGET_AFTER_S = 120.0
+
 NOBODY = ids.InstanceId("")
 
 
 class _Mate:
     """Another instance of the failure domain."""
 
-    def __init__(self, member: pm.Member) -> None:
+    def __init__(self, member: pm.Member, now: float) -> None:
         self.member = member
+        self.learnt_at = now
         self.heard_at = float("-inf")
         self.lease_until = float("-inf")
         self.harmless_until = float("-inf")
@@ -94,7 +97,9 @@
         self._network.learn(member.instance, member.peer_address)
         mate = self._mate_by_id.get(member.instance)
         if mate is None:
-            self._mate_by_id[member.instance] = _Mate(member)
+            self._mate_by_id[member.instance] = _Mate(
+                member, self._clock.now()
+            )
         elif member.http_address:
             mate.member = member
 
@@ -210,6 +215,7 @@
                 mate.heard_at = now
 
     def _judge(self, now: float) -> None:
+        self._forget_gone(now)
         for mate in self._mate_by_id.values():
             is_live = now - mate.heard_at < self._timing.dead_after_s
             if is_live != mate.is_live:
@@ -218,6 +224,21 @@
                 kind = kinds.PEER_SEEN if is_live else kinds.PEER_LOST
                 self._events.add(kind, subject=mate.member.instance)
 
+    def _forget_gone(self, now: float) -> None:
+        """Instances are replaced under new ids; old ones must not pile up."""
+        gone = [
+            instance
+            for instance, mate in self._mate_by_id.items()
+            if now - max(mate.heard_at, mate.learnt_at) > _FORGET_AFTER_S
+        ]
+        for instance in gone:
+            del self._mate_by_id[instance]
+            self._network.forget(instance)
+
+    def known(self) -> list[ids.InstanceId]:
+        """Other instances of the failure domain, live or lost lately."""
+        return sorted(self._mate_by_id)
+
     def _choose(self, now: float) -> None:
         """Follow the intended coordinator once no other binds."""
         if self._successor != NOBODY:
--- a/chicorydoor/coordination/peer_network.py
+++ b/chicorydoor/coordination/peer_network.py
@@ -110,6 +110,10 @@
         elif known.address != address:
             self._peer_by_id[peer] = _Peer(address)
 
+    def forget(self, peer: ids.InstanceId) -> None:
+        """Drop what is known of a peer."""
+        self._peer_by_id.pop(peer, None)
+
     def incarnation_of(self, peer: ids.InstanceId) -> ids.Incarnation:
         """A peer's incarnation, or 0 if it has not answered."""
         known = self._peer_by_id.get(peer)
--- a/chicorydoor/transport/nng_link.py
+++ b/chicorydoor/transport/nng_link.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import collections
+from collections import abc
 import contextlib
 import logging
 import typing
@@ -16,6 +17,7 @@
 _SEND_TIMEOUT_MS = 1000
 _QUEUED_MESSAGES = 4096
 _SOCKET_BUFFER = 64
+_IDLE_LIMIT_S = 60.0
 
 _LOG = logging.getLogger(__name__)
 
@@ -31,10 +33,18 @@
 
 
 class _Sender:
-    """One peer's socket, queue and task."""
+    """One peer's socket, queue and task; ends when it has nothing to send.
 
-    def __init__(self, address: str) -> None:
+    Args:
+        address (str): ``ip:port`` of the peer.
+        on_end (callable): Called at the end.
+    """
+
+    def __init__(
+        self, address: str, on_end: abc.Callable[[str], None]
+    ) -> None:
         self._address = address
+        self._on_end = on_end
         self._queue: collections.deque[bytes] = collections.deque(
             maxlen=_QUEUED_MESSAGES
         )
@@ -53,9 +63,12 @@
         try:
             socket.dial(f"tcp://{self._address}", block=False)
             while not self._is_closed:
-                await self._ready.wait()
+                async with asyncio.timeout(_IDLE_LIMIT_S):
+                    await self._ready.wait()
                 self._ready.clear()
                 await self._drain(socket)
+        except TimeoutError:
+            self._on_end(self._address)
         finally:
             socket.close()
 
@@ -106,10 +119,14 @@
         """Queue a message for an address."""
         sender = self._sender_by_address.get(address)
         if sender is None:
-            sender = _Sender(address)
+            sender = _Sender(address, self._end)
             self._sender_by_address[address] = sender
         sender.put(data)
 
+    def _end(self, address: str) -> None:
+        """A sender had nothing to send for long; its peer may be gone."""
+        self._sender_by_address.pop(address, None)
+
     async def receive(self) -> bytes:
         """The next message."""
         return await self._received.get()
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -73,6 +73,20 @@
 
         _run(course)
 
+    def test_replaced_instances_do_not_pile_up(self):
+        async def course(fleet):
+            for _ in range(5):
+                victim = fleet.nodes("d0")[-1]
+                fleet.add("d0")
+                await victim.kill()
+                await asyncio.sleep(5.0)
+            await asyncio.sleep(130.0)
+            for node in fleet.nodes("d0"):
+                assert len(node.parts.membership.known()) == 2
+            assert fleet.coordinator("d0") is not None
+
+        _run(course)
+
     def test_a_lone_instance_takes_office(self):
         async def course(fleet):
             assert fleet.coordinator("d0") is not None
