Bound the bytes of answers kept for repeats

Cause: 20,000 records of up to 64 KiB each could take 1.3 GB, and expired ones were dropped only when the table was full. Change: at most 8 MiB of answers; a record beyond that keeps no body and its repeat is told that the request ran. Expired ones go every 10 s. Measured: a test of the bounds.

--- a/chicorydoor/compose.py
+++ b/chicorydoor/compose.py
@@ -196,7 +196,9 @@
         self.once = once.OnceGuard(
             mint=self.mint,
             table=idempotency.IdempotencyTable(
-                limits.idempotency_records, self.clock
+                limits.idempotency_records,
+                limits.kept_answers_bytes,
+                self.clock,
             ),
             network=self.network,
             clock=self.clock,
--- a/chicorydoor/coordination/once.py
+++ b/chicorydoor/coordination/once.py
@@ -186,11 +186,8 @@
     def _settle(
         self, record: idempotency.Record, code: result_codes.ResultCode
     ) -> None:
-        if not record.answer.done():
-            answer = idempotency.RecordedAnswer(
-                code.number, code.status, [], b""
-            )
-            record.answer.set_result(answer)
+        answer = idempotency.RecordedAnswer(code.number, code.status, [], b"")
+        self._table.settle(record, answer)
 
     async def _keep(
         self, record: idempotency.Record, answer: requests.Answer
@@ -200,7 +197,8 @@
             len(answer.first) > self._kept_answer_bytes
         ):
             body = None
-        record.answer.set_result(
-            idempotency.RecordedAnswer(0, answer.status, answer.headers, body)
+        recorded = idempotency.RecordedAnswer(
+            0, answer.status, answer.headers, body
         )
+        self._table.settle(record, recorded)
         return answer
--- a/chicorydoor/protocol/settings.py
+++ b/chicorydoor/protocol/settings.py
@@ -44,6 +44,7 @@
         peer_message_bytes (int): One message. Defaults to 2 MiB.
         kept_answer_bytes (int): Largest answer kept for a repeated
             request. Defaults to 64 KiB.
+        kept_answers_bytes (int): All answers kept. Defaults to 8 MiB.
         idempotency_records (int): Outcomes kept. Defaults to 20,000.
         waiting_requests (int): Queued at one entry. Defaults to 2,000.
     """
@@ -52,6 +53,7 @@
     body_bytes: int = 8 * 1024 * 1024
     peer_message_bytes: int = 2 * 1024 * 1024
     kept_answer_bytes: int = 64 * 1024
+    kept_answers_bytes: int = 8 * 1024 * 1024
     idempotency_records: int = 20_000
     waiting_requests: int = 2_000
 
--- a/chicorydoor/state/idempotency.py
+++ b/chicorydoor/state/idempotency.py
@@ -29,6 +29,7 @@
 
 KEY_LIFETIME_S = 300.0
 _SIGNATURE_BYTES = 12
+_EXPIRE_EVERY_S = 10.0
 
 
 class MintedKey(msgspec.Struct, frozen=True, array_like=True):
@@ -133,12 +134,18 @@
     Args:
         limit (int): Most records; beyond it new ones are refused, since
             dropping one early could let a request run twice.
+        body_bytes (int): Most bytes of answers; beyond it records keep no
+            body.
         clock (Clock): Its wall time is compared with the expiries.
     """
 
-    def __init__(self, limit: int, clock: clock_module.Clock) -> None:
+    def __init__(
+        self, limit: int, body_bytes: int, clock: clock_module.Clock
+    ) -> None:
         self._limit = limit
+        self._bytes_left = body_bytes
         self._clock = clock
+        self._expired_at = clock.wall()
         self._record_by_key: dict[str, Record] = {}
 
     def __len__(self) -> int:
@@ -156,8 +163,7 @@
         Returns:
             None if there is no room.
         """
-        if len(self._record_by_key) >= self._limit:
-            self._expire()
+        self._expire()
         if len(self._record_by_key) >= self._limit:
             return None
         record = Record(fingerprint, expires_at)
@@ -165,6 +171,17 @@
         metrics.IDEMPOTENCY_RECORDS.set(len(self._record_by_key))
         return record
 
+    def settle(self, record: Record, answer: RecordedAnswer) -> None:
+        """Record an answer, without its body if there is no room."""
+        if record.answer.done():
+            return
+        size = len(answer.body or b"")
+        if size > self._bytes_left:
+            answer = msgspec.structs.replace(answer, body=None)
+            size = 0
+        self._bytes_left -= size
+        record.answer.set_result(answer)
+
     def discard(self, key: str) -> None:
         """Forget a record whose request was certainly not run."""
         record = self._record_by_key.pop(key, None)
@@ -174,10 +191,15 @@
 
     def _expire(self) -> None:
         now = self._clock.wall()
+        is_full = len(self._record_by_key) >= self._limit
+        if not is_full and now - self._expired_at < _EXPIRE_EVERY_S:
+            return
+        self._expired_at = now
         expired = [
             key
             for key, record in self._record_by_key.items()
             if record.expires_at <= now and record.answer.done()
         ]
         for key in expired:
-            del self._record_by_key[key]
+            answer = self._record_by_key.pop(key).answer.result()
+            self._bytes_left += len(answer.body or b"")
--- a/tests/support/virtual_time.py
+++ b/tests/support/virtual_time.py
@@ -34,7 +34,8 @@
         pending = asyncio.all_tasks(loop)
         for task in pending:
             task.cancel()
-        loop.run_until_complete(
-            asyncio.gather(*pending, return_exceptions=True)
-        )
+        if pending:
+            loop.run_until_complete(
+                asyncio.gather(*pending, return_exceptions=True)
+            )
         loop.close()
--- a/tests/test_at_most_once.py
+++ b/tests/test_at_most_once.py
@@ -8,6 +8,7 @@
 
 from chicorydoor.state import idempotency
 from chicorydoor.transport import clock as clock_module
+from tests.support import clocks
 from tests.support import fleet as fleet_module
 from tests.support import virtual_time
 
@@ -59,6 +60,27 @@
         assert self._mint().verify(other.mint()) is None
 
 
+class TestIdempotencyTable:
+    def test_bounds(self):
+        async def course():
+            clock = clocks.ManualClock()
+            table = idempotency.IdempotencyTable(3, 100, clock)
+            answer = idempotency.RecordedAnswer(0, 200, [], bytes(60))
+            for name in ("a", "b", "c"):
+                record = table.start(name, b"", clock.at + 300.0)
+                table.settle(record, answer)
+            kept = [table.find(n).answer.result().body for n in "abc"]
+            assert kept == [bytes(60), None, None]
+            assert table.start("d", b"", 300.0) is None
+            clock.at = 301.0
+            record = table.start("d", b"", 600.0)
+            table.settle(record, answer)
+            assert record.answer.result().body == bytes(60)
+            assert len(table) == 1
+
+        virtual_time.run(course())
+
+
 class TestRepeats:
     def test_a_repeat_gets_the_recorded_answer(self):
         async def course(fleet):
