Bound the time for a request's body by its deadline

Cause: a caller that sent part of a small body and stopped held its request for ever. Change: the deadline ends it with 104, not run. Measured: a test over a raw socket.

--- a/chicorydoor/coordination/caller_app.py
+++ b/chicorydoor/coordination/caller_app.py
@@ -236,7 +236,7 @@
         deadline = self._deadline(call, admission.route.deadline_s)
         if admission.customer:
             await self._take_token(admission, deadline)
-        body = await self._read_body(call, receive)
+        body = await self._read_in_time(call, receive, deadline)
         request = self._request(call, admission, deadline, body)
         await self._run_watched(call, request, receive, send)
 
@@ -288,6 +288,19 @@
             is_first_attempt=header_names.FIRST_ATTEMPT in headers,
         )
 
+    async def _read_in_time(
+        self, call: _Call, receive: Receive, deadline: float
+    ) -> requests.Body:
+        """Read a body, or its first part, before the deadline."""
+        try:
+            async with asyncio.timeout(deadline - self.clock.now()):
+                return await self._read_body(call, receive)
+        except TimeoutError as error:
+            raise requests.RefusedError(
+                _CODES.BODY_INCOMPLETE,
+                outcome=result_codes.Outcome.NOT_RUN,
+            ) from error
+
     async def _read_body(self, call: _Call, receive: Receive) -> requests.Body:
         raw = call.header_by_name.get(b"content-length", b"0")
         if not raw.isdigit():
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -251,6 +251,16 @@
         answer = world.raw(request + b"\r\n")
         assert b"x-chicorydoor-code: 102" in answer
 
+    def test_a_body_that_does_not_come(self, world):
+        request = (
+            "POST /main/x HTTP/1.1\r\nhost: x\r\n"
+            f"x-api-key: {world.key}\r\nx-deadline-ms: 200\r\n"
+            "content-length: 10\r\n\r\nab"
+        )
+        answer = world.raw(request.encode())
+        assert b"x-chicorydoor-code: 104" in answer
+        assert b"x-chicorydoor-outcome: not-run" in answer
+
     @pytest.mark.parametrize(
         ("path", "code"),
         [
