--- /dev/null
+++ b/tests/test_link.py
@@ -0,0 +1,61 @@
+"""The pynng link between entries, over real sockets."""
+
+import asyncio
+
+import pynng
+
+from chicorydoor.transport import nng_link
+
+_LIMIT = 4096
+
+
+def _run(course):
+    async def wrapped():
+        links = [nng_link.NngLink("127.0.0.1:0", _LIMIT) for _ in range(2)]
+        try:
+            async with asyncio.timeout(20.0):
+                await course(*links)
+        finally:
+            for link in links:
+                await link.close()
+
+    asyncio.run(wrapped())
+
+
+class TestNngLink:
+    def test_messages_arrive_in_order(self):
+        async def course(first, second):
+            sent = [b"%d" % number for number in range(500)]
+            for data in sent:
+                first.send(second.address, data)
+            received = [await second.receive() for _ in sent]
+            assert received == sent
+
+        _run(course)
+
+    def test_oversized_and_garbage_leave_the_port_up(self):
+        async def course(first, second):
+            host, port = second.address.split(":")
+            _, writer = await asyncio.open_connection(host, int(port))
+            writer.write(b"GET / HTTP/1.1\r\n\r\n" * 100)
+            await writer.drain()
+            writer.close()
+            with pynng.Push0(dial=f"tcp://{second.address}") as raw:
+                await raw.asend(b"x" * (_LIMIT + 1))
+            first.send(second.address, b"well")
+            assert await second.receive() == b"well"
+
+        _run(course)
+
+    def test_a_cancelled_receive_loses_nothing(self):
+        async def course(first, second):
+            for number in range(50):
+                waiting = asyncio.create_task(second.receive())
+                await asyncio.sleep(0)
+                first.send(second.address, b"%d" % number)
+                waiting.cancel()
+                await asyncio.gather(waiting, return_exceptions=True)
+                assert waiting.cancelled()
+                assert await second.receive() == b"%d" % number
+
+        _run(course)
