--- a/chicorydoor/coordination/allotments.py
+++ b/chicorydoor/coordination/allotments.py
@@ -9,6 +9,7 @@
 from collections import abc
 import contextlib
 import math
+import typing
 
 from chicorydoor import errors
 from chicorydoor.coordination import coordinator as coordinator_module
@@ -35,6 +36,44 @@
 _TOKEN_WAIT_PART = 0.6
 
 
+class SlotUser(typing.Protocol):
+    """What spends an instance's slots."""
+
+    def slot_wants(self) -> dict[ids.ServiceId, int]:
+        """Further slots wanted."""
+
+    def avoided_targets(self) -> list[ids.TargetId]:
+        """Targets whose slots would not be used."""
+
+    def slot_use(self) -> dict[ids.ServiceId, pm.ServiceUse]:
+        """Mean use of the slots."""
+
+    def give_back_idle(self, services: abc.Iterable[ids.ServiceId]) -> None:
+        """Lower the limits of idle slots."""
+
+    def serve_waiting(self) -> None:
+        """Slots may have come free."""
+
+
+class _NoSlotUser:
+    """Until the composition names one."""
+
+    def slot_wants(self) -> dict[ids.ServiceId, int]:
+        return {}
+
+    def avoided_targets(self) -> list[ids.TargetId]:
+        return []
+
+    def slot_use(self) -> dict[ids.ServiceId, pm.ServiceUse]:
+        return {}
+
+    def give_back_idle(self, services: abc.Iterable[ids.ServiceId]) -> None:
+        return None
+
+    def serve_waiting(self) -> None:
+        return None
+
+
 class _Waiter:
     """A request that waits for tokens."""
 
@@ -76,16 +115,8 @@
         self.slots = slot_purse.SlotPurse(clock)
         self.credits = slot_purse.SlotPurse(clock)
         self.away_share_by_route: dict[ids.RouteId, float] = {}
-        self.on_slots: abc.Callable[[], None] = lambda: None
-        self.slot_wants: abc.Callable[[], dict[ids.ServiceId, int]] = dict
-        self.avoided: abc.Callable[[], list[ids.TargetId]] = list
-        self.slot_use: abc.Callable[[], dict[ids.ServiceId, pm.ServiceUse]] = (
-            dict
-        )
+        self.slot_user: SlotUser = _NoSlotUser()
         self.credit_wants: abc.Callable[[], dict[ids.ServiceId, int]] = dict
-        self.give_back_idle: abc.Callable[[list[ids.ServiceId]], None] = (
-            lambda services: None
-        )
         self._load_by_route: dict[ids.RouteId, list[int]] = {}
         self._waiters_by_bucket: dict[
             ids.BucketId, collections.deque[_Waiter]
@@ -103,7 +134,7 @@
 
     def recall(self, services: list[ids.ServiceId]) -> None:
         """The coordinator wants a report and idle slots back."""
-        self.give_back_idle(services)
+        self.slot_user.give_back_idle(services)
         self.wake()
 
     def note_arrival(self, route: ids.RouteId, is_delayed: bool) -> None:
@@ -243,9 +274,9 @@
             acks=self._acks,
             slots=pm.SlotReport(
                 self.slots.state(),
-                self.slot_wants(),
-                self.avoided(),
-                self.slot_use(),
+                self.slot_user.slot_wants(),
+                self.slot_user.avoided_targets(),
+                self.slot_user.slot_use(),
             ),
             credits=pm.SlotReport(self.credits.state(), self.credit_wants()),
             token_by_bucket=self._token_reports(),
@@ -288,7 +319,7 @@
         )
         self.away_share_by_route = answer.away_share_by_route
         self._apply_tokens(answer, sent_at)
-        self.on_slots()
+        self.slot_user.serve_waiting()
 
     def _apply_tokens(self, answer: pm.Allotment, sent_at: float) -> None:
         now = self._clock.now()
--- a/chicorydoor/coordination/placement.py
+++ b/chicorydoor/coordination/placement.py
@@ -89,11 +89,7 @@
         self._waiting_limit = waiting_limit
         self._service_by_id: dict[ids.ServiceId, _Service] = {}
         self.choice_name = "least-loaded"
-        allotments.on_slots = self._serve_all
-        allotments.slot_wants = self._wants
-        allotments.avoided = self._avoided
-        allotments.slot_use = self._slot_use
-        allotments.give_back_idle = self.give_back_idle
+        allotments.slot_user = self
 
     def _service(self, service_id: ids.ServiceId) -> _Service:
         service = self._service_by_id.get(service_id)
@@ -267,7 +263,8 @@
             service.hold_s += _HOLD_WEIGHT * (held_s - service.hold_s)
         self._serve(service_id)
 
-    def _serve_all(self) -> None:
+    def serve_waiting(self) -> None:
+        """Slots may have come free."""
         for service_id in list(self._service_by_id):
             self._serve(service_id)
 
@@ -289,7 +286,7 @@
                 waiter.future.set_result(state)
         metrics.QUEUE_LENGTH.labels(service_id).set(len(queue))
 
-    def _wants(self) -> dict[ids.ServiceId, int]:
+    def slot_wants(self) -> dict[ids.ServiceId, int]:
         """Slots to ask for: those that requests wait for, and a reserve."""
         wants: dict[ids.ServiceId, int] = {}
         for service_id, service in self._service_by_id.items():
@@ -309,14 +306,15 @@
             for state in self._targets.usable(service_id)
         )
 
-    def _slot_use(self) -> dict[ids.ServiceId, pm.ServiceUse]:
+    def slot_use(self) -> dict[ids.ServiceId, pm.ServiceUse]:
+        """Mean use of the slots."""
         now = self._clock.now()
         return {
             service_id: pm.ServiceUse(service.mean_use(now), service.hold_s)
             for service_id, service in self._service_by_id.items()
         }
 
-    def _avoided(self) -> list[ids.TargetId]:
+    def avoided_targets(self) -> list[ids.TargetId]:
         """Targets that get no work; their free slots are given back."""
         slots = self._allotments.slots
         avoided: list[ids.TargetId] = []
