--- a/chicorydoor/compose.py
+++ b/chicorydoor/compose.py
@@ -457,7 +457,10 @@
         )
 
     async def _answer_caller(
-        self, scope: dict, receive: object, send: object
+        self,
+        scope: caller_app.Scope,
+        receive: caller_app.Receive,
+        send: caller_app.Send,
     ) -> None:
         await self.parts.caller_app(scope, receive, send)
 
