Begin each term in office with a number of its own

Cause, found by reading: whether an instance is in office was worked out from its leases at each use, but the number of its term grew only at the next tick. An instance that had lost the office and got it back by a heartbeat between two ticks went on under the old number, so for up to a heartbeat it granted from the account of its earlier term, which knows nothing of what others granted since. Change: it is in office only once a tick has begun the term; the ticks judge by the leases themselves.

--- a/chicorydoor/coordination/membership.py
+++ b/chicorydoor/coordination/membership.py
@@ -161,6 +161,10 @@
         Returns:
             0 if it is not in office.
         """
+        return self._lease_left() if self._was_in_office else 0.0
+
+    def _lease_left(self) -> float:
+        """The lease, also of a term that no tick has begun yet."""
         now = self._clock.now()
         if self._follows != self.me.instance or self._is_paused(now):
             return 0.0
@@ -274,7 +278,7 @@
         if followed and followed.is_live and followed.successor == NOBODY:
             if followed.follows == self._follows:
                 return self._follows
-        if self.in_office():
+        if self._lease_left() > 0:
             return self.me.instance
         in_office = [
             mate.member.instance
@@ -349,7 +353,8 @@
             mate.harmless_until = now + left_s - self._timing.heartbeat_s
 
     def _note_office(self) -> None:
-        in_office = self.in_office()
+        """Begin or end a term; each begins with a number of its own."""
+        in_office = self._lease_left() > 0
         if in_office == self._was_in_office:
             return
         self._was_in_office = in_office
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -52,6 +52,28 @@
 
         _run(course)
 
+    def test_an_ended_term_never_comes_back(self):
+        """A number that was lost would stand for an outdated account."""
+
+        async def course(fleet):
+            first = fleet.coordinator("d0")
+            membership = first.parts.membership
+            numbers = [membership.office()]
+            await first.freeze()
+            await asyncio.sleep(5.0)
+            second = fleet.coordinator("d0")
+            first.thaw()
+            await asyncio.sleep(3.0)
+            await second.kill()
+            for _ in range(2000):
+                await asyncio.sleep(0.003)
+                for node in fleet.nodes("d0"):
+                    if node is first and node.in_office:
+                        numbers.append(membership.office())
+            assert set(numbers[1:]) == {numbers[0] + 1}
+
+        _run(course)
+
     def test_lossy_links_never_make_two(self):
         async def course(fleet):
             fleet.network.loss = 0.4
