Return a slot that comes just as its request gives up

Cause, found by reading: a waiting request that times out in the same turn of the event loop in which it is given a slot never used it and never gave it back; only a cancelled one did. The slot was lost until the process ended. Change: both ends return it. Measured: the new test fails before (the next request finds no slot) and passes after.

--- a/chicorydoor/coordination/placement.py
+++ b/chicorydoor/coordination/placement.py
@@ -189,15 +189,16 @@
             async with asyncio.timeout(remaining_s - service.hold_s):
                 return await waiter.future
         except TimeoutError as error:
+            self._return_late(waiter)
             raise self._refusal(service) from error
         except asyncio.CancelledError:
-            self._return_late(service_id, waiter)
+            self._return_late(waiter)
             raise
         finally:
             service.queue.remove(ticket)
 
-    def _return_late(self, service_id: ids.ServiceId, waiter: _Waiter) -> None:
-        """A cancelled request may just have been given a slot."""
+    def _return_late(self, waiter: _Waiter) -> None:
+        """A request that ends may just have been given a slot."""
         if waiter.future.done() and not waiter.future.cancelled():
             self.release(waiter.future.result(), 0.0)
 
--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -7,7 +7,9 @@
 from hypothesis import seed
 from hypothesis import settings
 from hypothesis import strategies as st
+import pytest
 
+from chicorydoor.coordination import requests
 from chicorydoor.protocol import peer_messages as pm
 from chicorydoor.state import slot_ledger
 from chicorydoor.state import slot_purse
@@ -216,6 +218,40 @@
 
         return virtual_time.run(course())
 
+    def test_a_slot_that_comes_at_the_last_moment_is_not_lost(self):
+        async def course():
+            config = fleet_module.configuration(domains=2, targets=1, slots=1)
+            fleet = fleet_module.Fleet(config, ["d0", "d1"])
+            await fleet.ready()
+            placement = fleet.nodes("d0")[0].parts.placement
+            loop = asyncio.get_running_loop()
+            route = config.route_by_id["open"]
+
+            def request():
+                return requests.Request(
+                    "GET",
+                    "/open/x",
+                    b"",
+                    [],
+                    requests.Body(b""),
+                    "open",
+                    route,
+                    "",
+                    "",
+                    "id",
+                    loop.time() + 1.0,
+                )
+
+            held = await placement.acquire(request(), 1.0, 9)
+            hold_s = placement.slot_use()["svc"].hold_s
+            gives_up_at = loop.time() + 1.0 - hold_s
+            loop.call_at(gives_up_at - 1e-10, placement.release, held, 0.0)
+            with pytest.raises(requests.RefusedError):
+                await placement.acquire(request(), 1.0, 9)
+            assert await placement.acquire(request(), 1.0, 9) is held
+
+        virtual_time.run(course())
+
     def test_goodput_at_twice_the_capacity(self):
         async def no_fault(fleet):
             return None
