Do less twice: candidates, views and reports at rest

Cause, found by reading the whole change: a waiting request looked for free targets twice; a whole view was built four times a second although half of them were never sent; every pause of the reporting task made up a report of the slots only to see whether one is used. Six fields and parameters were read by nobody. Change: candidates are passed on, the view is built when one is due, the purse answers whether a slot is used; the dead ones are gone.

--- a/chicorydoor/compose.py
+++ b/chicorydoor/compose.py
@@ -178,7 +178,6 @@
             connect=self.connect,
         )
         self.dispatcher = dispatcher.Dispatcher(
-            domain=self.me.domain,
             allotments=self.allotments,
             placement=self.placement,
             executor=self.executor,
--- a/chicorydoor/coordination/allotments.py
+++ b/chicorydoor/coordination/allotments.py
@@ -229,7 +229,7 @@
             or self._waiters_by_bucket
             or self.tokens.active()
             or self.away_share_by_route
-            or any(s.in_use for s in self.slots.state().values())
+            or self.slots.is_in_use()
         )
         if is_busy:
             return _REPORT_S
--- a/chicorydoor/coordination/config_keeper.py
+++ b/chicorydoor/coordination/config_keeper.py
@@ -152,7 +152,7 @@
         clock (Clock): Time.
         events (EventRing): Gets changes of state.
         poll_s (float): Between reads of the manifest.
-        other_contacts (callable): Coordinators of other failure domains
+        newer_peers (callable): Coordinators of other failure domains
             that are known to have a higher revision.
     """
 
--- a/chicorydoor/coordination/coordinator.py
+++ b/chicorydoor/coordination/coordinator.py
@@ -81,7 +81,6 @@
             timing=timing,
             clock=clock,
             rng=rng,
-            events=events,
             summarize=self.summarize,
             credit_report=self._credit_report,
             answer=self._answer_exchange,
@@ -270,7 +269,7 @@
         return loads
 
     def _tell(self) -> None:
-        view = self._teller.due(self.view())
+        view = self._teller.due(self.view)
         if view is None:
             return
         for member in self._membership.live_members():
--- a/chicorydoor/coordination/directory.py
+++ b/chicorydoor/coordination/directory.py
@@ -14,7 +14,6 @@
 _SUMMARY_KEPT_S = 4.0
 _ENTRIES_ANSWERED = 8
 _TTL_JITTER = 0.2
-_NEAR_WEIGHT = 1.0
 
 
 class _Known(msgspec.Struct):
@@ -44,7 +43,6 @@
         self._rng = rng
         self._snapshot = config_snapshot.EMPTY
         self._known_by_domain: dict[ids.DomainId, _Known] = {}
-        self.heard_all = False
         self.heard_all_at = float("-inf")
         self._answer_by_region: dict[
             ids.RegionId | None, list[caller_api.LookupEntry]
@@ -69,7 +67,6 @@
             known = self._known_by_domain.get(age.domain)
             if known is not None:
                 known.at = now
-        self.heard_all = view.heard_all
         if view.heard_all:
             self.heard_all_at = now
         self._answer_by_region.clear()
--- a/chicorydoor/coordination/dispatcher.py
+++ b/chicorydoor/coordination/dispatcher.py
@@ -41,7 +41,6 @@
     receives it; without one the request stays here.
 
     Args:
-        domain (str): The own failure domain.
         allotments (Allotments): Shares and credits.
         placement (Placement): Says whether a slot is free here.
         executor (Executor): Runs requests here.
@@ -54,7 +53,6 @@
     def __init__(
         self,
         *,
-        domain: ids.DomainId,
         allotments: allotments_module.Allotments,
         placement: placement_module.Placement,
         executor: executor_module.Executor,
@@ -63,7 +61,6 @@
         rng: random.Random,
         events: event_ring.EventRing,
     ) -> None:
-        self._domain = domain
         self._allotments = allotments
         self._placement = placement
         self._executor = executor
--- a/chicorydoor/coordination/exchange.py
+++ b/chicorydoor/coordination/exchange.py
@@ -20,7 +20,6 @@
 from chicorydoor.protocol import ids
 from chicorydoor.protocol import peer_messages as pm
 from chicorydoor.protocol import settings as settings_module
-from chicorydoor.state import event_ring
 from chicorydoor.transport import clock as clock_module
 
 LENT_TOKENS_VALID_S = 0.3
@@ -101,7 +100,6 @@
         timing (Timing): Intervals.
         clock (Clock): Time.
         rng (Random): For the order of lenders.
-        events (EventRing): Gets changes of state.
         summarize (callable): Gives the own domain's summary.
         credit_report (callable): Wanted and used credits at a domain.
         answer (callable): Answers another coordinator's exchange.
@@ -118,7 +116,6 @@
         timing: settings_module.Timing,
         clock: clock_module.Clock,
         rng: random.Random,
-        events: event_ring.EventRing,
         summarize: abc.Callable[[], pm.DomainSummary],
         credit_report: abc.Callable[
             [ids.DomainId],
@@ -133,7 +130,6 @@
         self._timing = timing
         self._clock = clock
         self._rng = rng
-        self._events = events
         self._summarize = summarize
         self._credit_report = credit_report
         self._answer = answer
--- a/chicorydoor/coordination/placement.py
+++ b/chicorydoor/coordination/placement.py
@@ -133,13 +133,17 @@
         self, service_id: ids.ServiceId, exclude: frozenset[ids.TargetId]
     ) -> target_table.TargetState | None:
         candidates = self._candidates(service_id, exclude)
-        if not candidates:
-            return None
+        return self._take(candidates) if candidates else None
+
+    def _take(
+        self, candidates: list[target_table.TargetState]
+    ) -> target_table.TargetState:
+        """Take a slot on one of the candidates."""
         choose = target_choice.CHOICES.get(self.choice_name)
         state = choose(candidates, self._rng)
         self._allotments.slots.take(state.target_id)
         state.in_use += 1
-        self._note_use(self._service(service_id), 1)
+        self._note_use(self._service(state.record.service), 1)
         return state
 
     def _note_use(self, service: _Service, change: int) -> None:
@@ -272,19 +276,19 @@
     def _serve(self, service_id: ids.ServiceId) -> None:
         """Give free slots to waiting requests."""
         queue = self._service(service_id).queue
-        while len(queue) and self._candidates(service_id, frozenset()):
-            waiter = queue.pop()
-            if waiter is None:
+        while len(queue):
+            candidates = self._candidates(service_id, frozenset())
+            if not candidates:
                 break
-            state = self._try(service_id, waiter.exclude)
-            if state is None:
-                state = self._try(service_id, frozenset())
-            if state is None:
-                break
-            if waiter.future.done():
-                self.release(state, 0.0)
-            else:
-                waiter.future.set_result(state)
+            waiter = queue.pop()
+            if waiter is None or waiter.future.done():
+                continue
+            untried = [
+                state
+                for state in candidates
+                if state.target_id not in waiter.exclude
+            ]
+            waiter.future.set_result(self._take(untried or candidates))
         metrics.QUEUE_LENGTH.labels(service_id).set(len(queue))
 
     def slot_wants(self) -> dict[ids.ServiceId, int]:
--- a/chicorydoor/coordination/view_teller.py
+++ b/chicorydoor/coordination/view_teller.py
@@ -1,5 +1,7 @@
 """What a coordinator tells its instances of the failure domains."""
 
+from collections import abc
+
 import msgspec
 
 from chicorydoor.protocol import ids
@@ -50,16 +52,22 @@
         self._refreshed_at = float("-inf")
         self._essence_by_domain: dict[ids.DomainId, _Essence] = {}
 
-    def due(self, view: pm.DomainView) -> pm.DomainView | None:
+    def due(
+        self, make_view: abc.Callable[[], pm.DomainView]
+    ) -> pm.DomainView | None:
         """What is to be sent now of a whole view, or None.
 
         A change of the own failure domain, which comes first, sends
         everything: its members may include new ones.
+
+        Args:
+            make_view (callable): Called only when a view may be sent.
         """
         now = self._clock.now()
         rest_s = now - self._sent_at
         if rest_s < self._least_s:
             return None
+        view = make_view()
         is_refresh = now - self._refreshed_at >= _REFRESH_S
         changed = [s for s in view.summaries if self._is_changed(s)]
         if is_refresh or view.summaries[0] in changed:
--- a/chicorydoor/state/slot_purse.py
+++ b/chicorydoor/state/slot_purse.py
@@ -41,6 +41,10 @@
         limit = self._limit_by_target.get(target, 0)
         return max(0, limit - self.in_use(target))
 
+    def is_in_use(self) -> bool:
+        """Whether any slot is taken."""
+        return bool(self._in_use_by_target)
+
     def in_use(self, target: ids.TargetId) -> int:
         """Slots taken."""
         return self._in_use_by_target.get(target, 0)
--- a/chicorydoor/state/token_ledger.py
+++ b/chicorydoor/state/token_ledger.py
@@ -52,7 +52,6 @@
     def __init__(self, limit: Limit, now: float) -> None:
         self.limit = limit
         self.tokens = 0.0
-        self.demand_per_s = 0.0
         self._updated_at = now
         self._grants_by_holder: dict[ids.HolderId, list[_Grant]] = {}
 
