--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of the real processes and parts, on loopback."""
--- /dev/null
+++ b/bench/servers.py
@@ -0,0 +1,80 @@
+"""Baselines: a constant handler, a naive pass-through, a bare target."""
+
+import sys
+
+import httpx
+import litestar
+from litestar import handlers
+import uvicorn
+
+_BODY = b"x" * 64
+
+
+@litestar.get("/v1/lookup", sync_to_thread=False)
+def _constant() -> bytes:
+    return _BODY
+
+
+def constant_app() -> litestar.Litestar:
+    """A litestar handler that returns a constant."""
+    return litestar.Litestar(
+        [_constant], openapi_config=None, logging_config=None
+    )
+
+
+def passthrough_app(target_port: int) -> litestar.Litestar:
+    """A litestar handler that passes requests on by a pooled client."""
+    client = httpx.AsyncClient(
+        base_url=f"http://127.0.0.1:{target_port}", trust_env=False
+    )
+
+    @handlers.get("/work/{rest:path}")
+    async def passthrough(
+        request: litestar.Request, rest: str
+    ) -> litestar.Response[bytes]:
+        reply = await client.request(
+            request.method,
+            request.url.path,
+            headers={"x-request-id": "1"},
+            content=await request.body(),
+        )
+        return litestar.Response(reply.content, status_code=reply.status_code)
+
+    return litestar.Litestar(
+        [passthrough], openapi_config=None, logging_config=None
+    )
+
+
+async def bare_target(scope, receive, send):
+    """Answers at once with the request's id."""
+    request_id = dict(scope["headers"]).get(b"x-request-id", b"")
+    headers = [(b"content-length", b"64"), (b"x-request-id", request_id)]
+    start = {"type": "http.response.start", "status": 200, "headers": headers}
+    await send(start)
+    await send({"type": "http.response.body", "body": _BODY})
+
+
+def main() -> int:
+    """Serve ``constant``, ``passthrough TARGET`` or ``target`` on a port."""
+    kind, port = sys.argv[1], int(sys.argv[-1])
+    if kind == "constant":
+        app = constant_app()
+    elif kind == "passthrough":
+        app = passthrough_app(int(sys.argv[2]))
+    else:
+        app = bare_target
+    uvicorn.run(
+        app,
+        host="127.0.0.1",
+        port=port,
+        log_level="error",
+        access_log=False,
+        loop="uvloop",
+        http="httptools",
+        lifespan="off",
+    )
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
