--- a/chicorydoor/standins/target.py
+++ b/chicorydoor/standins/target.py
@@ -90,6 +90,9 @@
         app = litestar.Litestar(
             [
                 litestar.get("/health", sync_to_thread=False)(self._health),
+                litestar.get("/standin/seen", sync_to_thread=False)(
+                    self._seen_ids
+                ),
                 handlers.asgi("/", is_mount=True, copy_scope=False)(
                     self._handle
                 ),
@@ -110,6 +113,10 @@
         """Cut everything."""
         await self._server.stop()
 
+    def _seen_ids(self) -> list[str]:
+        """Ids of all requests seen, for programs in other processes."""
+        return [seen.request_id for seen in self.seen]
+
     def _health(self) -> dict[str, float]:
         load = self.faults.reported_load
         if load is None:
