--- a/bench/servers.py
+++ b/bench/servers.py
@@ -28,7 +28,7 @@
         base_url=f"http://127.0.0.1:{target_port}", trust_env=False
     )
 
-    @handlers.get("/work/{rest:path}")
+    @handlers.get("/job/{rest:path}")
     async def passthrough(
         request: litestar.Request, rest: str
     ) -> litestar.Response[bytes]:
--- a/bench/throughput.py
+++ b/bench/throughput.py
@@ -30,7 +30,7 @@
     config.customer_by_id["c"] = records.Customer(1e6, 1e6)
     digest = config_snapshot.key_digest(_KEY.encode())
     config.key_by_id["k"] = records.Key("c", digest)
-    config.route_by_id["work"] = records.Route("svc", "/work", deadline_s=2.0)
+    config.route_by_id["work"] = records.Route("svc", "/job", deadline_s=2.0)
     return config
 
 
@@ -73,7 +73,7 @@
     )
     children = entries.processes
     try:
-        entries.ready("/work/x", _KEY)
+        entries.ready("/job/x", _KEY)
         target_port = entries.configuration.target_by_id["t"].port
         entry = str(entries.settings_by_id["d-1"].callers)
         baselines = {}
@@ -91,9 +91,9 @@
         )
         ours = _measure("lookup", entry, lookup)
         naive = _measure(
-            "passthrough", baselines["passthrough"], _request("/work/x")
+            "passthrough", baselines["passthrough"], _request("/job/x")
         )
-        proxied = _measure("proxied", entry, _request("/work/x", _KEY))
+        proxied = _measure("proxied", entry, _request("/job/x", _KEY))
         lookup_ratio = round(ours / constant, 3)
         proxy_ratio = round(proxied / naive, 3)
         processes.emit(
