--- /dev/null
+++ b/chicorydoor/compose_fleet.py
@@ -0,0 +1,389 @@
+"""Puts an entry together whose fleet shares a platform's store.
+
+``FleetParts`` wires the decisions to a store, a link and a clock;
+``FleetEntry`` adds the ports, the tasks and the planned stop.
+"""
+
+import asyncio
+from collections import abc
+import contextlib
+import gc
+import logging
+import random
+import time
+
+import msgspec
+import prometheus_client
+
+from chicorydoor.coordination import admission
+from chicorydoor.coordination import call_app
+from chicorydoor.coordination import call_runner
+from chicorydoor.coordination import distances
+from chicorydoor.coordination import entry_lookup
+from chicorydoor.coordination import peer_exchange
+from chicorydoor.coordination import plan_keeper
+from chicorydoor.coordination import registrar
+from chicorydoor.coordination import store_follower
+from chicorydoor.coordination import target_prober
+from chicorydoor.coordination import target_registry
+from chicorydoor.coordination import target_selection
+from chicorydoor.platform import documents
+from chicorydoor.platform import kv_store
+from chicorydoor.platform import lookup_app
+from chicorydoor.platform import registrations
+from chicorydoor.platform import wire
+from chicorydoor.protocol import fleet_settings
+from chicorydoor.protocol import ids
+from chicorydoor.protocol import serving
+from chicorydoor.state import cold_limits
+from chicorydoor.state import fleet_view
+from chicorydoor.state import rate_shares
+from chicorydoor.state import retry_budget
+from chicorydoor.state import store_mirror
+from chicorydoor.state import target_book
+from chicorydoor.transport import clock as clock_module
+from chicorydoor.transport import http_server
+from chicorydoor.transport import nng_link
+
+_LOG = logging.getLogger(__name__)
+
+_PARTS = (
+    # Configurations and evacuations are rare and urgent: always listening.
+    store_follower.Part(documents.OPERATOR_PREFIX, wait_s=4.0, gap_s=0.0),
+    # Targets write all the time; a reading a second meets the bounds.
+    store_follower.Part(
+        documents.TARGET_PREFIX, wait_s=2.0, gap_s=0.8, stagger_s=0.25
+    ),
+    # Entries come and go rarely; their heartbeats tell the rest.
+    store_follower.Part(documents.ENTRY_PREFIX, wait_s=20.0, gap_s=0.0),
+)
+_MESSAGE_BYTES = 4 * 1024 * 1024
+# An entry's duties that need no precision.
+_UPKEEP_S = 0.25
+# An entry that has reached nobody for this long gives up what others may
+# take over when its registration has lapsed.
+_ISOLATED_S = registrar.LEASE_S - 2.0
+# Callers keep an answer for this long; leaving entries wait for them.
+_LOOKUP_TTL_S = 2.0
+# At a stop: callers have new look-ups by then, so connections may close.
+_LEAVE_S = 2.6
+# At a stop: kept back from the grace for closing everything.
+_STOP_MARGIN_S = 0.6
+
+
+class FleetParts:
+    """The parts of one entry, wired together.
+
+    Args:
+        settings (FleetSettings): Checked settings.
+        store (KeyValueStore): The platform's store.
+        link (Link): Moves messages between entries.
+        clock (Clock): Time.
+        rng (Random): Randomness.
+        incarnation (int): Higher at each start of the process.
+    """
+
+    def __init__(
+        self,
+        *,
+        settings: fleet_settings.FleetSettings,
+        store: kv_store.KeyValueStore,
+        link: peer_exchange.Link,
+        clock: clock_module.Clock,
+        rng: random.Random,
+        incarnation: int,
+    ) -> None:
+        self.settings = settings
+        self.clock = clock
+        self.rng = rng
+        self._promises = settings.promises
+        me = fleet_view.Registration(
+            instance=settings.instance,
+            incarnation=incarnation,
+            domain=settings.domain,
+            region=settings.region,
+            peer_address=settings.peers,
+            caller_address=settings.callers,
+        )
+        self.fleet = fleet_view.FleetView(
+            me, peer_exchange.SILENCE_S, registrar.LEASE_S
+        )
+        self.plans = plan_keeper.PlanKeeper()
+        self.book = target_book.TargetBook(settings.region_by_domain)
+        self.registry = target_registry.TargetRegistry(self.book, clock)
+        self._wire_requests()
+        self.peers = peer_exchange.PeerExchange(
+            fleet=self.fleet,
+            link=link,
+            clock=clock,
+            seed_addresses=settings.seed_addresses,
+            rate_reports=self.rates.reports,
+            running=lambda: self.calls.running,
+        )
+        self.registrar = registrar.Registrar(
+            store,
+            documents.ENTRY_PREFIX + settings.instance,
+            lambda: msgspec.json.encode(me),
+            clock,
+        )
+        self._wire_store(store)
+
+    def _wire_requests(self) -> None:
+        promises = self._promises
+        self.rates = rate_shares.RateShares(
+            rate_shares.RateAllowance(
+                promises.rate_overage, promises.rate_slack
+            )
+        )
+        self.cold = cold_limits.ColdLimits(
+            self.settings.instance, self.fleet.possible_instances
+        )
+        self.distances = distances.Distances(self.settings.region)
+        self.selection = target_selection.TargetSelection(
+            book=self.book,
+            region=self.settings.region,
+            distance_s=self.distances.round_trip_s,
+            may_send_cold=lambda view: self.cold.may_send(
+                view.target_id, self.clock.now()
+            ),
+            rng=self.rng,
+        )
+        self.runner = call_runner.CallRunner(
+            book=self.book,
+            selection=self.selection,
+            cold=self.cold,
+            new_budget=lambda: retry_budget.RetryBudget(
+                promises.retry_ratio,
+                promises.retry_slack,
+                promises.retry_window_s,
+            ),
+            cold_rate_per_s=self._cold_rate_per_s,
+            entries=lambda: len(self.fleet.possible_instances()),
+            wire=wire.HEADERS,
+            clock=self.clock,
+            on_unreachable=lambda view, reason: self.prober.note_unreachable(
+                view, reason
+            ),
+            on_distance=self.distances.note,
+        )
+        self.prober = target_prober.TargetProber(
+            self.book, self.runner, self.plans, wire.HEADERS, self.clock
+        )
+        self.gate = admission.Admission(
+            self.plans, self.rates, self.clock, self.rng
+        )
+        self.calls = call_app.CallApp(
+            self.gate, self.runner, self.plans, wire.HEADERS, self.clock
+        )
+
+    def _cold_rate_per_s(self, service_id: ids.ServiceId) -> float:
+        service = self.plans.plan.service_by_id.get(service_id)
+        return service.cold_rate_per_s if service is not None else 0.0
+
+    def _wire_store(self, store: kv_store.KeyValueStore) -> None:
+        reader = registrations.StoreReader(
+            self.plans, self.registry, self.book, self.fleet, self.clock
+        )
+        handlers = (
+            reader.take_operator_items,
+            reader.take_target_items,
+            reader.take_entry_items,
+        )
+        essences = (None, documents.target_essence, None)
+        self.followers: list[store_follower.StoreFollower] = []
+        for part, on_items, essence in zip(
+            _PARTS, handlers, essences, strict=True
+        ):
+            mirror = (
+                store_mirror.StoreMirror(part.prefix, essence)
+                if essence
+                else store_mirror.StoreMirror(part.prefix)
+            )
+            follower = store_follower.StoreFollower(
+                part=part,
+                feed=store,
+                mirror=mirror,
+                clock=self.clock,
+                publish=self.peers.publish,
+                on_items=on_items,
+                rank=self._rank,
+                on_contact=self.registry.note_contact
+                if part.prefix == documents.TARGET_PREFIX
+                else None,
+            )
+            self.followers.append(follower)
+            self.peers.add_follower(follower)
+
+    def _rank(self) -> int:
+        """Position of this entry among those that read for all."""
+        now = self.clock.now()
+        names = [
+            member.registration.instance for member in self.fleet.live(now)
+        ]
+        return sum(name < self.settings.instance for name in names)
+
+    def addresses(
+        self, region: ids.RegionId, domain: ids.DomainId
+    ) -> list[str]:
+        """Addresses of the entries that a caller should use."""
+        ready = self.fleet.ready(self.clock.now())
+        if self.is_ready():
+            ready = [*ready, self.fleet.me]
+        chosen = entry_lookup.choose_entries(ready, region, domain)
+        return [entry.caller_address for entry in chosen]
+
+    def is_ready(self) -> bool:
+        """Whether this entry takes requests."""
+        return self.peers.standing is fleet_view.Standing.READY
+
+    async def run(self) -> None:
+        """Run all tasks until cancelled."""
+        async with asyncio.TaskGroup() as group:
+            for follower in self.followers:
+                group.create_task(follower.run())
+            group.create_task(self.registrar.run())
+            group.create_task(self.peers.run())
+            group.create_task(self._keep_up())
+
+    async def _keep_up(self) -> None:
+        while True:
+            self._note_standing()
+            self._rebalance_rates()
+            self.runner.forget_gone()
+            await asyncio.sleep(_UPKEEP_S)
+
+    def _note_standing(self) -> None:
+        standings = fleet_view.Standing
+        if self.peers.standing is not standings.STARTING:
+            return
+        if self.plans.plan.version > 0 and self.book.target_by_id:
+            self.peers.set_standing(standings.READY)
+
+    def _rebalance_rates(self) -> None:
+        now = self.clock.now()
+        members = self.fleet.member_by_instance.values()
+        reports = [
+            member.heartbeat.rate_by_customer if member.heartbeat else None
+            for member in members
+        ]
+        customers: abc.Iterable[serving.CustomerRule] = (
+            self.plans.plan.customer_by_id.values()
+        )
+        limited = [each for each in customers if each.rate_per_s > 0]
+        self.rates.rebalance(limited, reports, now, self._is_isolated(now))
+
+    def _is_isolated(self, now: float) -> bool:
+        if not self.fleet.member_by_instance:
+            return False
+        contacts = [
+            self.registrar.contact_at,
+            *(follower.news_at for follower in self.followers),
+            *(
+                member.heard_at
+                for member in self.fleet.member_by_instance.values()
+            ),
+        ]
+        return now - max(contacts) > _ISOLATED_S
+
+    def leave(self) -> None:
+        """Stop being named to callers."""
+        self.calls.is_leaving = True
+        self.peers.set_standing(fleet_view.Standing.LEAVING)
+
+
+class FleetEntry:
+    """A whole entry with its ports.
+
+    Args:
+        settings (FleetSettings): Checked settings.
+    """
+
+    def __init__(self, settings: fleet_settings.FleetSettings) -> None:
+        self._settings = settings
+        self._stopping = asyncio.Event()
+
+    def stop(self) -> None:
+        """Begin a planned stop."""
+        self._stopping.set()
+
+    async def run(self) -> None:
+        """Serve until stopped."""
+        settings = self._settings
+        store = kv_store.KeyValueStore(settings.store)
+        link = nng_link.NngLink(settings.peers, _MESSAGE_BYTES)
+        parts = FleetParts(
+            settings=settings,
+            store=store,
+            link=link,
+            clock=clock_module.SystemClock(),
+            rng=random.Random(),
+            incarnation=time.time_ns() // 1_000_000,
+        )
+        server = self._serve_ports(parts)
+        await server.start()
+        _LOG.info("started", extra={"settings": msgspec.to_builtins(settings)})
+        gc.collect()
+        gc.freeze()
+        tasks = asyncio.create_task(parts.run())
+        stopping = asyncio.create_task(self._stopping.wait())
+        await asyncio.wait(
+            [tasks, stopping], return_when=asyncio.FIRST_COMPLETED
+        )
+        if tasks.done():
+            tasks.result()
+        await self._leave(parts, server)
+        tasks.cancel()
+        await asyncio.gather(tasks, return_exceptions=True)
+        await parts.registrar.withdraw()
+        _LOG.info("stopped")
+
+    def _serve_ports(self, parts: FleetParts) -> http_server.HttpServer:
+        settings = self._settings
+        lookups = lookup_app.LookupApp(
+            parts.addresses, _LOOKUP_TTL_S, parts.is_ready
+        )
+        host, _, number = settings.callers.rpartition(":")
+        metrics_address = f"{host}:{settings.metrics_port}"
+        app_by_port = {
+            _port(settings.callers): parts.calls,
+            _port(settings.readiness): lookups,
+            _port(settings.lookups): lookups,
+            settings.metrics_port: prometheus_client.make_asgi_app(),
+        }
+
+        async def dispatch(
+            scope: call_app.Scope,
+            receive: call_app.Receive,
+            send: call_app.Send,
+        ) -> None:
+            await app_by_port[scope["server"][1]](scope, receive, send)
+
+        return http_server.HttpServer(
+            dispatch,
+            host,
+            int(number),
+            more_endpoints=(
+                settings.readiness,
+                settings.lookups,
+                metrics_address,
+            ),
+        )
+
+    async def _leave(
+        self, parts: FleetParts, server: http_server.HttpServer
+    ) -> None:
+        """Serve until callers have turned elsewhere, then close."""
+        grace_s = self._settings.promises.stop_grace_s
+        deadline = parts.clock.now() + grace_s - _STOP_MARGIN_S
+        _LOG.info("stopping", extra={"running": parts.calls.running})
+        parts.leave()
+        await asyncio.sleep(_LEAVE_S)
+        left_s = max(0.0, deadline - parts.clock.now())
+        await server.stop(left_s)
+        with contextlib.suppress(asyncio.CancelledError):
+            parts.runner.close()
+            parts.prober.close()
+
+
+def _port(endpoint: str) -> int:
+    return int(endpoint.rpartition(":")[2])
--- /dev/null
+++ b/chicorydoor/coordination/admission.py
@@ -0,0 +1,119 @@
+"""Lets a request in: route, key, and the customer's rate."""
+
+from collections import abc
+import random
+
+from chicorydoor.coordination import plan_keeper
+from chicorydoor.coordination import requests
+from chicorydoor.protocol import ids
+from chicorydoor.protocol import result_codes
+from chicorydoor.protocol import serving
+from chicorydoor.state import config_snapshot
+from chicorydoor.state import rate_shares
+from chicorydoor.transport import clock as clock_module
+
+_CODES = result_codes.ResultCode
+# A starting entry reads its configuration within this time.
+_START_RETRY_S = 0.5
+# Longest advice to a customer over its rate; shares move within seconds.
+_LONGEST_RETRY_S = 3.0
+# Spread of the advice, so that callers do not return together.
+_RETRY_SPREAD = 0.3
+
+
+class Admission:
+    """Checks requests against the configuration in force.
+
+    Args:
+        plans (PlanKeeper): The configuration.
+        rates (RateShares): The entry's parts of the customers' rates.
+        clock (Clock): Time.
+        rng (Random): Randomness.
+    """
+
+    def __init__(
+        self,
+        plans: plan_keeper.PlanKeeper,
+        rates: rate_shares.RateShares,
+        clock: clock_module.Clock,
+        rng: random.Random,
+    ) -> None:
+        self._plans = plans
+        self._rates = rates
+        self._clock = clock
+        self._rng = rng
+
+    def route(self, host: str, path: str) -> serving.RouteRule:
+        """The route of a request.
+
+        Raises:
+            RefusedError: If there is none.
+        """
+        plan = self._plans.plan
+        if plan.version == 0:
+            raise requests.RefusedError(
+                _CODES.NOT_READY, retry_after_s=self.spread(_START_RETRY_S)
+            )
+        route = plan.find_route(host, path)
+        if route is None:
+            raise requests.RefusedError(_CODES.NO_ROUTE)
+        return route
+
+    def customer(
+        self, route: serving.RouteRule, keys: abc.Sequence[bytes]
+    ) -> serving.CustomerRule | None:
+        """The customer that a request runs for.
+
+        Args:
+            route (RouteRule): The request's route.
+            keys (Sequence): Values of the key header.
+
+        Raises:
+            RefusedError: If the route needs a key and none in force came.
+        """
+        plan = self._plans.plan
+        if route.is_open or not plan.checks_keys:
+            return None
+        if len(keys) != 1:
+            raise requests.RefusedError(_CODES.KEY_MISSING)
+        customer = plan.find_customer(config_snapshot.key_digest(keys[0]))
+        if customer is None:
+            raise requests.RefusedError(_CODES.KEY_REFUSED)
+        return customer
+
+    def is_in_force(
+        self, route_id: ids.RouteId, keys: abc.Sequence[bytes]
+    ) -> bool:
+        """Whether a request that was let in would still be."""
+        route = self._plans.plan.route_by_id.get(route_id)
+        if route is None:
+            return False
+        try:
+            self.customer(route, keys)
+        except requests.RefusedError:
+            return False
+        return True
+
+    def take_rate(self, customer: serving.CustomerRule | None) -> None:
+        """Count a request against its customer's rate.
+
+        Raises:
+            RefusedError: If it is over the rate.
+        """
+        if customer is None:
+            return
+        wait_s = self._rates.take(customer, self._clock.now())
+        if wait_s > 0:
+            raise requests.RefusedError(
+                _CODES.RATE_EXCEEDED,
+                retry_after_s=self.spread(min(wait_s, _LONGEST_RETRY_S)),
+            )
+
+    def give_back_rate(self, customer: serving.CustomerRule | None) -> None:
+        """A counted request did not run."""
+        if customer is not None:
+            self._rates.give_back(customer, self._clock.now())
+
+    def spread(self, seconds: float) -> float:
+        """A time to come back after, jittered upwards."""
+        return seconds * (1.0 + _RETRY_SPREAD * self._rng.random())
--- /dev/null
+++ b/chicorydoor/coordination/store_follower.py
@@ -0,0 +1,258 @@
+"""Keeps copies of parts of the store, from the store and from peers.
+
+Each part has one task. Where changes come all the time, an entry leaves the
+reading to others: every reader passes on what changed, and an entry that
+had news lately waits with its own call.
+"""
+
+import asyncio
+from collections import abc
+import logging
+import typing
+
+import msgspec
+import tenacity
+
+from chicorydoor import errors
+from chicorydoor.protocol import fleet_messages
+from chicorydoor.protocol import store_items
+from chicorydoor.state import fleet_view
+from chicorydoor.state import store_mirror
+from chicorydoor.transport import clock as clock_module
+
+# Back-off while the store does not answer; peers' news come meanwhile.
+_RETRY_FIRST_S = 0.1
+_RETRY_MOST_S = 1.0
+# Least time between two requests for a peer's copy.
+_COPY_INTERVAL_S = 0.5
+
+_LOG = logging.getLogger(__name__)
+
+
+class Feed(typing.Protocol):
+    """What is read from the store."""
+
+    async def list_items(self, prefix: str) -> store_items.ItemBatch:
+        """All items below a prefix."""
+
+    async def changes(
+        self, prefix: str, after: int, wait_s: float
+    ) -> store_items.ItemBatch:
+        """Changes below a prefix, as soon as there is one."""
+
+
+class Part(msgspec.Struct, frozen=True):
+    """A part of the store and how it is followed.
+
+    Args:
+        prefix (str): Which keys.
+        wait_s (float): Longest wait of a call for changes.
+        gap_s (float): Least time between two readings, of all entries; 0
+            to read all the time.
+        stagger_s (float): Extra wait of entries that are not the first to
+            read. Defaults to 0.
+    """
+
+    prefix: str
+    wait_s: float
+    gap_s: float
+    stagger_s: float = 0.0
+
+
+OnItems = abc.Callable[[list[store_items.StoredItem]], None]
+Publish = abc.Callable[[fleet_messages.Message], None]
+
+
+class StoreFollower:
+    """Follows one part of the store.
+
+    Args:
+        part (Part): What is followed.
+        feed (Feed): The store.
+        mirror (StoreMirror): The copy.
+        clock (Clock): Time.
+        publish (callable): Sends a message to all peers.
+        on_items (callable): Gets what has changed.
+        rank (callable): Position of this entry among the readers.
+        on_contact (callable): Called when the store was heard, directly or
+            through a peer. Defaults to None.
+    """
+
+    def __init__(
+        self,
+        *,
+        part: Part,
+        feed: Feed,
+        mirror: store_mirror.StoreMirror,
+        clock: clock_module.Clock,
+        publish: Publish,
+        on_items: OnItems,
+        rank: abc.Callable[[], int],
+        on_contact: abc.Callable[[], None] | None = None,
+    ) -> None:
+        self.part = part
+        self.mirror = mirror
+        self._feed = feed
+        self._clock = clock
+        self._publish = publish
+        self._on_items = on_items
+        self._rank = rank
+        self._on_contact = on_contact
+        self._is_listed = False
+        self.news_at = float("-inf")
+        self._is_lost = False
+        self._copy_asked_at = float("-inf")
+
+    async def run(self) -> None:
+        """Follow until cancelled."""
+        while True:
+            async for attempt in self._retrying():
+                with attempt:
+                    await self._read()
+
+    def _retrying(self) -> tenacity.AsyncRetrying:
+        return tenacity.AsyncRetrying(
+            retry=tenacity.retry_if_exception_type(
+                errors.StoreUnavailableError
+            ),
+            wait=tenacity.wait_random_exponential(
+                multiplier=_RETRY_FIRST_S, max=_RETRY_MOST_S
+            ),
+            before_sleep=self._note_loss,
+            sleep=asyncio.sleep,
+        )
+
+    def _note_loss(self, state: tenacity.RetryCallState) -> None:
+        if self._is_lost:
+            return
+        self._is_lost = True
+        outcome = state.outcome
+        reason = str(outcome.exception()) if outcome else ""
+        _LOG.warning(
+            "store lost",
+            extra={
+                "prefix": self.part.prefix,
+                "reason": reason,
+                "as_of": self.mirror.as_of,
+            },
+        )
+
+    async def _read(self) -> None:
+        if not self._is_listed:
+            await self._list()
+            return
+        await self._wait_for_turn()
+        since = self.mirror.as_of
+        try:
+            batch = await self._feed.changes(
+                self.part.prefix, since, self.part.wait_s
+            )
+        except errors.HistoryLostError:
+            _LOG.warning(
+                "store history lost",
+                extra={"prefix": self.part.prefix, "as_of": since},
+            )
+            self._is_listed = False
+            return
+        self._take(self.mirror.merge(batch, since), since)
+
+    async def _list(self) -> None:
+        batch = await self._feed.list_items(self.part.prefix)
+        since = self.mirror.as_of
+        changed = self.mirror.replace(batch)
+        self._is_listed = True
+        self._take(changed, since)
+        _LOG.info(
+            "store listed",
+            extra={
+                "prefix": self.part.prefix,
+                "items": len(batch.items),
+                "as_of": self.mirror.as_of,
+            },
+        )
+
+    async def _wait_for_turn(self) -> None:
+        """Wait while peers read often enough."""
+        if self.part.gap_s <= 0:
+            return
+        while True:
+            patience = self.part.gap_s + self.part.stagger_s * self._rank()
+            due_at = self.news_at + patience
+            left_s = due_at - self._clock.now()
+            if left_s <= 0:
+                return
+            await asyncio.sleep(left_s)
+
+    def _take(self, changed: list[store_items.StoredItem], since: int) -> None:
+        self._note_news()
+        if self._is_lost:
+            self._is_lost = False
+            _LOG.info(
+                "store regained",
+                extra={
+                    "prefix": self.part.prefix,
+                    "as_of": self.mirror.as_of,
+                },
+            )
+        if changed:
+            self._on_items(changed)
+        if changed or self.part.gap_s > 0:
+            batch = store_items.ItemBatch(changed, self.mirror.as_of)
+            self._publish(
+                fleet_messages.StoreNews(self.part.prefix, since, batch)
+            )
+
+    def _note_news(self) -> None:
+        self.news_at = self._clock.now()
+        if self._on_contact is not None:
+            self._on_contact()
+
+    # What peers know.
+
+    def extent(self) -> fleet_view.Extent:
+        """How far the copy reaches."""
+        return fleet_view.Extent(self.mirror.as_of, self.mirror.latest)
+
+    def take_news(self, news: fleet_messages.StoreNews) -> None:
+        """Take in what a peer has read."""
+        before = self.mirror.as_of
+        changed = self.mirror.merge(news.batch, news.since)
+        if self.mirror.as_of > before:
+            self._note_news()
+        if changed:
+            self._note_peer_news(changed)
+
+    def take_copy(self, copy: fleet_messages.StoreCopy) -> None:
+        """Take in a peer's copy."""
+        changed = self.mirror.replace(copy.batch)
+        self._note_news()
+        if changed:
+            self._note_peer_news(changed)
+
+    def _note_peer_news(self, changed: list[store_items.StoredItem]) -> None:
+        _LOG.info(
+            "store news from peer",
+            extra={
+                "prefix": self.part.prefix,
+                "items": len(changed),
+                "as_of": self.mirror.as_of,
+            },
+        )
+        self._on_items(changed)
+
+    def wants_copy(self, extent: fleet_view.Extent) -> bool:
+        """Whether a peer has something that this entry lacks.
+
+        A peer whose latest change is known here tells that nothing has
+        changed up to its own extent.
+        """
+        now = self._clock.now()
+        if extent.latest <= self.mirror.as_of:
+            if extent.as_of > self.mirror.as_of:
+                self.mirror.advance(extent.as_of)
+                self._note_news()
+            return False
+        if now - self._copy_asked_at < _COPY_INTERVAL_S:
+            return False
+        self._copy_asked_at = now
+        return True
--- /dev/null
+++ b/chicorydoor/coordination/target_prober.py
@@ -0,0 +1,149 @@
+"""Brings targets back into use that did not answer."""
+
+import asyncio
+import logging
+
+from chicorydoor import errors
+from chicorydoor.coordination import call_runner
+from chicorydoor.coordination import plan_keeper
+from chicorydoor.protocol import ids
+from chicorydoor.protocol import wire_names
+from chicorydoor.state import target_book
+from chicorydoor.transport import clock as clock_module
+from chicorydoor.transport import metrics
+from chicorydoor.transport import target_channel
+
+# A probe costs a target's slot for some milliseconds and is sent by every
+# entry that lost the target.
+_FIRST_PAUSE_S = 0.4
+_LONGEST_PAUSE_S = 3.0
+_TIMEOUT_S = 1.0
+_OK = 200
+_MISDIRECTED = 421
+
+_LOG = logging.getLogger(__name__)
+
+
+class TargetProber:
+    """Probes targets that are out of use.
+
+    Args:
+        book (TargetBook): The targets.
+        runner (CallRunner): Holds the connections.
+        plans (PlanKeeper): The configuration.
+        wire (WireNames): Header names.
+        clock (Clock): Time.
+    """
+
+    def __init__(
+        self,
+        book: target_book.TargetBook,
+        runner: call_runner.CallRunner,
+        plans: plan_keeper.PlanKeeper,
+        wire: wire_names.WireNames,
+        clock: clock_module.Clock,
+    ) -> None:
+        self._book = book
+        self._runner = runner
+        self._plans = plans
+        self._wire = wire
+        self._clock = clock
+        self._task_by_target: dict[ids.TargetId, asyncio.Task] = {}
+
+    def note_unreachable(
+        self, view: target_book.TargetView, reason: str
+    ) -> None:
+        """Take a target out of use until a probe reaches it."""
+        if view.reach is not target_book.Reach.IN_USE:
+            return
+        if self._book.target_by_id.get(view.target_id) is not view:
+            return
+        self._book.set_reach(view, target_book.Reach.UNREACHABLE)
+        metrics.TARGET_EJECTIONS.labels(view.target_id).inc()
+        _LOG.warning(
+            "target unreachable",
+            extra={
+                "target": view.target_id,
+                "address": view.record.address,
+                "reason": reason,
+            },
+        )
+        running = self._task_by_target.get(view.target_id)
+        if running is None or running.done():
+            self._task_by_target[view.target_id] = asyncio.create_task(
+                self._bring_back(view)
+            )
+
+    async def _bring_back(self, view: target_book.TargetView) -> None:
+        pause_s = _FIRST_PAUSE_S
+        while self._is_wanted(view):
+            await asyncio.sleep(pause_s)
+            pause_s = min(2 * pause_s, _LONGEST_PAUSE_S)
+            if not self._is_wanted(view):
+                break
+            await self._probe(view)
+
+    def _is_wanted(self, view: target_book.TargetView) -> bool:
+        return (
+            view.reach is target_book.Reach.UNREACHABLE
+            and not view.is_leaving
+            and self._book.target_by_id.get(view.target_id) is view
+        )
+
+    async def _probe(self, view: target_book.TargetView) -> None:
+        service = self._plans.plan.service_by_id.get(view.record.service_id)
+        if service is None:
+            return
+        metrics.PROBES.inc()
+        request = b"\r\n".join(
+            [
+                b"GET %s HTTP/1.1" % service.health_path.encode(),
+                b"host: %s" % view.record.address.encode(),
+                b"%s: %s"
+                % (self._wire.expected_target, view.target_id.encode()),
+                b"",
+                b"",
+            ]
+        )
+        try:
+            channel = await self._runner.pool(view).take(_TIMEOUT_S)
+            async with asyncio.timeout(_TIMEOUT_S):
+                answer = await channel.exchange(request, b"")
+        except (errors.TargetError, TimeoutError) as error:
+            _LOG.info(
+                "probe failed",
+                extra={
+                    "target": view.target_id,
+                    "reason": f"{type(error).__name__} {error}",
+                },
+            )
+            return
+        self._runner.pool(view).put_back(channel, view.record.slots)
+        self._judge(view, answer, service.cold_s)
+
+    def _judge(
+        self,
+        view: target_book.TargetView,
+        answer: target_channel.WholeAnswer,
+        cold_s: float,
+    ) -> None:
+        if answer.status == _MISDIRECTED:
+            self._book.set_reach(view, target_book.Reach.REPLACED)
+            return
+        if answer.status != _OK:
+            return
+        now = self._clock.now()
+        told = answer.header(self._wire.cold)
+        if told is not None and told.isdigit():
+            cold_s = int(told) / 1000
+        view.cold_until = max(view.cold_until, now + cold_s)
+        self._book.set_reach(view, target_book.Reach.IN_USE)
+        _LOG.info(
+            "target back",
+            extra={"target": view.target_id, "cold_s": round(cold_s, 3)},
+        )
+
+    def close(self) -> None:
+        """Stop probing."""
+        for task in self._task_by_target.values():
+            task.cancel()
--- a/chicorydoor/errors.py
+++ b/chicorydoor/errors.py
@@ -55,3 +55,7 @@
 
 class AdministrationError(ChicorydoorError):
     """The administration API refused a call."""
+
+
+class HistoryLostError(StoreError):
+    """The key-value service no longer holds the history asked for."""
--- /dev/null
+++ b/chicorydoor/platform/registrations.py
@@ -0,0 +1,123 @@
+"""Brings what stands in the platform's store into the product's parts."""
+
+import logging
+
+import msgspec
+
+from chicorydoor import errors
+from chicorydoor.coordination import plan_keeper
+from chicorydoor.coordination import target_registry
+from chicorydoor.platform import documents
+from chicorydoor.protocol import ids
+from chicorydoor.protocol import store_items
+from chicorydoor.state import fleet_view
+from chicorydoor.state import target_book
+from chicorydoor.transport import clock as clock_module
+
+_LOG = logging.getLogger(__name__)
+
+
+class StoreReader:
+    """Decodes changed items and hands them on.
+
+    Args:
+        plans (PlanKeeper): Gets configurations.
+        registry (TargetRegistry): Gets targets.
+        book (TargetBook): Gets evacuations.
+        fleet (FleetView): Gets entries.
+        clock (Clock): Time.
+    """
+
+    def __init__(
+        self,
+        plans: plan_keeper.PlanKeeper,
+        registry: target_registry.TargetRegistry,
+        book: target_book.TargetBook,
+        fleet: fleet_view.FleetView,
+        clock: clock_module.Clock,
+    ) -> None:
+        self._plans = plans
+        self._registry = registry
+        self._book = book
+        self._fleet = fleet
+        self._clock = clock
+        self._evacuated: set[ids.DomainId] = set()
+
+    def take_operator_items(self, items: list[store_items.StoredItem]) -> None:
+        """Configurations and evacuations."""
+        before = set(self._evacuated)
+        for item in items:
+            domain = documents.evacuated_domain(item.key)
+            if item.key == documents.CONFIGURATION_KEY:
+                self._take_configuration(item)
+            elif domain is not None and item.value is not None:
+                self._evacuated.add(domain)
+            elif domain is not None:
+                self._evacuated.discard(domain)
+        if self._evacuated != before:
+            self._apply_evacuations(before)
+
+    def _take_configuration(self, item: store_items.StoredItem) -> None:
+        if item.value is None:
+            return
+        try:
+            plan = documents.decode_plan(item.value)
+        except errors.ConfigurationError as error:
+            _LOG.error(
+                "configuration unreadable, the last good one stays",
+                extra={"revision": item.revision, "reason": f"{error}"},
+            )
+            return
+        self._plans.offer(plan)
+
+    def _apply_evacuations(self, before: set[ids.DomainId]) -> None:
+        services = self._plans.plan.service_by_id.values()
+        cold_s = max((each.cold_s for each in services), default=0.0)
+        self._book.set_evacuated(self._evacuated, self._clock.now() + cold_s)
+        _LOG.info(
+            "evacuations changed",
+            extra={
+                "before": sorted(before),
+                "now": sorted(self._evacuated),
+            },
+        )
+
+    def take_target_items(self, items: list[store_items.StoredItem]) -> None:
+        """Targets' registrations."""
+        for item in items:
+            target_id = ids.TargetId(
+                item.key.removeprefix(documents.TARGET_PREFIX)
+            )
+            if item.value is None:
+                self._registry.remove(target_id)
+                continue
+            try:
+                record = documents.decode_target(item.key, item.value)
+            except errors.ConfigurationError as error:
+                _LOG.warning(
+                    "target registration ignored",
+                    extra={"key": item.key, "reason": f"{error}"},
+                )
+                continue
+            self._registry.put(record)
+
+    def take_entry_items(self, items: list[store_items.StoredItem]) -> None:
+        """Entries' registrations."""
+        for item in items:
+            instance = item.key.removeprefix(documents.ENTRY_PREFIX)
+            if item.value is None:
+                self._fleet.note_unregistered(
+                    ids.InstanceId(instance), self._clock.now()
+                )
+                continue
+            try:
+                registration = msgspec.json.decode(
+                    item.value, type=fleet_view.Registration
+                )
+            except msgspec.DecodeError as error:
+                _LOG.warning(
+                    "entry registration ignored",
+                    extra={"key": item.key, "reason": f"{error}"},
+                )
+                continue
+            self._fleet.note_registration(registration)
--- /dev/null
+++ b/chicorydoor/platform/wire.py
@@ -0,0 +1,19 @@
+"""Header names and paths that callers, targets and the platform use."""
+
+from chicorydoor.protocol import wire_names
+
+HEADERS = wire_names.WireNames(
+    request_id=b"request-id",
+    deadline=b"deadline-ms",
+    affinity=b"affinity-key",
+    key=b"x-api-key",
+    customer=b"tenant",
+    expected_target=b"target-instance",
+    not_run=b"not-executed",
+    seal=b"response-seal",
+    load=b"server-load",
+    cold=b"cold-ms",
+    target=b"instance-id",
+)
+READINESS_PATH = "/readiness"
+LOOKUP_PATH = "/resolve"
--- a/chicorydoor/protocol/headers.py
+++ b/chicorydoor/protocol/headers.py
@@ -14,7 +14,7 @@
 OUTCOME = b"x-chicorydoor-outcome"
 _INTERNAL_PREFIX = b"x-chicorydoor-"
 
-_HOP_BY_HOP = frozenset(
+HOP_BY_HOP = frozenset(
     {
         b"connection",
         b"keep-alive",
@@ -30,7 +30,7 @@
 )
 _NOT_PASSED_ON = frozenset(
     {
-        *_HOP_BY_HOP,
+        *HOP_BY_HOP,
         b"host",
         CONTENT_LENGTH,
         KEY,
@@ -70,7 +70,7 @@
     return [
         (name, value)
         for raw_name, value in headers
-        if (name := raw_name.lower()) not in _HOP_BY_HOP
+        if (name := raw_name.lower()) not in HOP_BY_HOP
         and name not in (CONTENT_LENGTH, REQUEST_ID)
         and not name.startswith(_INTERNAL_PREFIX)
     ]
--- a/chicorydoor/protocol/result_codes.py
+++ b/chicorydoor/protocol/result_codes.py
@@ -29,6 +29,12 @@
         Outcome.UNKNOWN,
         "the caller's body ended early",
     )
+    CALLER_LEFT = (
+        105,
+        499,
+        Outcome.UNKNOWN,
+        "the caller closed its connection before the answer",
+    )
     KEY_MISSING = (110, 401, Outcome.NOT_RUN, "the route needs a key")
     KEY_REFUSED = (111, 401, Outcome.NOT_RUN, "the key is not in force")
     KEY_IN_DOUBT = (
--- a/chicorydoor/transport/http_server.py
+++ b/chicorydoor/transport/http_server.py
@@ -1,6 +1,7 @@
 """Runs an ASGI application on uvicorn inside the running event loop."""
 
 import asyncio
+from collections import abc
 import contextlib
 import socket
 import typing
@@ -81,6 +82,10 @@
         port (int): TCP port; 0 lets the system choose.
         header_bytes (int): Bound on request line and headers. Defaults to
             16 KiB.
+        keep_alive_s (float): Time after which an idle connection is closed.
+            Defaults to 75.
+        more_endpoints (Sequence): Further ``ip:port`` with the same
+            application. Defaults to none.
     """
 
     def __init__(
@@ -89,10 +94,15 @@
         address: str,
         port: int,
         header_bytes: int = 16 * 1024,
+        keep_alive_s: float = _KEEP_ALIVE_S,
+        more_endpoints: abc.Sequence[str] = (),
     ) -> None:
-        self._socket = listening_socket(address, port)
+        self._sockets = [listening_socket(address, port)]
+        for endpoint in more_endpoints:
+            host, _, number = endpoint.rpartition(":")
+            self._sockets.append(listening_socket(host, int(number)))
         self.address = address
-        self.port = self._socket.getsockname()[1]
+        self.port = self._sockets[0].getsockname()[1]
         config = uvicorn.Config(
             app,
             http=_limited_protocol(header_bytes),
@@ -104,7 +114,7 @@
             log_level="warning",
             access_log=False,
             backlog=_BACKLOG,
-            timeout_keep_alive=_KEEP_ALIVE_S,
+            timeout_keep_alive=int(keep_alive_s),
             server_header=False,
             date_header=False,
         )
@@ -120,7 +130,7 @@
     async def start(self) -> None:
         """Begin to accept connections."""
         self._task = asyncio.create_task(
-            self._server.serve(sockets=[self._socket])
+            self._server.serve(sockets=self._sockets)
         )
         while not self._server.started:
             if self._task.done():
@@ -142,7 +152,7 @@
                 Defaults to 0: they are cut.
         """
         if self._task is None:
-            self._socket.close()
+            self._close_sockets()
             return
         self._server.should_exit = True
         with contextlib.suppress(TimeoutError):
@@ -150,4 +160,8 @@
                 await asyncio.shield(self._task)
         self._server.force_exit = True
         await asyncio.gather(self._task, return_exceptions=True)
-        self._socket.close()
+        self._close_sockets()
+
+    def _close_sockets(self) -> None:
+        for bound in self._sockets:
+            bound.close()
--- a/chicorydoor/transport/metrics.py
+++ b/chicorydoor/transport/metrics.py
@@ -73,3 +73,11 @@
     "chicorydoor_events_dropped",
     "Events that left the ring before the bound on its age.",
 )
+TARGET_LOAD_UNREADABLE = prometheus_client.Counter(
+    "chicorydoor_target_load_unreadable",
+    "Answers whose load header could not be read.",
+)
+LOG_LINES_DROPPED = prometheus_client.Counter(
+    "chicorydoor_log_lines_dropped",
+    "Log lines left out to bound their volume.",
+)
--- a/chicorydoor/transport/nng_link.py
+++ b/chicorydoor/transport/nng_link.py
@@ -102,6 +102,7 @@
         listener = self._socket.listen(f"tcp://{address}")
         self.address = str(listener.local_address).removeprefix("tcp://")
         self._sender_by_address: dict[str, _Sender] = {}
+        self._closing: set[asyncio.Task] = set()
         self._received: asyncio.Queue[bytes] = asyncio.Queue()
         self._reader = asyncio.create_task(self._read())
 
@@ -127,12 +128,20 @@
         """A sender had nothing to send for long; its peer may be gone."""
         self._sender_by_address.pop(address, None)
 
+    def redial(self, address: str) -> None:
+        """Open the connection to an address anew; queued messages go."""
+        sender = self._sender_by_address.pop(address, None)
+        if sender is not None:
+            self._closing.add(task := asyncio.create_task(sender.close()))
+            task.add_done_callback(self._closing.discard)
+
     async def receive(self) -> bytes:
         """The next message."""
         return await self._received.get()
 
     async def close(self) -> None:
         """Close all sockets."""
+        await asyncio.gather(*self._closing)
         for sender in self._sender_by_address.values():
             await sender.close()
         self._sender_by_address.clear()
