Share which target knows an object; introduce new targets; reuse connections

Cause: an entry knew only its own sends, so a home was taken for warm that had never seen the object; and a connection counted as spoilt on its second use, since the parser still held the first answer.

--- a/chicorydoor/compose_fleet.py
+++ b/chicorydoor/compose_fleet.py
@@ -119,6 +119,7 @@
             seed_addresses=settings.seed_addresses,
             rate_reports=self.rates.reports,
             running=lambda: self.calls.running,
+            memory=self.selection.memory,
         )
         self.registrar = registrar.Registrar(
             store,
--- a/chicorydoor/coordination/call_app.py
+++ b/chicorydoor/coordination/call_app.py
@@ -236,6 +236,9 @@
                 "code": code.number,
                 "outcome": code.outcome.value,
                 "detail": detail,
+                "object": self._header(self._app._wire.affinity).decode(
+                    "latin-1"
+                ),
                 "service": trace.service_id,
                 "sends": trace.sends,
                 "expected_ms": round(trace.expected_s * 1000),
--- a/chicorydoor/coordination/peer_exchange.py
+++ b/chicorydoor/coordination/peer_exchange.py
@@ -15,6 +15,7 @@
 from chicorydoor.protocol import fleet_messages
 from chicorydoor.protocol import ids
 from chicorydoor.state import fleet_view
+from chicorydoor.state import object_memory
 from chicorydoor.state import rate_shares
 from chicorydoor.transport import clock as clock_module
 
@@ -52,6 +53,7 @@
         seed_addresses (Sequence): Peers that may answer first.
         rate_reports (callable): What this entry announces of rates.
         running (callable): Requests under way.
+        memory (ObjectMemory): Where objects were handled.
     """
 
     def __init__(
@@ -65,8 +67,10 @@
             [], dict[ids.CustomerId, rate_shares.RateReport]
         ],
         running: abc.Callable[[], int],
+        memory: object_memory.ObjectMemory,
     ) -> None:
         self._fleet = fleet
+        self._memory = memory
         self._link = link
         self._clock = clock
         self._seed_addresses = seed_addresses
@@ -124,6 +128,7 @@
                 },
                 rate_by_customer=self._rate_reports(),
                 heard=[member.registration.instance for member in live],
+                sightings=self._memory.take_news(now),
                 running=self._running(),
             )
         )
@@ -208,6 +213,7 @@
     def _take_heartbeat(self, heartbeat: fleet_view.Heartbeat) -> None:
         if not self._fleet.note_heartbeat(heartbeat, self._clock.now()):
             return
+        self._memory.hear(heartbeat.sightings, self._clock.now())
         address = heartbeat.registration.peer_address
         for prefix, extent in heartbeat.extent_by_prefix.items():
             follower = self.follower_by_prefix.get(prefix)
--- a/chicorydoor/coordination/target_selection.py
+++ b/chicorydoor/coordination/target_selection.py
@@ -7,6 +7,7 @@
 slot, work, and the price of a likely failure.
 """
 
+import asyncio
 from collections import abc
 import random
 import typing
@@ -16,6 +17,7 @@
 
 from chicorydoor.protocol import ids
 from chicorydoor.protocol import serving
+from chicorydoor.state import lessons
 from chicorydoor.state import object_memory
 from chicorydoor.state import target_book
 from chicorydoor.state import work_times
@@ -25,9 +27,9 @@
 _CANDIDATES_FAR = 2
 # Candidates without an object to go by.
 _SAMPLED = 3
-# A target that joined this lately is no home yet: others still know the
-# objects better.
-_SETTLING_S = 5.0
+# An object that nobody has handled lately goes to another target than its
+# home only where that saves this part of its work.
+_HOME_PREFERENCE = 0.5
 # A cold target works this many times slower.
 _COLD_SLOWNESS = 2.0
 # A region keeps its own objects up to this multiple of its share of slots.
@@ -45,6 +47,9 @@
             usual speed.
         is_known (bool): Whether the target should know the object.
         is_cold (bool): Whether the target has just started.
+        learning (Future): Done when the target, which is at work on the
+            object for the first time, will know it; None if it is not.
+            Defaults to None.
     """
 
     view: target_book.TargetView
@@ -52,6 +57,7 @@
     work_s: float
     is_known: bool
     is_cold: bool
+    learning: asyncio.Future | None = None
 
 
 class Subject(msgspec.Struct):
@@ -69,10 +75,18 @@
 
 
 class _Ranking(typing.NamedTuple):
-    """Candidates of an object, and those that are homes of it."""
+    """Candidates of an object.
+
+    Args:
+        homes (frozenset): Those that the object should be brought to.
+        first (str): The first one in the own region. If it has not worked
+            for this entry yet, it gets the request whoever knows the
+            object, so that new targets take part of the load.
+    """
 
     views: list[target_book.TargetView]
     homes: frozenset[ids.TargetId]
+    first: ids.TargetId | None = None
 
 
 class TargetSelection:
@@ -102,6 +116,7 @@
         self._may_send_cold = may_send_cold
         self._rng = rng
         self.memory = object_memory.ObjectMemory()
+        self.lessons = lessons.Lessons()
         self.times = work_times.WorkTimes()
         self._ranking_by_subject: dict[typing.Any, _Ranking] = {}
         self._generation = -1
@@ -135,23 +150,70 @@
         excluded: abc.Collection[ids.TargetId],
     ) -> Choice | None:
         object_id = (subject.route.route_id, subject.affinity)
-        known = self.memory.targets(object_id, now)
+        holders = self.memory.holders(object_id, now)
         best: Choice | None = None
-        for view in ranking.views:
+        best_rating = 0.0
+        for view in self._candidates(subject, ranking, holders):
             if view.target_id in excluded:
                 continue
-            is_known = view.target_id in known or (
-                view.target_id in ranking.homes
-                and now - view.joined_at > _SETTLING_S
-            )
+            is_known = view.holder in holders
             choice = self._rate(subject.route, view, is_known, now)
-            if best is not None and choice.expected_s >= best.expected_s:
+            if not is_known:
+                choice = self._or_wait(subject, choice, now)
+            rating = choice.expected_s
+            if view.target_id == ranking.first and not view.has_worked:
+                rating = 0.0
+            elif not is_known and view.target_id not in ranking.homes:
+                rating += _HOME_PREFERENCE * choice.work_s
+            if best is not None and rating >= best_rating:
                 continue
             if choice.is_cold and not self._may_send_cold(view):
                 continue
-            best = choice
+            best, best_rating = choice, rating
         return best
 
+    def _or_wait(self, subject: Subject, choice: Choice, now: float) -> Choice:
+        """The same target once it knows the object, if that is sooner."""
+        object_id = (subject.route.route_id, subject.affinity)
+        lesson = self.lessons.get(object_id, choice.view.holder)
+        if lesson is None:
+            return choice
+        known = self._rate(subject.route, choice.view, True, now)
+        known.expected_s += max(0.0, lesson.ends_at - now)
+        if known.expected_s >= choice.expected_s:
+            return choice
+        known.learning = lesson.done
+        return known
+
+    def _candidates(
+        self,
+        subject: Subject,
+        ranking: _Ranking,
+        holders: abc.Collection[object_memory.Holder],
+    ) -> list[target_book.TargetView]:
+        """The ranked targets, and others that know the object."""
+        ranked = {view.target_id for view in ranking.views}
+        found = list(ranking.views)
+        for target_id, started_ms in holders:
+            view = self._book.target_by_id.get(target_id)
+            if (
+                view is not None
+                and target_id not in ranked
+                and view.record.started_ms == started_ms
+                and self._may_serve(subject, view)
+            ):
+                found.append(view)
+        return found
+
+    def _may_serve(
+        self, subject: Subject, view: target_book.TargetView
+    ) -> bool:
+        return (
+            view.record.service_id == subject.service_id
+            and (not subject.regions or view.region in subject.regions)
+            and self._book.may_get_work(view)
+        )
+
     def _rate(
         self,
         route: serving.RouteRule,
@@ -215,6 +277,7 @@
         )
         views: list[target_book.TargetView] = []
         homes: set[ids.TargetId] = set()
+        first: ids.TargetId | None = None
         share = _draw(seed)
         for region, members in by_region.items():
             members.sort(
@@ -225,10 +288,11 @@
             if share < part:
                 homes.add(members[0].target_id)
             is_near = region == self._region
+            first = members[0].target_id if is_near else first
             views += members[
                 : _CANDIDATES_NEAR if is_near else _CANDIDATES_FAR
             ]
-        return _Ranking(views, frozenset(homes))
+        return _Ranking(views, frozenset(homes), first)
 
 
 def _weight(seed: bytes, target_id: ids.TargetId) -> int:
--- a/chicorydoor/state/fleet_view.py
+++ b/chicorydoor/state/fleet_view.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from chicorydoor.protocol import ids
+from chicorydoor.state import object_memory
 from chicorydoor.state import rate_shares
 
 
@@ -53,6 +54,7 @@
         extent_by_prefix (dict): Its copies of the store.
         rate_by_customer (dict): Its shares of the customers' rates.
         heard (list): Entries that it has heard from lately.
+        sightings (list): Objects that targets have newly handled.
         running (int): Requests that it has under way.
     """
 
@@ -61,6 +63,7 @@
     extent_by_prefix: dict[str, Extent]
     rate_by_customer: dict[ids.CustomerId, rate_shares.RateReport]
     heard: list[ids.InstanceId]
+    sightings: list[object_memory.Sighting] = []
     running: int = 0
 
 
--- a/chicorydoor/state/rate_shares.py
+++ b/chicorydoor/state/rate_shares.py
@@ -19,10 +19,10 @@
 _EQUAL_PART = 0.25
 # Half-life of the demand that shares follow: long enough to smooth single
 # requests, short enough to follow callers who move.
-_DEMAND_HALF_LIFE_S = 2.0
+_DEMAND_HALF_LIFE_S = 3.0
 # Part of the tolerated overage that is planned with; the rest covers shares
 # that move.
-_PLANNED_OVERAGE = 0.5
+_PLANNED_OVERAGE = 0.7
 
 
 class RateReport(msgspec.Struct, frozen=True, array_like=True):
--- a/chicorydoor/state/target_book.py
+++ b/chicorydoor/state/target_book.py
@@ -54,6 +54,7 @@
         self.reach = Reach.IN_USE
         self.is_listed = True
         self.own_running = 0
+        self.has_worked = False
         self.cold_until = now + record.cold_remaining_s
         self._others_running = 0.0
         self._reported_at = float("-inf")
@@ -67,6 +68,11 @@
         """Whether it gets no further work."""
         return self.record.standing is serving.TargetStanding.LEAVING
 
+    @property
+    def holder(self) -> tuple[ids.TargetId, int]:
+        """Its id and the start of its incarnation."""
+        return (self.target_id, self.record.started_ms)
+
     def is_cold(self, now: float) -> bool:
         """Whether it is still slow after its start."""
         return now < self.cold_until
--- a/chicorydoor/transport/target_channel.py
+++ b/chicorydoor/transport/target_channel.py
@@ -255,6 +255,7 @@
         if transport is None or not self.is_usable:
             raise errors.TargetError("connection was closed", sent=False)
         self._waiting = asyncio.get_running_loop().create_future()
+        self._message = _Message()
         self._expected_id = request_id
         self._is_head_request = is_head
         self._has_sent = True
