--- a/chicorydoor/coordination/call_runner.py
+++ b/chicorydoor/coordination/call_runner.py
@@ -188,11 +188,6 @@
             rate = self._cold_rate_per_s(view.record.service_id)
             self._cold.note_sent(view.target_id, rate, now)
         object_id = (call.route.route_id, call.affinity)
-        lessons = self.selection.lessons
-        lesson = None
-        if call.affinity and not choice.is_known:
-            ends_at = now + choice.expected_s
-            lesson = lessons.begin(object_id, view.holder, ends_at)
         view.own_running += 1
         view.has_worked = True
         try:
@@ -203,8 +198,6 @@
                 )
         finally:
             view.own_running -= 1
-            if lesson is not None:
-                lessons.end(object_id, view.holder, lesson)
         return sent
 
     async def _exchange(
@@ -339,7 +332,7 @@
     async def run(self) -> target_channel.WholeAnswer:
         """Send until there is an answer, or nothing more may be done."""
         for _ in range(_TRIES):
-            choice = await self._choose_informed()
+            choice = self._choose()
             if choice is None:
                 break
             sent = await self._runner.send(self._call, choice)
@@ -350,17 +343,6 @@
                 break
         return self._give_up()
 
-    async def _choose_informed(self) -> target_selection.Choice | None:
-        """A choice; waits once for a target that is learning the object."""
-        choice = self._choose()
-        if choice is None or choice.learning is None:
-            return choice
-        started_at = self._runner.clock.now()
-        await asyncio.wait([choice.learning], timeout=choice.expected_s)
-        waited_s = self._runner.clock.now() - started_at
-        self._trace.sends.append(f"waited:{waited_s * 1000:.0f}ms")
-        return self._choose()
-
     def _note(self, sent: Sent) -> None:
         self._tried.append(sent.target_id)
         self._trace.sends.append(
--- a/chicorydoor/coordination/target_selection.py
+++ b/chicorydoor/coordination/target_selection.py
@@ -7,7 +7,6 @@
 slot, work, and the price of a likely failure.
 """
 
-import asyncio
 from collections import abc
 import random
 import typing
@@ -17,7 +16,6 @@
 
 from chicorydoor.protocol import ids
 from chicorydoor.protocol import serving
-from chicorydoor.state import lessons
 from chicorydoor.state import object_memory
 from chicorydoor.state import target_book
 from chicorydoor.state import work_times
@@ -47,9 +45,6 @@
             usual speed.
         is_known (bool): Whether the target should know the object.
         is_cold (bool): Whether the target has just started.
-        learning (Future): Done when the target, which is at work on the
-            object for the first time, will know it; None if it is not.
-            Defaults to None.
     """
 
     view: target_book.TargetView
@@ -57,7 +52,6 @@
     work_s: float
     is_known: bool
     is_cold: bool
-    learning: asyncio.Future | None = None
 
 
 class Subject(msgspec.Struct):
@@ -116,7 +110,6 @@
         self._may_send_cold = may_send_cold
         self._rng = rng
         self.memory = object_memory.ObjectMemory()
-        self.lessons = lessons.Lessons()
         self.times = work_times.WorkTimes()
         self._ranking_by_subject: dict[typing.Any, _Ranking] = {}
         self._generation = -1
@@ -158,8 +151,6 @@
                 continue
             is_known = view.holder in holders
             choice = self._rate(subject.route, view, is_known, now)
-            if not is_known:
-                choice = self._or_wait(subject, choice, now)
             rating = choice.expected_s
             if view.target_id == ranking.first and not view.has_worked:
                 rating = 0.0
@@ -172,19 +163,6 @@
             best, best_rating = choice, rating
         return best
 
-    def _or_wait(self, subject: Subject, choice: Choice, now: float) -> Choice:
-        """The same target once it knows the object, if that is sooner."""
-        object_id = (subject.route.route_id, subject.affinity)
-        lesson = self.lessons.get(object_id, choice.view.holder)
-        if lesson is None:
-            return choice
-        known = self._rate(subject.route, choice.view, True, now)
-        known.expected_s += max(0.0, lesson.ends_at - now)
-        if known.expected_s >= choice.expected_s:
-            return choice
-        known.learning = lesson.done
-        return known
-
     def _candidates(
         self,
         subject: Subject,
