--- /dev/null
+++ b/tests/support/scripted_target.py
@@ -0,0 +1,136 @@
+"""A target over real sockets that misbehaves as a test says."""
+
+import asyncio
+import enum
+
+
+class Act(enum.Enum):
+    """What a target does with a request after it has read it."""
+
+    SERVE = "serve"
+    FAIL = "fail"
+    SHED = "shed"
+    MISDIRECT = "misdirect"
+    RESET = "reset"
+    CUT = "cut"
+    SILENT = "silent"
+    UNSEALED = "unsealed"
+    FOREIGN_FIRST = "foreign-first"
+
+
+class ScriptedTarget:
+    """Serves HTTP/1.1; ``acts`` are used up one a request, then it serves."""
+
+    def __init__(self, name="t"):
+        self.name = name
+        self.acts = []
+        self.heads = []
+        self.bodies = []
+        self.connections = 0
+        self.closed_at_work = 0
+        self.work_s = 0.0
+        self._writers = set()
+
+    async def start(self):
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        port = self._server.sockets[0].getsockname()[1]
+        self.address = f"127.0.0.1:{port}"
+        return self
+
+    async def stop(self):
+        self._server.close()
+        for writer in list(self._writers):
+            writer.transport.abort()
+        await asyncio.sleep(0)
+
+    @property
+    def ids(self):
+        """Request ids in the order in which they came."""
+        return [head[b"request-id"].decode() for head in self.heads]
+
+    async def _serve(self, reader, writer):
+        self.connections += 1
+        self._writers.add(writer)
+        try:
+            while await self._serve_one(reader, writer):
+                pass
+        except (asyncio.IncompleteReadError, ConnectionError):
+            pass
+        finally:
+            self._writers.discard(writer)
+            writer.close()
+
+    async def _serve_one(self, reader, writer):
+        raw = await reader.readuntil(b"\r\n\r\n")
+        lines = raw.split(b"\r\n")
+        head = dict(line.lower().split(b": ", 1) for line in lines[1:] if line)
+        head[b""] = lines[0]
+        length = int(head.get(b"content-length", b"0"))
+        body = await reader.readexactly(length)
+        if lines[0].startswith(b"GET /health"):
+            writer.write(b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n")
+            return True
+        self.heads.append(head)
+        self.bodies.append(body)
+        act = self.acts.pop(0) if self.acts else Act.SERVE
+        return await self._act(act, head, reader, writer)
+
+    async def _act(self, act, head, reader, writer):
+        own = head.get(b"request-id", b"")
+        if act is Act.RESET:
+            writer.transport.abort()
+            return False
+        if act is Act.SILENT or self.work_s:
+            if await self._work(act, reader):
+                return False
+        if act is Act.CUT:
+            writer.write(_answer(own, b"whole")[:-2])
+            await writer.drain()
+            return False
+        if act is Act.FOREIGN_FIRST:
+            writer.write(_answer(b"somebody", b"wrong"))
+        writer.write(_ANSWERS.get(act, _answer)(own, self.name.encode()))
+        await writer.drain()
+        return True
+
+    async def _work(self, act, reader):
+        """Work; true if the caller left meanwhile."""
+        limit_s = 30.0 if act is Act.SILENT else self.work_s
+        try:
+            async with asyncio.timeout(limit_s):
+                await reader.read(1)
+        except TimeoutError:
+            return False
+        self.closed_at_work += 1
+        return True
+
+
+def _answer(request_id, body, status=b"200 OK", more=b""):
+    head = b"HTTP/1.1 %s\r\nrequest-id: %s\r\nresponse-seal: s\r\n%s"
+    head += b"server-load: 1,0,4\r\ncontent-length: %d\r\n\r\n"
+    return head % (status, request_id, more, len(body)) + body
+
+
+def _fail(request_id, body):
+    return _answer(request_id, body, b"500 Broken")
+
+
+def _shed(request_id, body):
+    return b"HTTP/1.1 503 No\r\nnot-executed: 1\r\ncontent-length: 0\r\n\r\n"
+
+
+def _misdirect(request_id, body):
+    return b"HTTP/1.1 421 No\r\ninstance-id: x\r\ncontent-length: 0\r\n\r\n"
+
+
+def _unsealed(request_id, body):
+    answer = _answer(request_id, body)
+    return answer.replace(b"response-seal: s\r\n", b"")
+
+
+_ANSWERS = {
+    Act.FAIL: _fail,
+    Act.SHED: _shed,
+    Act.MISDIRECT: _misdirect,
+    Act.UNSEALED: _unsealed,
+}
--- /dev/null
+++ b/tests/test_platform_adapter.py
@@ -0,0 +1,221 @@
+"""What stands on the platform is decoded once; bad input changes nothing."""
+
+import json
+import pathlib
+
+import pytest
+
+from chicorydoor import errors
+from chicorydoor.platform import documents
+from chicorydoor.platform import durations
+from chicorydoor.platform import settings
+from chicorydoor.protocol import serving
+from chicorydoor.state import config_snapshot
+
+_TARGET = {
+    "address": "10.0.0.9:80",
+    "born": 17,
+    "info": {"service": "s", "version": "v1", "zone": "na", "slots": 9},
+    "status": {"state": "ready", "sequence": 4, "coldRemaining": "250ms"},
+}
+_CONFIG = {
+    "version": 7,
+    "routes": [
+        {
+            "name": "r1",
+            "host": "shop.example",
+            "prefix": "/read/",
+            "kind": "safe",
+            "timeout": "1500ms",
+            "targetLatency": "400ms",
+            "priority": 1,
+            "service": "s",
+            "maxAttempts": 2,
+            "sessionAffinity": True,
+            "allowedRegions": ["n"],
+            "someNewField": 1,
+        },
+        {
+            "name": "r2",
+            "host": "shop.example",
+            "prefix": "/order/",
+            "kind": "unsafe",
+            "timeout": "2s",
+            "targetLatency": "400ms",
+            "trafficSplit": [
+                {"service": "s", "weight": 90},
+                {"service": "t", "weight": 10},
+            ],
+            "maxAttempts": 1,
+        },
+    ],
+    "services": [
+        {
+            "name": "s",
+            "healthPath": "/health",
+            "maxConnections": 10,
+            "coldStart": "3s",
+            "coldPerS": 18.0,
+        }
+    ],
+    "limits": {
+        "maxHeaderBytes": 1000,
+        "maxBodyBytes": 2000,
+        "headerTimeout": "3000ms",
+        "idleTimeout": "15000ms",
+    },
+    "tenants": [
+        {"name": "c", "apiKeys": ["k1", "k2"], "ratePerS": 5, "burst": 6}
+    ],
+}
+_SETTINGS = """
+self:
+  nodeName: "front-1"
+  zone: "na"
+  region: "n"
+  limits: {memoryMb: 300}
+network:
+  listen:
+    front: "10.1.0.7:8668"
+    ready: "10.1.0.7:8666"
+    control: "10.1.0.7:8667"
+    directory: "10.1.0.7:8665"
+  internalPortRange: [7220, 7235]
+  seeds: ["10.1.0.8:8667"]
+  zones: {na: "n"}
+platform:
+  platform: {address: "10.200.1.7:8669"}
+terms:
+  bounds: {budgetSlack: 62, quotaSlack: 20, grace: "6s", ttl_max: "5s"}
+"""
+
+
+class TestDurations:
+    @pytest.mark.parametrize(
+        ("text", "expected"), [("1500ms", 1.5), ("2.5s", 2.5), ("0ms", 0.0)]
+    )
+    def test_units(self, text, expected):
+        assert durations.seconds(text) == expected
+
+    @pytest.mark.parametrize("text", ["", "5", "5m", "-1s", "1 s", None, 3])
+    def test_other_forms(self, text):
+        with pytest.raises(errors.ConfigurationError):
+            durations.seconds(text)
+
+
+class TestConfiguration:
+    def test_routes(self):
+        plan = documents.decode_plan(json.dumps(_CONFIG).encode())
+        read, order = plan.route_by_id["r1"], plan.route_by_id["r2"]
+        assert plan.version == 7
+        assert read.is_repeatable and not order.is_repeatable
+        assert (read.timeout_s, read.objective_s) == (1.5, 0.4)
+        assert read.home_regions == {"n"}
+        assert [part.weight for part in order.parts] == [90, 10]
+
+    def test_customers(self):
+        plan = documents.decode_plan(json.dumps(_CONFIG).encode())
+        digest = config_snapshot.key_digest(b"k2")
+        customer = plan.find_customer(digest)
+        assert (customer.rate_per_s, customer.burst) == (5, 6)
+        assert plan.find_customer(config_snapshot.key_digest(b"no")) is None
+
+    @pytest.mark.parametrize(
+        "value",
+        [
+            b"",
+            b"\xff\xfe",
+            b"[]",
+            b'{"version": "7"}',
+            json.dumps(_CONFIG | {"routes": [{"name": 1}]}).encode(),
+        ],
+    )
+    def test_unreadable(self, value):
+        with pytest.raises(errors.ConfigurationError):
+            documents.decode_plan(value)
+
+
+class TestTargets:
+    def test_fields(self):
+        record = documents.decode_target(
+            "servers/i-1", json.dumps(_TARGET).encode()
+        )
+        assert record.target_id == "i-1"
+        assert record.slots == 9
+        assert record.started_ms == 17
+        assert record.cold_remaining_s == 0.25
+        assert record.standing is serving.TargetStanding.READY
+
+    @pytest.mark.parametrize(
+        "change",
+        [
+            {"status": {"state": "dancing"}},
+            {"status": {}},
+            {"info": {"service": "s", "zone": "na", "slots": "9"}},
+            {"info": {"service": "s", "zone": "na", "slots": 0}},
+            {"address": "nowhere"},
+            {"address": 5},
+        ],
+    )
+    def test_other_writers(self, change):
+        with pytest.raises(errors.ConfigurationError):
+            documents.decode_target(
+                "servers/i-1", json.dumps(_TARGET | change).encode()
+            )
+
+    def test_heartbeat_alone_is_no_change(self):
+        status = _TARGET["status"] | {"sequence": 5}
+        later = _TARGET | {"status": status}
+        left = documents.target_essence(json.dumps(_TARGET).encode())
+        assert left == documents.target_essence(json.dumps(later).encode())
+        status = status | {"state": "draining"}
+        leaving = json.dumps(_TARGET | {"status": status}).encode()
+        assert left != documents.target_essence(leaving)
+
+
+class TestSettings:
+    def test_fields(self, tmp_path):
+        path = tmp_path / "settings.yaml"
+        path.write_text(_SETTINGS)
+        read = settings.read(path)
+        assert read.instance == "front-1"
+        assert read.store == "10.200.1.7:8669"
+        assert read.promises.retry_slack == 62
+
+    @pytest.mark.parametrize(
+        "text", ["", "a: [", "self: {}", _SETTINGS.replace('"6s"', '"6"')]
+    )
+    def test_not_valid(self, tmp_path, text):
+        path = tmp_path / "settings.yaml"
+        path.write_text(text)
+        with pytest.raises(errors.SettingsError):
+            settings.read(path)
+
+    def test_missing(self):
+        with pytest.raises(errors.SettingsError):
+            settings.read(pathlib.Path("/nowhere/settings.yaml"))
+
+
+class TestBoundary:
+    def test_platform_names_stay_in_their_folder(self):
+        """Its documents and headers are named nowhere else."""
+        names = (
+            "coldRemaining",
+            "kv-txn",
+            "kv-watch",
+            "Target-Instance",
+            "target-instance",
+            "Response-Seal",
+            "response-seal",
+            "not-executed",
+            "Not-Executed",
+            "trafficSplit",
+            "apiKeys",
+            "allowedRegions",
+        )
+        root = pathlib.Path(documents.__file__).parent.parent
+        for path in root.rglob("*.py"):
+            if path.parent.name in ("platform", "standins"):
+                continue
+            text = path.read_text()
+            assert not [name for name in names if name in text], path
--- /dev/null
+++ b/tests/test_serving_limits.py
@@ -0,0 +1,181 @@
+"""Retry budget, cold targets, splits, look-ups, fleet view, prefixes."""
+
+import collections
+import random
+
+from chicorydoor.coordination import entry_lookup
+from chicorydoor.protocol import serving
+from chicorydoor.state import cold_limits
+from chicorydoor.state import fleet_view
+from chicorydoor.state import retry_budget
+from chicorydoor.state import service_split
+from tests.support import serving as make
+
+
+class TestRetryBudget:
+    def test_all_entries_together_stay_below_the_promise(self):
+        entries, window_s, ratio, slack = 8, 10.0, 0.2, 56.0
+        budgets = [
+            retry_budget.RetryBudget(ratio, slack, window_s)
+            for _ in range(entries)
+        ]
+        rng = random.Random(1)
+        requests, retries = [], []
+        for step in range(40_000):
+            now = step * 0.002
+            budget = rng.choice(budgets)
+            budget.note_request(now)
+            requests.append(now)
+            if budget.try_spend(now, entries):
+                retries.append(now)
+        start = first = 0
+        for end, at in enumerate(retries):
+            while retries[start] <= at - window_s:
+                start += 1
+            while requests[first] <= at - window_s:
+                first += 1
+            served = sum(1 for _ in requests[first : first + 5000])
+            assert end - start + 1 <= ratio * served + slack
+
+    def test_quiet_service_may_retry(self):
+        budget = retry_budget.RetryBudget(0.2, 56.0, 10.0)
+        budget.note_request(0.0)
+        assert budget.try_spend(0.0, 8)
+
+
+class TestColdLimits:
+    def test_all_entries_together_stay_below_the_rate(self):
+        names = [f"e{i}" for i in range(8)]
+        limits = [cold_limits.ColdLimits(n, lambda: names) for n in names]
+        sent = []
+        for step in range(4000):
+            now = step * 0.001
+            for each in limits:
+                if each.may_send("t", now):
+                    each.note_sent("t", 15.0, now)
+                    sent.append(now)
+        busiest = max(
+            sum(1 for at in sent if start <= at < start + 1.0)
+            for start in sent
+        )
+        assert 0 < busiest <= 15 + 2
+
+    def test_cut_off_entries_do_not_add_to_the_rate(self):
+        # Both sides of a cut know the same members, so designate the same.
+        names = [f"e{i}" for i in range(8)]
+        designated = [
+            name
+            for name in names
+            if cold_limits.ColdLimits(name, lambda: names).is_designated("t")
+        ]
+        assert len(designated) == 2
+
+    def test_no_limit_for_services_without_one(self):
+        limits = cold_limits.ColdLimits("e", lambda: ["e"])
+        limits.note_sent("t", 0.0, 1.0)
+        assert limits.may_send("t", 1.0)
+
+
+class TestServiceSplit:
+    def test_weights_hold_in_every_short_run(self):
+        parts = (
+            serving.ServicePart("a", 90.0),
+            serving.ServicePart("b", 10.0),
+        )
+        route = make.route(parts=parts)
+        split = service_split.ServiceSplit()
+        chosen = [split.next_service(route) for _ in range(1000)]
+        for start in range(0, 900, 10):
+            count = collections.Counter(chosen[start : start + 20])
+            assert count["b"] == 2
+
+    def test_changed_parts_start_anew(self):
+        split = service_split.ServiceSplit()
+        one = make.route(parts=(serving.ServicePart("a", 1.0),))
+        both = make.route(
+            parts=(serving.ServicePart("a", 1.0), serving.ServicePart("b", 1))
+        )
+        split.next_service(one)
+        chosen = {split.next_service(both) for _ in range(2)}
+        assert chosen == {"a", "b"}
+
+
+def _entry(name, domain, region):
+    return fleet_view.Registration(
+        name, 1, domain, region, f"{name}:1", f"{name}:2"
+    )
+
+
+class TestEntryLookup:
+    ENTRIES = [
+        _entry("a1", "na", "n"),
+        _entry("a2", "na", "n"),
+        _entry("b1", "nb", "n"),
+        _entry("m1", "ma", "m"),
+    ]
+
+    def _names(self, region, domain):
+        chosen = entry_lookup.choose_entries(self.ENTRIES, region, domain)
+        return {entry.instance for entry in chosen}
+
+    def test_own_domain_with_entries_enough(self):
+        assert self._names("n", "na") == {"a1", "a2"}
+
+    def test_single_entry_shares_with_its_region(self):
+        assert self._names("n", "nb") == {"a1", "a2", "b1"}
+
+    def test_region_without_entries_gets_all(self):
+        assert self._names("k", "ka") == {"a1", "a2", "b1", "m1"}
+
+
+class TestFleetView:
+    def _view(self):
+        return fleet_view.FleetView(_entry("me", "na", "n"), 2.0, 10.0)
+
+    def _beat(self, entry, standing=fleet_view.Standing.READY):
+        return fleet_view.Heartbeat(entry, standing, {}, {}, [])
+
+    def test_silent_entry_is_not_named(self):
+        view = self._view()
+        view.note_heartbeat(self._beat(_entry("o", "na", "n")), 1.0)
+        assert [entry.instance for entry in view.ready(2.0)] == ["o"]
+        assert view.ready(3.1) == []
+
+    def test_leaving_entry_is_not_named(self):
+        view = self._view()
+        leaving = fleet_view.Standing.LEAVING
+        view.note_heartbeat(self._beat(_entry("o", "na", "n"), leaving), 1.0)
+        assert view.ready(1.1) == []
+
+    def test_earlier_incarnation_is_ignored(self):
+        view = self._view()
+        new = fleet_view.Registration("o", 5, "na", "n", "o:1", "o:2")
+        old = fleet_view.Registration("o", 4, "na", "n", "o:1", "o:2")
+        assert view.note_heartbeat(self._beat(new), 1.0)
+        assert not view.note_heartbeat(self._beat(old), 2.0)
+
+    def test_silent_but_registered_entry_stays_a_member(self):
+        view = self._view()
+        entry = _entry("o", "na", "n")
+        view.note_registration(entry)
+        assert view.forget_gone(100.0) == []
+        view.note_unregistered("o", 100.0)
+        assert view.forget_gone(101.0) == []
+        assert len(view.forget_gone(103.0)) == 1
+
+
+class TestPrefixes:
+    def test_longest_prefix_of_the_host_wins(self):
+        plan = serving.ServingPlan(
+            1,
+            (
+                make.route("a", prefix="/a/"),
+                make.route("ab", prefix="/a/b/"),
+                make.route("other", prefix="/a/b/c/", host="else.example"),
+            ),
+        )
+        assert plan.find_route("shop.example", "/a/x").route_id == "a"
+        assert plan.find_route("shop.example", "/a/b/c/d").route_id == "ab"
+        assert plan.find_route("SHOP.example:80", "/a/b/").route_id == "ab"
+        assert plan.find_route("shop.example", "/a") is None
+        assert plan.find_route("no.example", "/a/b/") is None
--- /dev/null
+++ b/tests/test_store_mirror.py
@@ -0,0 +1,181 @@
+"""The copy of the store never goes back, in whatever order news come."""
+
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import rule
+from hypothesis.stateful import RuleBasedStateMachine
+
+from chicorydoor.protocol import store_items
+from chicorydoor.state import store_mirror
+
+_KEYS = ("a", "b", "c")
+
+
+def _item(key, revision, value=b"v"):
+    return store_items.StoredItem(key, revision, value)
+
+
+def _batch(as_of, *items):
+    return store_items.ItemBatch(list(items), as_of)
+
+
+class TestMerge:
+    def test_older_revision_is_ignored(self):
+        mirror = store_mirror.StoreMirror("")
+        mirror.merge(_batch(5, _item("a", 5, b"new")), 0)
+        assert mirror.merge(_batch(5, _item("a", 4, b"old")), 0) == []
+        assert mirror.item_by_key["a"].value == b"new"
+
+    def test_removed_key_does_not_come_back(self):
+        mirror = store_mirror.StoreMirror("")
+        mirror.merge(_batch(5, _item("a", 5)), 0)
+        mirror.merge(_batch(7, _item("a", 7, None)), 5)
+        assert mirror.merge(_batch(6, _item("a", 6)), 5) == []
+        assert mirror.item_by_key == {}
+
+    def test_gap_does_not_advance(self):
+        mirror = store_mirror.StoreMirror("")
+        mirror.replace(_batch(5))
+        changed = mirror.merge(_batch(9, _item("a", 9)), 8)
+        assert [item.key for item in changed] == ["a"]
+        assert mirror.as_of == 5
+
+    def test_insignificant_writes_are_no_change(self):
+        mirror = store_mirror.StoreMirror("", lambda value: value[:1])
+        mirror.merge(_batch(5, _item("a", 5, b"x1")), 0)
+        assert mirror.merge(_batch(6, _item("a", 6, b"x2")), 5) == []
+        assert mirror.latest == 5
+        assert mirror.as_of == 6
+
+
+class TestReplace:
+    def test_missing_keys_are_removed(self):
+        mirror = store_mirror.StoreMirror("")
+        mirror.replace(_batch(5, _item("a", 3), _item("b", 4)))
+        changed = mirror.replace(_batch(9, _item("b", 4)))
+        assert [(item.key, item.value) for item in changed] == [("a", None)]
+
+    def test_older_listing_is_ignored(self):
+        mirror = store_mirror.StoreMirror("")
+        mirror.replace(_batch(9, _item("a", 9)))
+        assert mirror.replace(_batch(5)) == []
+        assert "a" in mirror.item_by_key
+
+    def test_key_newer_than_the_listing_stays(self):
+        mirror = store_mirror.StoreMirror("")
+        mirror.replace(_batch(5))
+        mirror.merge(_batch(9, _item("a", 9)), 8)
+        mirror.replace(_batch(7))
+        assert "a" in mirror.item_by_key
+
+
+class _Store:
+    """The truth that listings, events and copies are taken from."""
+
+    def __init__(self):
+        self.revision = 1
+        self.history = []
+
+    def write(self, key, value):
+        self.revision += 1
+        self.history.append(_item(key, self.revision, value))
+
+    def at(self, revision):
+        items = {}
+        for item in self.history:
+            if item.revision <= revision:
+                items[item.key] = item
+        return {k: i for k, i in items.items() if i.value is not None}
+
+
+class MirrorMachine(RuleBasedStateMachine):
+    """Two mirrors fed from a store and from each other, out of order."""
+
+    def __init__(self):
+        super().__init__()
+        self.store = _Store()
+        self.mirrors = [store_mirror.StoreMirror("") for _ in range(2)]
+        self.sent = []
+        self.highest = [{}, {}]
+
+    @rule(key=st.sampled_from(_KEYS), value=st.sampled_from([b"1", b"2"]))
+    def write(self, key, value):
+        self.store.write(key, value)
+
+    @rule(key=st.sampled_from(_KEYS))
+    def remove(self, key):
+        if key in self.store.at(self.store.revision):
+            self.store.write(key, None)
+
+    @rule(which=st.integers(0, 1))
+    def list_all(self, which):
+        items = self.store.at(self.store.revision)
+        batch = _batch(self.store.revision, *items.values())
+        self._fed(which, self.mirrors[which].replace(batch))
+
+    @rule(which=st.integers(0, 1), lag=st.integers(0, 3))
+    def watch(self, which, lag):
+        mirror = self.mirrors[which]
+        since = mirror.as_of
+        if since == 0:
+            return
+        upto = max(since, self.store.revision - lag)
+        events = [
+            item
+            for item in self.store.history
+            if since < item.revision <= upto
+        ]
+        batch = _batch(upto, *events)
+        changed = mirror.merge(batch, since)
+        self.sent.append((1 - which, batch, since))
+        self._fed(which, changed)
+
+    @rule(index=st.integers(0, 50))
+    def deliver(self, index):
+        if self.sent:
+            which, batch, since = self.sent[index % len(self.sent)]
+            self._fed(which, self.mirrors[which].merge(batch, since))
+
+    @rule(which=st.integers(0, 1))
+    def copy(self, which):
+        source = self.mirrors[1 - which]
+        if source.as_of:
+            changed = self.mirrors[which].replace(source.snapshot())
+            self._fed(which, changed)
+
+    def _fed(self, which, changed):
+        mirror = self.mirrors[which]
+        highest = self.highest[which]
+        for item in changed:
+            assert item.revision >= highest.get(item.key, 0)
+            highest[item.key] = item.revision
+        truth = self.store.at(mirror.as_of)
+        for key, item in truth.items():
+            assert key in mirror.item_by_key or any(
+                later.key == key and later.revision > mirror.as_of
+                for later in self.store.history
+            )
+            held = mirror.item_by_key.get(key)
+            assert held is None or held.revision >= item.revision
+        for key, item in mirror.item_by_key.items():
+            if item.revision <= mirror.as_of:
+                assert truth.get(key) == item
+
+
+TestAnyOrder = MirrorMachine.TestCase
+TestAnyOrder.settings = settings(
+    derandomize=True, max_examples=150, stateful_step_count=30, deadline=None
+)
+
+
+class TestExtent:
+    @settings(derandomize=True, max_examples=50)
+    @given(st.lists(st.sampled_from(_KEYS), max_size=8))
+    def test_latest_is_the_last_change(self, keys):
+        mirror = store_mirror.StoreMirror("")
+        for revision, key in enumerate(keys, start=2):
+            value = b"%d" % revision
+            batch = _batch(revision, _item(key, revision, value))
+            mirror.merge(batch, revision - 1)
+        assert mirror.latest == (len(keys) + 1 if keys else 0)
