--- a/chicorydoor/coordination/call_app.py
+++ b/chicorydoor/coordination/call_app.py
@@ -244,7 +244,12 @@
                 "expected_ms": round(trace.expected_s * 1000),
                 "object_known": trace.is_known,
                 "target_load": round(trace.load, 1),
+                "load_age_ms": _milliseconds(trace.load_age_s),
                 "elapsed_ms": round(elapsed_s * 1000),
                 "configuration": self._app._plans.plan.version,
             },
         )
+
+
+def _milliseconds(seconds: float | None) -> int | None:
+    return None if seconds is None else round(seconds * 1000)
--- a/chicorydoor/coordination/call_runner.py
+++ b/chicorydoor/coordination/call_runner.py
@@ -79,6 +79,7 @@
     expected_s: float = 0.0
     is_known: bool = False
     load: float = 0.0
+    load_age_s: float | None = None
 
 
 class CallRunner:
@@ -369,6 +370,7 @@
         trace.expected_s = choice.expected_s
         trace.is_known = choice.is_known
         trace.load = choice.view.running(now)
+        trace.load_age_s = choice.view.report_age_s(now)
         if now + choice.expected_s > call.deadline:
             self._refusal = requests.RefusedError(
                 _CODES.NO_CAPACITY, retry_after_s=_BUSY_RETRY_S
--- a/chicorydoor/state/target_book.py
+++ b/chicorydoor/state/target_book.py
@@ -93,6 +93,12 @@
         self._others_running = max(0.0, running - self.own_running)
         self._reported_at = now
 
+    def report_age_s(self, now: float) -> float | None:
+        """Age of the load that it told last; None if it never told one."""
+        if self._reported_at == float("-inf"):
+            return None
+        return now - self._reported_at
+
     def slowness(self, now: float) -> float:
         """Time that it takes, relative to what its route usually takes."""
         return 1.0 + (self._slowness - 1.0) * self._memory(now)
