--- a/chicorydoor/coordination/call_runner.py
+++ b/chicorydoor/coordination/call_runner.py
@@ -222,16 +222,20 @@
                     request, call.request_id, call.method == b"HEAD"
                 )
         except TimeoutError:
-            return self._lost(view, "no answer in time", True)
+            return self._lost(view, "no answer in time", True, started_at)
         except errors.TargetError as error:
-            return self._lost(view, f"{error}", error.sent)
+            return self._lost(view, f"{error}", error.sent, started_at)
         pool.put_back(channel, view.record.slots)
         return self._judge(call, choice, answer, started_at)
 
     def _lost(
-        self, view: target_book.TargetView, reason: str, is_sent: bool
+        self,
+        view: target_book.TargetView,
+        reason: str,
+        is_sent: bool,
+        sent_at: float,
     ) -> Sent:
-        if view.note_lost(self.clock.now()):
+        if view.note_lost(sent_at, self.clock.now()):
             self._on_unreachable(view, reason)
         verdict = Verdict.UNKNOWN if is_sent else Verdict.NOT_SENT
         return Sent(verdict, view.target_id, reason=reason)
--- a/chicorydoor/state/target_book.py
+++ b/chicorydoor/state/target_book.py
@@ -62,6 +62,7 @@
         self._failures = 0.0
         self._observed_at = now
         self._unanswered = 0
+        self._answered_at = float("-inf")
 
     @property
     def is_leaving(self) -> bool:
@@ -119,16 +120,24 @@
             now (float): Time.
         """
         self._unanswered = 0
+        self._answered_at = now
         self._observe(ratio, is_failure, now)
 
-    def note_lost(self, now: float) -> bool:
+    def note_lost(self, sent_at: float, now: float) -> bool:
         """Take in a request without an answer.
 
+        Args:
+            sent_at (float): When it was sent.
+            now (float): Time.
+
         Returns:
-            Whether the target seems to be silent altogether.
+            Whether the target seems to be silent altogether: one that has
+            answered others meanwhile is only slow.
         """
-        self._unanswered += 1
         self._observe(None, True, now)
+        if self._answered_at > sent_at:
+            return False
+        self._unanswered += 1
         return self._unanswered >= _SILENT_REQUESTS
 
     def _observe(
--- a/tests/test_target_selection.py
+++ b/tests/test_target_selection.py
@@ -185,3 +185,17 @@
         view.note_load(30, 10.0)
         assert view.running(10.0) == 30
         assert view.running(20.0) < 1
+
+    def test_target_that_answers_others_is_slow_not_silent(self):
+        fixture = _Fixture(_fleet())
+        view = fixture.book.target_by_id["t0"]
+        for _ in range(5):
+            view.note_answer(1.0, False, 10.5)
+            assert not view.note_lost(sent_at=10.0, now=11.0)
+
+    def test_silent_target_is_noticed(self):
+        fixture = _Fixture(_fleet())
+        view = fixture.book.target_by_id["t0"]
+        view.note_answer(1.0, False, 9.0)
+        assert not view.note_lost(sent_at=10.0, now=11.0)
+        assert view.note_lost(sent_at=10.0, now=11.0)
