End an outage of the store with its first sign, whatever the call

Now any answer of the store to any entry ends the outage. The test of the wiring fails without the change.

--- a/chicorydoor/compose_fleet.py
+++ b/chicorydoor/compose_fleet.py
@@ -126,6 +126,7 @@
             documents.ENTRY_PREFIX + settings.instance,
             lambda: msgspec.json.encode(me),
             clock,
+            self.registry.note_contact,
         )
         self._wire_store(store)
 
@@ -208,9 +209,7 @@
                 publish=self.peers.publish,
                 on_items=on_items,
                 rank=self._rank,
-                on_contact=self.registry.note_contact
-                if part.prefix == documents.TARGET_PREFIX
-                else None,
+                on_contact=self.registry.note_contact,
             )
             self.followers.append(follower)
             self.peers.add_follower(follower)
--- a/chicorydoor/coordination/registrar.py
+++ b/chicorydoor/coordination/registrar.py
@@ -42,6 +42,7 @@
         key (str): Key of the registration.
         value (callable): What is written.
         clock (Clock): Time.
+        on_contact (callable): Called when the store has answered.
     """
 
     def __init__(
@@ -50,11 +51,13 @@
         key: str,
         value: abc.Callable[[], bytes],
         clock: clock_module.Clock,
+        on_contact: abc.Callable[[], None],
     ) -> None:
         self._leases = leases
         self._key = key
         self._value = value
         self._clock = clock
+        self._on_contact = on_contact
         self._lease: int | None = None
         self.contact_at = float("-inf")
 
@@ -64,6 +67,7 @@
             try:
                 await self._keep()
                 self.contact_at = self._clock.now()
+                self._on_contact()
                 await asyncio.sleep(_RENEW_S)
             except errors.StoreUnavailableError as error:
                 _LOG.warning(
--- a/chicorydoor/coordination/store_follower.py
+++ b/chicorydoor/coordination/store_follower.py
@@ -75,7 +75,7 @@
         on_items (callable): Gets what has changed.
         rank (callable): Position of this entry among the readers.
         on_contact (callable): Called when the store was heard, directly or
-            through a peer. Defaults to None.
+            through a peer.
     """
 
     def __init__(
@@ -88,7 +88,7 @@
         publish: Publish,
         on_items: OnItems,
         rank: abc.Callable[[], int],
-        on_contact: abc.Callable[[], None] | None = None,
+        on_contact: abc.Callable[[], None],
     ) -> None:
         self.part = part
         self.mirror = mirror
@@ -204,8 +204,7 @@
 
     def _note_news(self) -> None:
         self.news_at = self._clock.now()
-        if self._on_contact is not None:
-            self._on_contact()
+        self._on_contact()
 
     # What peers know.
 
--- a/chicorydoor/coordination/target_registry.py
+++ b/chicorydoor/coordination/target_registry.py
@@ -13,8 +13,8 @@
 from chicorydoor.state import target_book
 from chicorydoor.transport import clock as clock_module
 
-# No reading of the store for this long means that it was away; usual
-# readings are about a second apart.
+# No sign of the store for this long, from any call of any entry, means that
+# it was away; usual signs are less than a second apart.
 _AWAY_S = 2.5
 # Targets that live are registered again within two seconds of the store's
 # return; a reading of the registrations may be another second late.
@@ -40,7 +40,11 @@
         self._returned_at = float("-inf")
 
     def note_contact(self) -> None:
-        """The store, or a peer that reads it, was heard."""
+        """The store answered this entry or a peer, whatever the call.
+
+        The earliest sign counts: one part of the store may be heard again
+        seconds after another, when a waiting call has gone silent.
+        """
         now = self._clock.now()
         if now - self._contact_at > _AWAY_S:
             self._returned_at = now
--- a/tests/test_platform_entry.py
+++ b/tests/test_platform_entry.py
@@ -14,8 +14,11 @@
 from chicorydoor import compose_fleet
 from chicorydoor.protocol import fleet_settings
 from chicorydoor.standins import platform_store
+from chicorydoor.state import fleet_view
 from chicorydoor.transport import clock as clock_module
+from tests.support import clocks
 from tests.support import scripted_target
+from tests.support import serving as make
 
 Act = scripted_target.Act
 
@@ -498,16 +501,33 @@
         _play(scenario)
 
 
+def _parts(clock):
+    return compose_fleet.FleetParts(
+        settings=_settings("e", "127.0.0.1:1"),
+        store=None,
+        link=None,
+        clock=clock,
+        rng=random.Random(1),
+        incarnation=3,
+    )
+
+
 class TestParts:
+    def test_any_part_of_the_store_shows_that_it_is_back(self):
+        clock = clocks.ManualClock()
+        parts = _parts(clock)
+        parts.registry.put(make.record("t0"))
+        for follower in parts.followers:
+            clock.at += 3.0
+            for _ in range(20):
+                clock.at += 0.5
+                extent = fleet_view.Extent(follower.mirror.as_of + 1, 0)
+                follower.wants_copy(extent)
+            parts.registry.put(make.record("t0"))
+            parts.registry.remove("t0")
+            assert parts.book.target_by_id == {}
+
     def test_registration_can_be_read_back(self):
-        settings = _settings("e", "127.0.0.1:1")
-        parts = compose_fleet.FleetParts(
-            settings=settings,
-            store=None,
-            link=None,
-            clock=clock_module.SystemClock(),
-            rng=random.Random(1),
-            incarnation=3,
-        )
+        parts = _parts(clock_module.SystemClock())
         encoded = msgspec.json.encode(parts.fleet.me)
         assert msgspec.json.decode(encoded)["incarnation"] == 3
