--- a/chicorydoor/compose_fleet.py
+++ b/chicorydoor/compose_fleet.py
@@ -340,7 +340,9 @@
     def _serve_ports(self, parts: FleetParts) -> http_server.HttpServer:
         settings = self._settings
         lookups = lookup_app.LookupApp(
-            parts.addresses, _LOOKUP_TTL_S, parts.is_ready
+            parts.addresses,
+            min(_LOOKUP_TTL_S, settings.promises.lookup_ttl_s),
+            parts.is_ready,
         )
         host, _, number = settings.callers.rpartition(":")
         metrics_address = f"{host}:{settings.metrics_port}"
--- a/chicorydoor/coordination/admission.py
+++ b/chicorydoor/coordination/admission.py
@@ -5,7 +5,6 @@
 
 from chicorydoor.coordination import plan_keeper
 from chicorydoor.coordination import requests
-from chicorydoor.protocol import ids
 from chicorydoor.protocol import result_codes
 from chicorydoor.protocol import serving
 from chicorydoor.state import config_snapshot
@@ -81,19 +80,6 @@
             raise requests.RefusedError(_CODES.KEY_REFUSED)
         return customer
 
-    def is_in_force(
-        self, route_id: ids.RouteId, keys: abc.Sequence[bytes]
-    ) -> bool:
-        """Whether a request that was let in would still be."""
-        route = self._plans.plan.route_by_id.get(route_id)
-        if route is None:
-            return False
-        try:
-            self.customer(route, keys)
-        except requests.RefusedError:
-            return False
-        return True
-
     def take_rate(self, customer: serving.CustomerRule | None) -> None:
         """Count a request against its customer's rate.
 
@@ -104,8 +90,11 @@
             return
         wait_s = self._rates.take(customer, self._clock.now())
         if wait_s > 0:
+            share = self._rates.share(customer.customer_id)
             raise requests.RefusedError(
                 _CODES.RATE_EXCEEDED,
+                f"this entry's share is {share:.3f} of "
+                f"{customer.rate_per_s:g}/s and {customer.burst:g}",
                 retry_after_s=self.spread(min(wait_s, _LONGEST_RETRY_S)),
             )
 
--- a/chicorydoor/coordination/call_runner.py
+++ b/chicorydoor/coordination/call_runner.py
@@ -95,7 +95,9 @@
         wire (WireNames): Header names.
         clock (Clock): Time.
         on_unreachable (callable): Called with a target that does not
-            answer.
+            answer, and the reason.
+        on_distance (callable): Gets the seconds that opening a connection
+            to a region took.
     """
 
     def __init__(
--- a/chicorydoor/platform/settings.py
+++ b/chicorydoor/platform/settings.py
@@ -18,16 +18,10 @@
     """Unknown fields are ignored: the platform may add some."""
 
 
-class _Limits(_Wire):
-    memory_mb: int = msgspec.field(default=300, name="memoryMb")
-    cpu_share: float = 1.0
-
-
 class _Self(_Wire):
     node_name: str
     zone: str
     region: str
-    limits: _Limits = msgspec.field(default_factory=_Limits)
 
 
 class _Listen(_Wire):
@@ -58,13 +52,8 @@
     budget_window: str = "10s"
     quota_overage: float = 0.0
     quota_slack: float = 0.0
-    quota_window: str = "5s"
-    cold_overage: float = 1.0
-    cold_slack: float = 0.0
     grace: str = "6s"
     ttl_max: str = msgspec.field(default="5s", name="ttl_max")
-    stable_window: str = "4000ms"
-    max_shift: float = 0.15
 
 
 class _Terms(_Wire):
@@ -117,7 +106,6 @@
             for zone, region in network.zones.items()
         },
         store=settings.platform.platform.address,
-        memory_mb=me.limits.memory_mb,
         promises=_promises(settings.terms.bounds),
     )
 
@@ -129,11 +117,6 @@
         retry_window_s=durations.seconds(bounds.budget_window),
         rate_overage=bounds.quota_overage,
         rate_slack=bounds.quota_slack,
-        rate_window_s=durations.seconds(bounds.quota_window),
-        cold_overage=bounds.cold_overage,
-        cold_slack=bounds.cold_slack,
         stop_grace_s=durations.seconds(bounds.grace),
         lookup_ttl_s=durations.seconds(bounds.ttl_max),
-        stable_s=durations.seconds(bounds.stable_window),
-        shift_share=bounds.max_shift,
     )
--- a/chicorydoor/protocol/fleet_settings.py
+++ b/chicorydoor/protocol/fleet_settings.py
@@ -15,14 +15,8 @@
         rate_overage (float): Part of a customer's limit beyond it that is
             tolerated in a window.
         rate_slack (float): Requests beyond that.
-        rate_window_s (float): That window.
-        cold_overage (float): Factor on a cold target's rate in a second.
-        cold_slack (float): Requests beyond that.
         stop_grace_s (float): Time between SIGTERM and SIGKILL.
         lookup_ttl_s (float): Longest time that callers keep a look-up.
-        stable_s (float): Calm time after which an instance owes every bound.
-        shift_share (float): Largest change of a region's share of requests
-            that run elsewhere, in two seconds.
     """
 
     retry_ratio: float
@@ -30,13 +24,8 @@
     retry_window_s: float
     rate_overage: float
     rate_slack: float
-    rate_window_s: float
-    cold_overage: float
-    cold_slack: float
     stop_grace_s: float
     lookup_ttl_s: float
-    stable_s: float
-    shift_share: float
 
 
 class FleetSettings(msgspec.Struct, frozen=True):
@@ -51,7 +40,6 @@
         seed_addresses (tuple): Peer addresses that may answer first.
         region_by_domain (dict): All failure domains of the fleet.
         store (str): ``ip:port`` of the platform's store.
-        memory_mb (int): Memory at which the process is ended.
     """
 
     instance: ids.InstanceId
@@ -65,5 +53,4 @@
     seed_addresses: tuple[str, ...]
     region_by_domain: dict[ids.DomainId, ids.RegionId]
     store: str
-    memory_mb: int
     promises: Promises
--- a/chicorydoor/state/rate_shares.py
+++ b/chicorydoor/state/rate_shares.py
@@ -102,6 +102,11 @@
         if customer.rate_per_s > 0:
             self._bucket(customer.customer_id, now).tokens += 1.0
 
+    def share(self, customer_id: ids.CustomerId) -> float:
+        """This entry's part of a customer's rate, 0 to 1."""
+        bucket = self._bucket_by_customer.get(customer_id)
+        return bucket.share if bucket is not None else 0.0
+
     def _rate(self, customer: serving.CustomerRule, bucket: _Bucket) -> float:
         overage = 1.0 + _PLANNED_OVERAGE * self._allowance.overage
         return customer.rate_per_s * overage * bucket.share
--- a/tests/test_platform_entry.py
+++ b/tests/test_platform_entry.py
@@ -28,13 +28,8 @@
     retry_window_s=10.0,
     rate_overage=0.1,
     rate_slack=20.0,
-    rate_window_s=5.0,
-    cold_overage=1.5,
-    cold_slack=5.0,
     stop_grace_s=3.5,
     lookup_ttl_s=2.0,
-    stable_s=4.0,
-    shift_share=0.15,
 )
 
 
@@ -63,7 +58,6 @@
         seed_addresses=tuple(seeds),
         region_by_domain={"na": "n", "ma": "m"},
         store=store,
-        memory_mb=300,
         promises=_PROMISES,
     )
 
