--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: demo test lint capacity bench format
+.PHONY: demo demo-platform test lint capacity bench format
 
 $(VENV)/.installed: pyproject.toml
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
@@ -12,6 +12,9 @@
 demo: $(VENV)/.installed
 	$(BIN)/chicorydoor demo
 
+demo-platform: $(VENV)/.installed
+	$(BIN)/chicorydoor demo --platform
+
 test: $(VENV)/.installed
 	$(BIN)/python -m pytest tests
 
--- a/chicorydoor/cli/demo.py
+++ b/chicorydoor/cli/demo.py
@@ -8,6 +8,8 @@
 import uvloop
 
 from chicorydoor.cli import exit_codes
+from chicorydoor.demo import platform_session
+from chicorydoor.demo import promises
 from chicorydoor.demo import session as session_module
 
 _EXAMPLE = pathlib.Path("examples/mwangaza")
@@ -20,18 +22,30 @@
     parser.add_argument(
         "--hold", action="store_true", help="keep the fleet up afterwards"
     )
+    parser.add_argument(
+        "--platform",
+        action="store_true",
+        help="entries as processes on stand-ins of the platform",
+    )
     parser.set_defaults(run=_run)
 
 
 def _run(arguments: argparse.Namespace) -> int:
     logging.basicConfig(level=logging.ERROR)
+    if arguments.platform:
+        return _report(uvloop.run(platform_session.run()))
     console = rich.console.Console()
     session = session_module.Session(arguments.folder, console)
     verdicts = uvloop.run(session.run(arguments.hold))
+    exit_code = _report(verdicts)
+    print(session_module.summary(verdicts, session.journal).decode())
+    return exit_code
+
+
+def _report(verdicts: list[promises.Verdict]) -> int:
     for verdict in verdicts:
         mark = "BROKEN" if verdict.broken else "kept"
         print(f"{mark:<6} {verdict.promise}: {verdict.tried}")
-    print(session_module.summary(verdicts, session.journal).decode())
     if any(verdict.broken for verdict in verdicts):
         return exit_codes.ExitCode.FAILED
     return exit_codes.ExitCode.OK
--- a/chicorydoor/platform/settings.py
+++ b/chicorydoor/platform/settings.py
@@ -79,7 +79,8 @@
     except OSError as error:
         raise errors.SettingsError(f"{path}: {error}") from error
     except yaml.YAMLError as error:
-        raise errors.SettingsError(f"{path}: {error}") from error
+        reason = " ".join(f"{error}".split())
+        raise errors.SettingsError(f"{path}: {reason}") from error
     except (msgspec.ValidationError, errors.ConfigurationError) as error:
         raise errors.SettingsError(f"{path}: {error}") from error
 
--- /dev/null
+++ b/chicorydoor/standins/platform_target.py
@@ -0,0 +1,121 @@
+"""Stand-in for a target that speaks the platform's headers.
+
+Counts how often each request ran, so that a request that ran twice shows.
+"""
+
+import asyncio
+import collections
+from collections import abc
+import typing
+
+import msgspec
+
+from chicorydoor.platform import documents
+from chicorydoor.platform import wire
+from chicorydoor.standins import platform_store
+from chicorydoor.transport import http_server
+
+Scope = dict[str, typing.Any]
+Receive = abc.Callable[[], abc.Awaitable[dict[str, typing.Any]]]
+Send = abc.Callable[[dict[str, typing.Any]], abc.Awaitable[None]]
+
+
+class PlatformTarget:
+    """The stand-in server.
+
+    Args:
+        name (str): Its id.
+        service (str): The service that it belongs to.
+        domain (str): Its failure domain.
+        work_s (float): Time for a request. Defaults to 0.02.
+        slots (int): Requests at the same time. Defaults to 8.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        service: str,
+        domain: str,
+        work_s: float = 0.02,
+        slots: int = 8,
+    ) -> None:
+        self.name = name
+        self._service = service
+        self._domain = domain
+        self._work_s = work_s
+        self._slots = slots
+        self.running = 0
+        self.runs_by_request: collections.Counter[str] = collections.Counter()
+        self.customers: set[str] = set()
+        self.has_seen_key = False
+        self._server = http_server.HttpServer(self._answer, "127.0.0.1", 0)
+
+    async def start(self) -> None:
+        """Begin to serve."""
+        await self._server.start()
+
+    async def stop(self) -> None:
+        """Cut everything."""
+        await self._server.stop()
+
+    def register(
+        self, store: platform_store.PlatformStore, state: str = "ready"
+    ) -> None:
+        """Write its registration."""
+        store.put(
+            documents.TARGET_PREFIX + self.name,
+            msgspec.json.encode(
+                {
+                    "address": self._server.endpoint,
+                    "born": 1,
+                    "info": {
+                        "service": self._service,
+                        "zone": self._domain,
+                        "slots": self._slots,
+                    },
+                    "status": {"state": state, "coldRemaining": "0ms"},
+                }
+            ),
+        )
+
+    async def _answer(
+        self, scope: Scope, receive: Receive, send: Send
+    ) -> None:
+        while (await receive()).get("more_body", False):
+            pass
+        value_by_name = dict(scope["headers"])
+        names = wire.HEADERS
+        request_id = value_by_name.get(names.request_id, b"")
+        if value_by_name.get(names.expected_target) != self.name.encode():
+            await _send(send, 421, [(names.target, self.name.encode())])
+            return
+        self.runs_by_request[request_id.decode()] += 1
+        self.customers.add(value_by_name.get(names.customer, b"").decode())
+        self.has_seen_key |= names.key in value_by_name
+        self.running += 1
+        await asyncio.sleep(self._work_s)
+        load = b"%d,0,%d" % (self.running, self._slots)
+        self.running -= 1
+        headers = [
+            (names.request_id, request_id),
+            (names.seal, b"stand-in"),
+            (names.load, load),
+        ]
+        await _send(send, 200, headers, self.name.encode())
+
+
+async def _send(
+    send: Send,
+    status: int,
+    headers: list[tuple[bytes, bytes]],
+    body: bytes = b"",
+) -> None:
+    length = (b"content-length", b"%d" % len(body))
+    await send(
+        {
+            "type": "http.response.start",
+            "status": status,
+            "headers": [*headers, length],
+        }
+    )
+    await send({"type": "http.response.body", "body": body})
