--- a/chicorydoor/cli/main.py
+++ b/chicorydoor/cli/main.py
@@ -12,6 +12,7 @@
 from chicorydoor.cli import drain
 from chicorydoor.cli import entry
 from chicorydoor.cli import exit_codes
+from chicorydoor.cli import experiment
 from chicorydoor.cli import keys
 from chicorydoor.cli import lookup
 from chicorydoor.cli import standin
@@ -29,6 +30,7 @@
     lookup,
     timeline,
     demo,
+    experiment,
     standin,
 )
 
--- /dev/null
+++ b/chicorydoor/model/__init__.py
@@ -0,0 +1,1 @@
+"""Model of the systems served, for experiments with decisions."""
