--- a/chicorydoor/compose.py
+++ b/chicorydoor/compose.py
@@ -36,6 +36,7 @@
 from chicorydoor.state import event_ring
 from chicorydoor.state import idempotency
 from chicorydoor.state import target_table
+from chicorydoor.transport import asgi
 from chicorydoor.transport import clock as clock_module
 from chicorydoor.transport import http_server
 from chicorydoor.transport import metrics
@@ -457,9 +458,9 @@
 
     async def _answer_caller(
         self,
-        scope: caller_app.Scope,
-        receive: caller_app.Receive,
-        send: caller_app.Send,
+        scope: asgi.Scope,
+        receive: asgi.Receive,
+        send: asgi.Send,
     ) -> None:
         await self.parts.caller_app(scope, receive, send)
 
--- a/chicorydoor/compose_fleet.py
+++ b/chicorydoor/compose_fleet.py
@@ -41,6 +41,7 @@
 from chicorydoor.state import retry_budget
 from chicorydoor.state import store_mirror
 from chicorydoor.state import target_book
+from chicorydoor.transport import asgi
 from chicorydoor.transport import clock as clock_module
 from chicorydoor.transport import http_server
 from chicorydoor.transport import nng_link
@@ -354,9 +355,9 @@
         }
 
         async def dispatch(
-            scope: call_app.Scope,
-            receive: call_app.Receive,
-            send: call_app.Send,
+            scope: asgi.Scope,
+            receive: asgi.Receive,
+            send: asgi.Send,
         ) -> None:
             await app_by_port[scope["server"][1]](scope, receive, send)
 
--- a/chicorydoor/coordination/call_app.py
+++ b/chicorydoor/coordination/call_app.py
@@ -1,9 +1,7 @@
 """ASGI application that takes callers' requests."""
 
 import asyncio
-from collections import abc
 import logging
-import typing
 
 from chicorydoor.coordination import admission
 from chicorydoor.coordination import call_runner
@@ -12,14 +10,11 @@
 from chicorydoor.protocol import calls
 from chicorydoor.protocol import result_codes
 from chicorydoor.protocol import wire_names
+from chicorydoor.transport import asgi
 from chicorydoor.transport import clock as clock_module
 from chicorydoor.transport import metrics
 from chicorydoor.transport import target_channel
 
-Receive = abc.Callable[[], abc.Awaitable[dict[str, typing.Any]]]
-Send = abc.Callable[[dict[str, typing.Any]], abc.Awaitable[None]]
-Scope = dict[str, typing.Any]
-
 _CODES = result_codes.ResultCode
 _LOG = logging.getLogger(__name__)
 _BODILESS = frozenset({204, 304})
@@ -57,7 +52,7 @@
         self.is_leaving = False
 
     async def __call__(
-        self, scope: Scope, receive: Receive, send: Send
+        self, scope: asgi.Scope, receive: asgi.Receive, send: asgi.Send
     ) -> None:
         """Answer one request."""
         self.running += 1
@@ -71,7 +66,11 @@
     """One request and its answer."""
 
     def __init__(
-        self, app: CallApp, scope: Scope, receive: Receive, send: Send
+        self,
+        app: CallApp,
+        scope: asgi.Scope,
+        receive: asgi.Receive,
+        send: asgi.Send,
     ) -> None:
         self._app = app
         self._scope = scope
--- a/chicorydoor/coordination/caller_app.py
+++ b/chicorydoor/coordination/caller_app.py
@@ -20,6 +20,7 @@
 from chicorydoor.protocol import result_codes
 from chicorydoor.state import event_ring
 from chicorydoor.state import idempotency
+from chicorydoor.transport import asgi
 from chicorydoor.transport import clock as clock_module
 from chicorydoor.transport import metrics
 
@@ -28,10 +29,6 @@
 _LONGEST_REQUEST_ID = 64
 _RETRY_JITTER = 0.5
 
-Scope = dict[str, typing.Any]
-Receive = abc.Callable[[], abc.Awaitable[dict[str, typing.Any]]]
-Send = abc.Callable[[dict[str, typing.Any]], abc.Awaitable[None]]
-
 
 class _CallerGoneError(Exception):
     """The caller closed the connection."""
@@ -40,7 +37,7 @@
 class _Call:
     """One request on the callers' port."""
 
-    def __init__(self, app: "CallerApp", scope: Scope) -> None:
+    def __init__(self, app: "CallerApp", scope: asgi.Scope) -> None:
         self.scope = scope
         self.method: str = scope["method"]
         self.path: str = scope["path"]
@@ -116,7 +113,7 @@
         )
 
     async def __call__(
-        self, scope: Scope, receive: Receive, send: Send
+        self, scope: asgi.Scope, receive: asgi.Receive, send: asgi.Send
     ) -> None:
         """Answer a request; look-ups and routes take the short way."""
         path = scope.get("path", "")
@@ -137,7 +134,7 @@
 
     # Look-ups.
 
-    async def _lookup(self, scope: Scope, send: Send) -> None:
+    async def _lookup(self, scope: asgi.Scope, send: asgi.Send) -> None:
         try:
             answer = self._answer_lookup(scope)
         except (ValueError, requests.RefusedError) as error:
@@ -152,7 +149,7 @@
             self._encoder.encode(answer),
         )
 
-    def _answer_lookup(self, scope: Scope) -> caller_api.LookupAnswer:
+    def _answer_lookup(self, scope: asgi.Scope) -> caller_api.LookupAnswer:
         query = scope["query_string"]
         if scope["method"] != "GET":
             raise requests.RefusedError(_CODES.BAD_REQUEST, "use GET")
@@ -169,7 +166,7 @@
         self._note_lookup(scope, address)
         return answer
 
-    def _note_lookup(self, scope: Scope, address: str) -> None:
+    def _note_lookup(self, scope: asgi.Scope, address: str) -> None:
         """Record look-ups that carry a request id."""
         for name, value in scope["headers"]:
             if name == header_names.REQUEST_ID:
@@ -182,7 +179,7 @@
     # Requests.
 
     async def _handle(
-        self, scope: Scope, receive: Receive, send: Send
+        self, scope: asgi.Scope, receive: asgi.Receive, send: asgi.Send
     ) -> None:
         call = _Call(self, scope)
         self.running += 1
@@ -218,7 +215,9 @@
             detail=str(number),
         )
 
-    async def _serve(self, call: _Call, receive: Receive, send: Send) -> None:
+    async def _serve(
+        self, call: _Call, receive: asgi.Receive, send: asgi.Send
+    ) -> None:
         admission = self._gate.admit(
             call.scope.get("raw_path") or call.path.encode(),
             call.path,
@@ -289,7 +288,7 @@
         )
 
     async def _read_in_time(
-        self, call: _Call, receive: Receive, deadline: float
+        self, call: _Call, receive: asgi.Receive, deadline: float
     ) -> requests.Body:
         """Read a body, or its first part, before the deadline."""
         try:
@@ -301,7 +300,9 @@
                 outcome=result_codes.Outcome.NOT_RUN,
             ) from error
 
-    async def _read_body(self, call: _Call, receive: Receive) -> requests.Body:
+    async def _read_body(
+        self, call: _Call, receive: asgi.Receive
+    ) -> requests.Body:
         raw = call.header_by_name.get(b"content-length", b"0")
         if not raw.isdigit():
             raise requests.RefusedError(_CODES.BAD_REQUEST, "content-length")
@@ -312,7 +313,7 @@
             return requests.Body(b"")
         return await requests.read_body(self._pieces(receive))
 
-    async def _pieces(self, receive: Receive) -> abc.AsyncIterator[bytes]:
+    async def _pieces(self, receive: asgi.Receive) -> abc.AsyncIterator[bytes]:
         total = 0
         while True:
             message = await receive()
@@ -334,8 +335,8 @@
         self,
         call: _Call,
         request: requests.Request,
-        receive: Receive,
-        send: Send,
+        receive: asgi.Receive,
+        send: asgi.Send,
     ) -> None:
         """Run a request; cancel it when the caller goes away."""
         task = asyncio.current_task()
@@ -359,7 +360,7 @@
         return await self._dispatcher.run(request)
 
     async def _send_answer(
-        self, call: _Call, answer: requests.Answer, send: Send
+        self, call: _Call, answer: requests.Answer, send: asgi.Send
     ) -> None:
         headers = [
             *answer.headers,
@@ -378,7 +379,7 @@
         await send(_body(b"", more=False))
 
     async def _send_refusal(
-        self, send: Send, error: requests.RefusedError, request_id: str
+        self, send: asgi.Send, error: requests.RefusedError, request_id: str
     ) -> None:
         spread = 1.0 + _RETRY_JITTER * self._jitter()
         retry_after_s = round(error.retry_after_s * spread, 3)
@@ -410,7 +411,7 @@
     return result_codes.Outcome.NOT_RUN
 
 
-async def _cancel_when_gone(receive: Receive, task: asyncio.Task) -> None:
+async def _cancel_when_gone(receive: asgi.Receive, task: asyncio.Task) -> None:
     message = await receive()
     if message["type"] == "http.disconnect":
         task.cancel()
@@ -436,7 +437,7 @@
 
 
 async def _send_whole(
-    send: Send,
+    send: asgi.Send,
     status: int,
     headers: list[tuple[bytes, bytes]],
     body: bytes,
--- a/chicorydoor/platform/lookup_app.py
+++ b/chicorydoor/platform/lookup_app.py
@@ -1,16 +1,14 @@
 """ASGI application for the platform's look-ups and readiness checks."""
 
 from collections import abc
-import typing
 import urllib.parse
 
 import msgspec
 
 from chicorydoor.platform import wire
 from chicorydoor.protocol import ids
+from chicorydoor.transport import asgi
 
-Receive = abc.Callable[[], abc.Awaitable[dict[str, typing.Any]]]
-Send = abc.Callable[[dict[str, typing.Any]], abc.Awaitable[None]]
 Addresses = abc.Callable[[ids.RegionId, ids.DomainId], list[str]]
 
 _JSON = [(b"content-type", b"application/json")]
@@ -37,23 +35,23 @@
         self._is_ready = is_ready
 
     async def __call__(
-        self, scope: dict[str, typing.Any], receive: Receive, send: Send
+        self, scope: asgi.Scope, receive: asgi.Receive, send: asgi.Send
     ) -> None:
         """Answer one request."""
         if scope["path"] == wire.READINESS_PATH:
-            await _answer(send, 200 if self._is_ready() else 503, b"")
+            await asgi.send_answer(send, 200 if self._is_ready() else 503)
         elif scope["path"] == wire.LOOKUP_PATH:
             await self._look_up(scope, send)
         else:
-            await _answer(send, 404, b"")
+            await asgi.send_answer(send, 404)
 
-    async def _look_up(self, scope: dict[str, typing.Any], send: Send) -> None:
+    async def _look_up(self, scope: asgi.Scope, send: asgi.Send) -> None:
         query = urllib.parse.parse_qs(scope["query_string"].decode("latin-1"))
         region = ids.RegionId(query.get("region", [""])[0])
         domain = ids.DomainId(query.get("zone", [""])[0])
         addresses = self._addresses(region, domain)
         if not addresses:
-            await _answer(send, 503, b"")
+            await asgi.send_answer(send, 503)
             return
         body = msgspec.json.encode(
             {
@@ -61,21 +59,4 @@
                 "ttl": f"{int(self._ttl_s * 1000)}ms",
             }
         )
-        await _answer(send, 200, body, _JSON)
-
-
-async def _answer(
-    send: Send,
-    status: int,
-    body: bytes,
-    headers: abc.Sequence[tuple[bytes, bytes]] = (),
-) -> None:
-    length = (b"content-length", b"%d" % len(body))
-    await send(
-        {
-            "type": "http.response.start",
-            "status": status,
-            "headers": [*headers, length],
-        }
-    )
-    await send({"type": "http.response.body", "body": body})
+        await asgi.send_answer(send, 200, _JSON, body)
--- a/chicorydoor/standins/platform_store.py
+++ b/chicorydoor/standins/platform_store.py
@@ -7,22 +7,18 @@
 
 import asyncio
 import base64
-from collections import abc
 import enum
 import typing
 import urllib.parse
 
 import msgspec
 
+from chicorydoor.transport import asgi
 from chicorydoor.transport import http_server
 
 _PAGE_ITEMS = 50
 _LONGEST_WAIT_S = 30.0
 
-Scope = dict[str, typing.Any]
-Receive = abc.Callable[[], abc.Awaitable[dict[str, typing.Any]]]
-Send = abc.Callable[[dict[str, typing.Any]], abc.Awaitable[None]]
-
 
 class Mood(enum.Enum):
     """How the stand-in treats calls."""
@@ -134,14 +130,9 @@
     # The protocol.
 
     async def _answer(
-        self, scope: Scope, receive: Receive, send: Send
+        self, scope: asgi.Scope, receive: asgi.Receive, send: asgi.Send
     ) -> None:
-        body = bytearray()
-        while True:
-            event = await receive()
-            body += event.get("body", b"")
-            if not event.get("more_body", False):
-                break
+        body = await asgi.read_body(receive)
         path = scope["path"]
         self.calls.append(path)
         if self.mood is Mood.SILENT:
@@ -152,7 +143,7 @@
             return
         self._expire()
         query = dict(urllib.parse.parse_qsl(scope["query_string"].decode()))
-        status, answer = await self._call(path, query, bytes(body))
+        status, answer = await self._call(path, query, body)
         if self.mood is Mood.LOSING_ANSWERS:
             raise ConnectionAbortedError("answer lost on purpose")
         await _send(send, status, answer)
@@ -248,16 +239,8 @@
         return 200, {"ttl_time": f"{int(ttl_s * 1000)}ms"}
 
 
-async def _send(send: Send, status: int, answer: typing.Any) -> None:
+async def _send(send: asgi.Send, status: int, answer: typing.Any) -> None:
     body = b"" if answer is None else msgspec.json.encode(answer)
-    await send(
-        {
-            "type": "http.response.start",
-            "status": status,
-            "headers": [
-                (b"content-type", b"application/json"),
-                (b"content-length", b"%d" % len(body)),
-            ],
-        }
+    await asgi.send_answer(
+        send, status, [(b"content-type", b"application/json")], body
     )
-    await send({"type": "http.response.body", "body": body})
--- a/chicorydoor/standins/platform_target.py
+++ b/chicorydoor/standins/platform_target.py
@@ -5,20 +5,15 @@
 
 import asyncio
 import collections
-from collections import abc
-import typing
 
 import msgspec
 
 from chicorydoor.platform import documents
 from chicorydoor.platform import wire
 from chicorydoor.standins import platform_store
+from chicorydoor.transport import asgi
 from chicorydoor.transport import http_server
 
-Scope = dict[str, typing.Any]
-Receive = abc.Callable[[], abc.Awaitable[dict[str, typing.Any]]]
-Send = abc.Callable[[dict[str, typing.Any]], abc.Awaitable[None]]
-
 
 class PlatformTarget:
     """The stand-in server.
@@ -79,15 +74,15 @@
         )
 
     async def _answer(
-        self, scope: Scope, receive: Receive, send: Send
+        self, scope: asgi.Scope, receive: asgi.Receive, send: asgi.Send
     ) -> None:
-        while (await receive()).get("more_body", False):
-            pass
+        await asgi.read_body(receive)
         value_by_name = dict(scope["headers"])
         names = wire.HEADERS
         request_id = value_by_name.get(names.request_id, b"")
         if value_by_name.get(names.expected_target) != self.name.encode():
-            await _send(send, 421, [(names.target, self.name.encode())])
+            own = (names.target, self.name.encode())
+            await asgi.send_answer(send, 421, [own])
             return
         self.runs_by_request[request_id.decode()] += 1
         self.customers.add(value_by_name.get(names.customer, b"").decode())
@@ -101,21 +96,4 @@
             (names.seal, b"stand-in"),
             (names.load, load),
         ]
-        await _send(send, 200, headers, self.name.encode())
-
-
-async def _send(
-    send: Send,
-    status: int,
-    headers: list[tuple[bytes, bytes]],
-    body: bytes = b"",
-) -> None:
-    length = (b"content-length", b"%d" % len(body))
-    await send(
-        {
-            "type": "http.response.start",
-            "status": status,
-            "headers": [*headers, length],
-        }
-    )
-    await send({"type": "http.response.body", "body": body})
+        await asgi.send_answer(send, 200, headers, self.name.encode())
--- a/chicorydoor/standins/target.py
+++ b/chicorydoor/standins/target.py
@@ -6,20 +6,15 @@
 """
 
 import asyncio
-from collections import abc
 import dataclasses
-import typing
 
 import litestar
 from litestar import handlers
 import msgspec
 
+from chicorydoor.transport import asgi
 from chicorydoor.transport import http_server
 
-Scope = dict[str, typing.Any]
-Receive = abc.Callable[[], abc.Awaitable[dict[str, typing.Any]]]
-Send = abc.Callable[[dict[str, typing.Any]], abc.Awaitable[None]]
-
 
 @dataclasses.dataclass
 class TargetFaults:
@@ -124,16 +119,18 @@
         return {"load": load}
 
     async def _handle(
-        self, scope: Scope, receive: Receive, send: Send
+        self, scope: asgi.Scope, receive: asgi.Receive, send: asgi.Send
     ) -> None:
-        body = await _whole_body(receive)
+        body = await asgi.read_body(receive)
         now = asyncio.get_running_loop().time()
         headers = [(bytes(n), bytes(v)) for n, v in scope["headers"]]
         seen = SeenRequest(
             now, scope["method"], scope["raw_path"].decode(), headers, body
         )
         if self.faults.shed:
-            await _answer(send, 503, [(b"x-not-processed", b"1")], b"")
+            await asgi.send_answer(
+                send, 503, [(b"x-not-processed", b"1")], b""
+            )
             return
         self.seen.append(seen)
         self.running += 1
@@ -148,7 +145,7 @@
             self.running -= 1
         await self._reply(seen, send)
 
-    async def _work(self, seen: SeenRequest, receive: Receive) -> None:
+    async def _work(self, seen: SeenRequest, receive: asgi.Receive) -> None:
         """Take the time that a request needs, unless it is cancelled."""
         now = asyncio.get_running_loop().time()
         work_s = self.faults.work_s
@@ -168,7 +165,7 @@
         finally:
             gone.cancel()
 
-    async def _reply(self, seen: SeenRequest, send: Send) -> None:
+    async def _reply(self, seen: SeenRequest, send: asgi.Send) -> None:
         faults = self.faults
         request_id = seen.request_id.encode()
         if faults.cross > 0:
@@ -183,40 +180,15 @@
             faults.cut_short -= 1
             await _cut_short(send, headers, body)
             return
-        await _answer(send, status, headers, body)
+        await asgi.send_answer(send, status, headers, body)
 
 
 class _CancelledError(Exception):
     """The request's caller went away or its deadline passed."""
 
 
-async def _whole_body(receive: Receive) -> bytes:
-    body = bytearray()
-    while True:
-        message = await receive()
-        body += message.get("body", b"")
-        if not message.get("more_body", False):
-            return bytes(body)
-
-
-async def _answer(
-    send: Send,
-    status: int,
-    headers: list[tuple[bytes, bytes]],
-    body: bytes,
-) -> None:
-    length = (b"content-length", b"%d" % len(body))
-    start = {
-        "type": "http.response.start",
-        "status": status,
-        "headers": [*headers, length],
-    }
-    await send(start)
-    await send({"type": "http.response.body", "body": body})
-
-
 async def _cut_short(
-    send: Send, headers: list[tuple[bytes, bytes]], body: bytes
+    send: asgi.Send, headers: list[tuple[bytes, bytes]], body: bytes
 ) -> None:
     """Promise a whole body and end the connection in its middle."""
     length = (b"content-length", b"%d" % len(body))
