Shed objects of bound customers at overloaded targets; take resets for life

Each request pays for an object that was forgotten; and the one target left was out of use for 22 s: two resets in a row counted as silence, and its probes were refused or late behind its own full queue. Change: a share of the bound objects is served, the same on every entry, others keep away from such targets; resets and refused probes are signs of life.

--- a/chicorydoor/coordination/call_runner.py
+++ b/chicorydoor/coordination/call_runner.py
@@ -40,6 +40,8 @@
 # then.
 _NO_TARGET_RETRY_S = 0.5
 _BUSY_RETRY_S = 0.25
+# A lasting overload does not end within a moment.
+_OVERLOAD_RETRY_S = 1.0
 _SERVER_ERRORS = range(500, 600)
 _MISDIRECTED = 421
 
@@ -170,6 +172,7 @@
         }
         for name in self._pool_by_target.keys() - known:
             self._pool_by_target.pop(name).close()
+        self.selection.shedding.keep_only(set(self._book.target_by_id))
 
     def close(self) -> None:
         """Close all idle connections."""
@@ -224,23 +227,28 @@
                     request, call.request_id, call.method == b"HEAD"
                 )
         except TimeoutError:
-            return self._lost(view, "no answer in time", True, started_at)
+            return self._silent(view, started_at)
         except errors.TargetError as error:
-            return self._lost(view, f"{error}", error.sent, started_at)
+            return self._broken(view, error)
         pool.put_back(channel, view.record.slots)
         return self._judge(call, choice, answer, started_at)
 
-    def _lost(
-        self,
-        view: target_book.TargetView,
-        reason: str,
-        is_sent: bool,
-        sent_at: float,
-    ) -> Sent:
+    def _silent(self, view: target_book.TargetView, sent_at: float) -> Sent:
+        """No answer came in time."""
+        reason = "no answer in time"
         if view.note_lost(sent_at, self.clock.now()):
             self._on_unreachable(view, reason)
-        verdict = Verdict.UNKNOWN if is_sent else Verdict.NOT_SENT
-        return Sent(verdict, view.target_id, reason=reason)
+        return Sent(Verdict.UNKNOWN, view.target_id, reason=reason)
+
+    def _broken(
+        self, view: target_book.TargetView, error: errors.TargetError
+    ) -> Sent:
+        """The connection ended; a target that resets it is still there."""
+        view.note_broken(self.clock.now())
+        if error.is_vanished:
+            self._on_unreachable(view, f"{error}")
+        verdict = Verdict.UNKNOWN if error.sent else Verdict.NOT_SENT
+        return Sent(verdict, view.target_id, reason=f"{error}")
 
     def _judge(
         self,
@@ -382,6 +390,13 @@
                 _CODES.NO_CAPACITY, retry_after_s=_BUSY_RETRY_S
             )
             return None
+        if runner.selection.sheds(self._subject, choice, now):
+            self._refusal = requests.RefusedError(
+                _CODES.NO_CAPACITY,
+                "the only regions that may serve it are overloaded",
+                retry_after_s=_OVERLOAD_RETRY_S,
+            )
+            return None
         return choice
 
     def _may_send_again(self, sent: Sent) -> bool:
--- a/chicorydoor/coordination/target_prober.py
+++ b/chicorydoor/coordination/target_prober.py
@@ -17,7 +17,9 @@
 # entry that lost the target.
 _FIRST_PAUSE_S = 0.4
 _LONGEST_PAUSE_S = 3.0
-_TIMEOUT_S = 1.0
+_CONNECT_TIMEOUT_S = 1.0
+# A probe waits for a slot like any request; a full queue takes this long.
+_ANSWER_TIMEOUT_S = 3.0
 _OK = 200
 _MISDIRECTED = 421
 
@@ -106,8 +108,8 @@
             ]
         )
         try:
-            channel = await self._runner.pool(view).take(_TIMEOUT_S)
-            async with asyncio.timeout(_TIMEOUT_S):
+            channel = await self._runner.pool(view).take(_CONNECT_TIMEOUT_S)
+            async with asyncio.timeout(_ANSWER_TIMEOUT_S):
                 answer = await channel.exchange(request, b"")
         except (errors.TargetError, TimeoutError) as error:
             _LOG.info(
@@ -130,12 +132,16 @@
         if answer.status == _MISDIRECTED:
             self._book.set_reach(view, target_book.Reach.REPLACED)
             return
-        if answer.status != _OK:
+        is_busy = answer.header(self._wire.not_run) is not None
+        if answer.status != _OK and not is_busy:
             return
         now = self._clock.now()
         told = answer.header(self._wire.cold)
         if told is not None and told.isdigit():
             cold_s = int(told) / 1000
+        elif is_busy:
+            # Its queue is full, so it has been at work for a while.
+            cold_s = 0.0
         view.cold_until = max(view.cold_until, now + cold_s)
         self._book.set_reach(view, target_book.Reach.IN_USE)
         _LOG.info(
--- a/chicorydoor/coordination/target_selection.py
+++ b/chicorydoor/coordination/target_selection.py
@@ -17,6 +17,7 @@
 from chicorydoor.protocol import ids
 from chicorydoor.protocol import serving
 from chicorydoor.state import object_memory
+from chicorydoor.state import object_shedding
 from chicorydoor.state import target_book
 from chicorydoor.state import work_times
 
@@ -41,6 +42,7 @@
 
     Args:
         expected_s (float): Time until its answer should be back.
+        waiting_s (float): Part of that in which it waits for a slot.
         work_s (float): Part of that in which the target works, at the
             usual speed.
         is_known (bool): Whether the target should know the object.
@@ -49,6 +51,7 @@
 
     view: target_book.TargetView
     expected_s: float
+    waiting_s: float
     work_s: float
     is_known: bool
     is_cold: bool
@@ -111,6 +114,7 @@
         self._rng = rng
         self.memory = object_memory.ObjectMemory()
         self.times = work_times.WorkTimes()
+        self.shedding = object_shedding.ObjectShedding()
         self._ranking_by_subject: dict[typing.Any, _Ranking] = {}
         self._generation = -1
 
@@ -135,6 +139,26 @@
         everyone = _Ranking(self._allowed(subject), frozenset())
         return self._best(subject, everyone, now, excluded)
 
+    def sheds(self, subject: Subject, choice: Choice, now: float) -> bool:
+        """Whether a request is refused to keep a target's objects few.
+
+        Only requests bound to some regions are: others go elsewhere.
+        """
+        if not subject.regions:
+            return False
+        draw = (
+            _draw(b"shed\0" + _seed(subject))
+            if subject.affinity
+            else self._rng.random()
+        )
+        return not self.shedding.admits(
+            choice.view.target_id,
+            draw,
+            choice.waiting_s,
+            subject.route.objective_s,
+            now,
+        )
+
     def _best(
         self,
         subject: Subject,
@@ -154,6 +178,11 @@
             rating = choice.expected_s
             if view.target_id == ranking.first and not view.has_worked:
                 rating = 0.0
+            elif not subject.regions and self.shedding.is_shedding(
+                view.target_id
+            ):
+                # Leaves the room to requests that may not go elsewhere.
+                rating += subject.route.objective_s
             elif not is_known and view.target_id not in ranking.homes:
                 rating += _HOME_PREFERENCE * choice.work_s
             if best is not None and rating >= best_rating:
@@ -210,7 +239,9 @@
         failure_s = view.failure_share(now) * route.objective_s
         distance_s = self.distance_s(view.region)
         expected_s = distance_s + (work_s + wait_s) * pace + failure_s
-        return Choice(view, expected_s, work_s, is_known, is_cold)
+        return Choice(
+            view, expected_s, wait_s * pace, work_s, is_known, is_cold
+        )
 
     def _allowed(self, subject: Subject) -> list[target_book.TargetView]:
         views = self._book.of_service(subject.service_id)
@@ -246,7 +277,7 @@
         return sample
 
     def _rank(self, subject: Subject) -> _Ranking:
-        seed = b"%s\0%s" % (subject.route.prefix.encode(), subject.affinity)
+        seed = _seed(subject)
         by_region: dict[ids.RegionId, list[target_book.TargetView]] = {}
         for view in self._allowed(subject):
             by_region.setdefault(view.region, []).append(view)
@@ -273,6 +304,10 @@
         return _Ranking(views, frozenset(homes), first)
 
 
+def _seed(subject: Subject) -> bytes:
+    return b"%s\0%s" % (subject.route.prefix.encode(), subject.affinity)
+
+
 def _weight(seed: bytes, target_id: ids.TargetId) -> int:
     return xxhash.xxh3_64_intdigest(seed + b"\0" + target_id.encode())
 
--- a/chicorydoor/errors.py
+++ b/chicorydoor/errors.py
@@ -42,11 +42,16 @@
     Args:
         reason (str): What was seen.
         sent (bool): Whether any byte of the request may have been sent.
+        is_vanished (bool): Whether the network gave the target up for gone.
+            Defaults to False.
     """
 
-    def __init__(self, reason: str, sent: bool) -> None:
+    def __init__(
+        self, reason: str, sent: bool, is_vanished: bool = False
+    ) -> None:
         super().__init__(reason)
         self.sent = sent
+        self.is_vanished = is_vanished
 
 
 class UnreachableError(ChicorydoorError):
--- a/chicorydoor/model/model_fleet.py
+++ b/chicorydoor/model/model_fleet.py
@@ -113,6 +113,8 @@
         seed (int): Makes the run repeat.
         shares_sightings (bool): Whether entries tell each other which
             target handled which object. Defaults to True.
+        sheds (bool): Whether objects are shed at overloaded targets.
+            Defaults to True.
     """
 
     def __init__(
@@ -120,10 +122,12 @@
         scenario: scenario_module.Scenario,
         seed: int,
         shares_sightings: bool = True,
+        sheds: bool = True,
     ) -> None:
         self._scenario = scenario
         self._rng = random.Random(seed)
         self._shares_sightings = shares_sightings
+        self._sheds = sheds
         self._targets = [
             model_target.ModelTarget(
                 ids.TargetId(f"{region}-{index}"), region, scenario.traits
@@ -204,6 +208,9 @@
         if choice is None or choice.expected_s > self._route.timeout_s:
             self._count(now, None, False)
             return
+        if self._sheds and entry.selection.sheds(subject, choice, now):
+            self._count(now, None, False)
+            return
         self._send(entry, subject, choice, now)
 
     def _send(
--- a/chicorydoor/state/target_book.py
+++ b/chicorydoor/state/target_book.py
@@ -123,6 +123,10 @@
         self._answered_at = now
         self._observe(ratio, is_failure, now)
 
+    def note_broken(self, now: float) -> None:
+        """Take in a request whose connection broke."""
+        self._observe(None, True, now)
+
     def note_lost(self, sent_at: float, now: float) -> bool:
         """Take in a request without an answer.
 
--- a/chicorydoor/transport/target_channel.py
+++ b/chicorydoor/transport/target_channel.py
@@ -135,7 +135,7 @@
             if self._message.ends_with_connection:
                 self._complete()
         reason = f"connection lost: {exc}" if exc else "connection closed"
-        self._fail(reason)
+        self._fail(reason, isinstance(exc, TimeoutError))
         self._note_unusable()
 
     # Called by the parser.
@@ -204,12 +204,12 @@
         if stated is not None:
             self.idle_limit_s = max(0.0, stated - _IDLE_MARGIN_S)
 
-    def _fail(self, reason: str) -> None:
+    def _fail(self, reason: str, is_vanished: bool = False) -> None:
         self._is_clean = False
         waiting = self._waiting
         if waiting is not None and not waiting.done():
             waiting.set_exception(
-                errors.TargetError(reason, sent=self._has_sent)
+                errors.TargetError(reason, self._has_sent, is_vanished)
             )
         self.abort()
 
--- a/tests/support/scripted_target.py
+++ b/tests/support/scripted_target.py
@@ -29,6 +29,7 @@
         self.connections = 0
         self.closed_at_work = 0
         self.work_s = 0.0
+        self.health = b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n"
         self._writers = set()
 
     async def start(self):
@@ -68,7 +69,7 @@
         length = int(head.get(b"content-length", b"0"))
         body = await reader.readexactly(length)
         if lines[0].startswith(b"GET /health"):
-            writer.write(b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n")
+            writer.write(self.health)
             return True
         self.heads.append(head)
         self.bodies.append(body)
--- a/tests/test_model.py
+++ b/tests/test_model.py
@@ -54,6 +54,21 @@
         # Those that may go anywhere ask for 210 of 330 requests a second.
         assert tally.in_time >= 0.95 * tally.asked * 210 / 330
 
+    def test_shedding_objects_serves_more_of_a_bound_customer(self):
+        bound = scenario.SCENARIOS.get("bound-customer")()
+        plain = model_fleet.ModelFleet(bound, seed=1, sheds=False).run()
+        shed = model_fleet.ModelFleet(bound, seed=1).run()
+        assert shed.in_time >= 1.1 * plain.in_time
+        assert shed.late <= 0.5 * plain.late
+        assert shed.refused <= plain.refused
+
+    @pytest.mark.parametrize("name", ["calm", "burst", "moved-callers"])
+    def test_nothing_is_shed_without_bound_customers(self, name):
+        play = scenario.SCENARIOS.get(name)()
+        shed = model_fleet.ModelFleet(play, seed=2).run()
+        plain = model_fleet.ModelFleet(play, seed=2, sheds=False).run()
+        assert shed == plain
+
     def test_a_run_repeats(self):
         first, second = (
             model_fleet.ModelFleet(scenario.calm(), seed=5).run()
--- a/tests/test_platform_entry.py
+++ b/tests/test_platform_entry.py
@@ -33,6 +33,9 @@
 )
 
 
+_BUSY = b"HTTP/1.1 503 No\r\nnot-executed: 1\r\ncontent-length: 0\r\n\r\n"
+
+
 def _free_ports(count):
     sockets = [socket.socket() for _ in range(count)]
     for bound in sockets:
@@ -336,6 +339,37 @@
         _play(scenario)
 
 
+class TestReach:
+    def test_target_that_resets_stays_in_use(self):
+        async def scenario(site):
+            (target,) = site.targets
+            target.acts = [Act.RESET] * 4
+            for _ in range(4):
+                answer = await site.call("POST", "/order/1", content=b"x")
+                assert answer.status_code == 502
+            assert (await site.call()).status_code == 200
+
+        _play(scenario, targets=1)
+
+    def test_busy_target_is_back_with_its_probe(self):
+        """Seen as a target out of use for 22 s: its probes were refused."""
+
+        async def scenario(site):
+            (target,) = site.targets
+            target.health = _BUSY
+            target.acts = [Act.SILENT, Act.SILENT]
+            for _ in range(2):
+                answer = await site.call("POST", "/order/1", content=b"x")
+                assert answer.status_code == 504
+
+            async def served():
+                return (await site.call()).status_code == 200
+
+            await site.until(served)
+
+        _play(scenario, targets=1)
+
+
 class TestTimes:
     def test_silent_target_is_answered_at_the_routes_timeout(self):
         async def scenario(site):
