--- a/chicorydoor/compose_fleet.py
+++ b/chicorydoor/compose_fleet.py
@@ -27,6 +27,7 @@
 from chicorydoor.coordination import target_prober
 from chicorydoor.coordination import target_registry
 from chicorydoor.coordination import target_selection
+from chicorydoor.coordination import target_sender
 from chicorydoor.platform import documents
 from chicorydoor.platform import kv_store
 from chicorydoor.platform import lookup_app
@@ -151,17 +152,11 @@
             ),
             rng=self.rng,
         )
-        self.runner = call_runner.CallRunner(
+        self.sender = target_sender.TargetSender(
             book=self.book,
             selection=self.selection,
             cold=self.cold,
-            new_budget=lambda: retry_budget.RetryBudget(
-                promises.retry_ratio,
-                promises.retry_slack,
-                promises.retry_window_s,
-            ),
             cold_rate_per_s=self._cold_rate_per_s,
-            entries=lambda: len(self.fleet.possible_instances()),
             wire=wire.HEADERS,
             clock=self.clock,
             on_unreachable=lambda view, reason: self.prober.note_unreachable(
@@ -169,8 +164,19 @@
             ),
             on_distance=self.distances.note,
         )
+        self.runner = call_runner.CallRunner(
+            selection=self.selection,
+            sender=self.sender,
+            new_budget=lambda: retry_budget.RetryBudget(
+                promises.retry_ratio,
+                promises.retry_slack,
+                promises.retry_window_s,
+            ),
+            entries=lambda: len(self.fleet.possible_instances()),
+            clock=self.clock,
+        )
         self.prober = target_prober.TargetProber(
-            self.book, self.runner, self.plans, wire.HEADERS, self.clock
+            self.book, self.sender, self.plans, wire.HEADERS, self.clock
         )
         self.gate = admission.Admission(
             self.plans, self.rates, self.clock, self.rng
@@ -250,7 +256,7 @@
         while True:
             self._note_standing()
             self._rebalance_rates()
-            self.runner.forget_gone()
+            self.sender.forget_gone()
             await asyncio.sleep(_UPKEEP_S)
 
     def _note_standing(self) -> None:
@@ -384,7 +390,7 @@
         left_s = max(0.0, deadline - parts.clock.now())
         await server.stop(left_s)
         with contextlib.suppress(asyncio.CancelledError):
-            parts.runner.close()
+            parts.sender.close()
             parts.prober.close()
 
 
--- a/chicorydoor/coordination/target_prober.py
+++ b/chicorydoor/coordination/target_prober.py
@@ -4,8 +4,8 @@
 import logging
 
 from chicorydoor import errors
-from chicorydoor.coordination import call_runner
 from chicorydoor.coordination import plan_keeper
+from chicorydoor.coordination import target_sender
 from chicorydoor.protocol import ids
 from chicorydoor.protocol import wire_names
 from chicorydoor.state import target_book
@@ -31,7 +31,7 @@
 
     Args:
         book (TargetBook): The targets.
-        runner (CallRunner): Holds the connections.
+        sender (TargetSender): Holds the connections.
         plans (PlanKeeper): The configuration.
         wire (WireNames): Header names.
         clock (Clock): Time.
@@ -40,13 +40,13 @@
     def __init__(
         self,
         book: target_book.TargetBook,
-        runner: call_runner.CallRunner,
+        sender: target_sender.TargetSender,
         plans: plan_keeper.PlanKeeper,
         wire: wire_names.WireNames,
         clock: clock_module.Clock,
     ) -> None:
         self._book = book
-        self._runner = runner
+        self._sender = sender
         self._plans = plans
         self._wire = wire
         self._clock = clock
@@ -108,7 +108,7 @@
             ]
         )
         try:
-            channel = await self._runner.pool(view).take(_CONNECT_TIMEOUT_S)
+            channel = await self._sender.pool(view).take(_CONNECT_TIMEOUT_S)
             async with asyncio.timeout(_ANSWER_TIMEOUT_S):
                 answer = await channel.exchange(request, b"")
         except (errors.TargetError, TimeoutError) as error:
@@ -120,7 +120,7 @@
                 },
             )
             return
-        self._runner.pool(view).put_back(channel, view.record.slots)
+        self._sender.pool(view).put_back(channel, view.record.slots)
         self._judge(view, answer, service.cold_s)
 
     def _judge(
--- /dev/null
+++ b/chicorydoor/coordination/target_sender.py
@@ -0,0 +1,269 @@
+"""Sends a request to a target once, and says what became of it.
+
+The outcome is decided here and nowhere else: ``not run`` only if no byte was
+sent or the target says so, ``answered`` or ``failed`` if a whole answer came,
+``unknown`` for the rest.
+"""
+
+import asyncio
+from collections import abc
+import enum
+import logging
+
+import msgspec
+
+from chicorydoor import errors
+from chicorydoor.coordination import target_selection
+from chicorydoor.protocol import calls
+from chicorydoor.protocol import ids
+from chicorydoor.protocol import wire_names
+from chicorydoor.state import cold_limits
+from chicorydoor.state import target_book
+from chicorydoor.transport import clock as clock_module
+from chicorydoor.transport import metrics
+from chicorydoor.transport import target_channel
+
+# One lost packet of a handshake is sent again after a second; another
+# target is sooner.
+_CONNECT_TIMEOUT_S = 0.7
+# Time kept back so that an answer of the entry arrives before the deadline.
+ANSWER_MARGIN_S = 0.01
+_SUCCESS = range(200, 300)
+_SERVER_ERRORS = range(500, 600)
+_MISDIRECTED = 421
+
+_LOG = logging.getLogger(__name__)
+
+
+class Verdict(enum.Enum):
+    """What is known after a send."""
+
+    NOT_SENT = "not-sent"
+    NOT_RUN = "not-run"
+    ANSWERED = "answered"
+    FAILED = "failed"
+    UNKNOWN = "unknown"
+
+
+class Sent(msgspec.Struct):
+    """The result of one send.
+
+    Args:
+        answer (WholeAnswer): None if there was none. Defaults to None.
+        reason (str): Why there was none. Defaults to empty.
+    """
+
+    verdict: Verdict
+    target_id: ids.TargetId
+    answer: target_channel.WholeAnswer | None = None
+    reason: str = ""
+
+
+class TargetSender:
+    """Connections to targets, and what is learnt from their answers.
+
+    Args:
+        book (TargetBook): The targets.
+        selection (TargetSelection): Gets what answers tell of targets.
+        cold (ColdLimits): Counts requests to cold targets.
+        cold_rate_per_s (callable): What a cold target of a service bears.
+        wire (WireNames): Header names.
+        clock (Clock): Time.
+        on_unreachable (callable): Called with a target that does not
+            answer, and the reason.
+        on_distance (callable): Gets the seconds that opening a connection
+            to a region took.
+    """
+
+    def __init__(
+        self,
+        *,
+        book: target_book.TargetBook,
+        selection: target_selection.TargetSelection,
+        cold: cold_limits.ColdLimits,
+        cold_rate_per_s: abc.Callable[[ids.ServiceId], float],
+        wire: wire_names.WireNames,
+        clock: clock_module.Clock,
+        on_unreachable: abc.Callable[[target_book.TargetView, str], None],
+        on_distance: abc.Callable[[ids.RegionId, float], None],
+    ) -> None:
+        self._book = book
+        self._selection = selection
+        self._cold = cold
+        self._cold_rate_per_s = cold_rate_per_s
+        self._wire = wire
+        self._clock = clock
+        self._on_unreachable = on_unreachable
+        self._on_distance = on_distance
+        self._pool_by_target: dict[
+            tuple[ids.TargetId, int], target_channel.ChannelPool
+        ] = {}
+
+    async def send(
+        self, call: calls.Call, choice: target_selection.Choice
+    ) -> Sent:
+        """Send a request to a target once."""
+        view = choice.view
+        now = self._clock.now()
+        if choice.is_cold:
+            rate = self._cold_rate_per_s(view.record.service_id)
+            self._cold.note_sent(view.target_id, rate, now)
+        object_id = (call.route.route_id, call.affinity)
+        view.own_running += 1
+        view.has_worked = True
+        try:
+            sent = await self._exchange(call, choice)
+            if sent.verdict in (Verdict.ANSWERED, Verdict.FAILED):
+                self._selection.memory.note(
+                    object_id, view.holder, self._clock.now()
+                )
+        finally:
+            view.own_running -= 1
+        return sent
+
+    async def _exchange(
+        self, call: calls.Call, choice: target_selection.Choice
+    ) -> Sent:
+        view = choice.view
+        try:
+            remaining_s = call.deadline - self._clock.now()
+            limit_s = min(_CONNECT_TIMEOUT_S, remaining_s)
+            pool = self.pool(view)
+            channel = await pool.take(limit_s)
+        except errors.TargetError as error:
+            self._on_unreachable(view, f"{error}")
+            return Sent(Verdict.NOT_SENT, view.target_id, reason=f"{error}")
+        started_at = self._clock.now()
+        remaining_s = call.deadline - started_at - ANSWER_MARGIN_S
+        request = calls.encode(call, self._wire, view.target_id, remaining_s)
+        try:
+            async with asyncio.timeout(remaining_s):
+                answer = await channel.exchange(
+                    request, call.request_id, call.method == b"HEAD"
+                )
+        except TimeoutError:
+            return self._silent(view, started_at)
+        except errors.TargetError as error:
+            return self._broken(view, error)
+        pool.put_back(channel, view.record.slots)
+        return self._judge(call, choice, answer, started_at)
+
+    def _silent(self, view: target_book.TargetView, sent_at: float) -> Sent:
+        """No answer came in time."""
+        reason = "no answer in time"
+        if view.note_lost(sent_at, self._clock.now()):
+            self._on_unreachable(view, reason)
+        return Sent(Verdict.UNKNOWN, view.target_id, reason=reason)
+
+    def _broken(
+        self, view: target_book.TargetView, error: errors.TargetError
+    ) -> Sent:
+        """The connection ended; a target that resets it is still there."""
+        view.note_broken(self._clock.now())
+        if error.is_vanished:
+            self._on_unreachable(view, f"{error}")
+        verdict = Verdict.UNKNOWN if error.sent else Verdict.NOT_SENT
+        return Sent(verdict, view.target_id, reason=f"{error}")
+
+    def _judge(
+        self,
+        call: calls.Call,
+        choice: target_selection.Choice,
+        answer: target_channel.WholeAnswer,
+        started_at: float,
+    ) -> Sent:
+        view = choice.view
+        now = self._clock.now()
+        self._note_load(view, answer, now)
+        if answer.status == _MISDIRECTED:
+            self._book.set_reach(view, target_book.Reach.REPLACED)
+            _LOG.warning(
+                "target replaced",
+                extra={
+                    "target": view.target_id,
+                    "address": view.record.address,
+                },
+            )
+            return Sent(Verdict.NOT_RUN, view.target_id, reason="replaced")
+        if answer.header(self._wire.not_run) is not None:
+            view.note_answer(1.0, False, now)
+            return Sent(
+                Verdict.NOT_RUN, view.target_id, answer, f"{answer.status}"
+            )
+        if (
+            answer.status in _SUCCESS
+            and answer.header(self._wire.seal) is None
+        ):
+            view.note_answer(1.0, True, now)
+            return Sent(
+                Verdict.UNKNOWN, view.target_id, reason="answer not sealed"
+            )
+        is_failure = answer.status in _SERVER_ERRORS
+        self._note_time(call, choice, now - started_at, is_failure, now)
+        verdict = Verdict.FAILED if is_failure else Verdict.ANSWERED
+        return Sent(verdict, view.target_id, answer, f"{answer.status}")
+
+    def _note_load(
+        self,
+        view: target_book.TargetView,
+        answer: target_channel.WholeAnswer,
+        now: float,
+    ) -> None:
+        told = answer.header(self._wire.load)
+        if told is None:
+            return
+        try:
+            running, waiting, _ = (int(part) for part in told.split(b","))
+        except ValueError:
+            metrics.TARGET_LOAD_UNREADABLE.inc()
+            return
+        view.note_load(running + waiting, now)
+
+    def _note_time(
+        self,
+        call: calls.Call,
+        choice: target_selection.Choice,
+        elapsed_s: float,
+        is_failure: bool,
+        now: float,
+    ) -> None:
+        view = choice.view
+        expected_s = max(choice.expected_s, 1e-3)
+        view.note_answer(elapsed_s / expected_s, is_failure, now)
+        is_waiting = view.running(now) >= view.record.slots
+        if is_failure or choice.is_cold or is_waiting:
+            return
+        distance_s = self._selection.distance_s(view.region)
+        self._selection.times.note(
+            call.route, choice.is_known, max(0.0, elapsed_s - distance_s)
+        )
+
+    def pool(self, view: target_book.TargetView) -> target_channel.ChannelPool:
+        """Connections to a target's present incarnation."""
+        name = (view.target_id, view.record.started_ms)
+        pool = self._pool_by_target.get(name)
+        if pool is None:
+            pool = target_channel.ChannelPool(
+                view.record.address,
+                self._wire.request_id,
+                self._clock,
+                lambda seconds: self._on_distance(view.region, seconds),
+            )
+            self._pool_by_target[name] = pool
+        return pool
+
+    def forget_gone(self) -> None:
+        """Close connections to targets that are no longer known."""
+        known = {
+            (view.target_id, view.record.started_ms)
+            for view in self._book.target_by_id.values()
+            if self._book.may_get_work(view)
+        }
+        for name in self._pool_by_target.keys() - known:
+            self._pool_by_target.pop(name).close()
+        self._selection.shedding.keep_only(set(self._book.target_by_id))
+
+    def close(self) -> None:
+        """Close all idle connections."""
+        for pool in self._pool_by_target.values():
+            pool.close()
--- a/chicorydoor/state/target_book.py
+++ b/chicorydoor/state/target_book.py
@@ -50,7 +50,6 @@
         self.record = record
         self.target_id = record.target_id
         self.region = region
-        self.joined_at = now
         self.reach = Reach.IN_USE
         self.is_listed = True
         self.own_running = 0
@@ -239,15 +238,6 @@
             view.reach = reach
             self.reindex()
 
-    def slots_by_region(
-        self, service_id: ids.ServiceId
-    ) -> dict[ids.RegionId, int]:
-        """Slots of a service's usable targets in each region."""
-        slots: dict[ids.RegionId, int] = {}
-        for view in self.of_service(service_id):
-            slots[view.region] = slots.get(view.region, 0) + view.record.slots
-        return slots
-
 
 def _update(
     view: TargetView, record: serving.TargetRecord, now: float
