--- a/chicorydoor/coordination/call_runner.py
+++ b/chicorydoor/coordination/call_runner.py
@@ -26,6 +26,7 @@
 # When a service has no usable target: they are listed or probed again by
 # then.
 _NO_TARGET_RETRY_S = 0.5
+# A full target has a slot free after about one request's time.
 _BUSY_RETRY_S = 0.25
 # A lasting overload does not end within a moment.
 _OVERLOAD_RETRY_S = 1.0
@@ -148,7 +149,8 @@
             self._may_have_run = True
         if sent.verdict is not target_sender.Verdict.NOT_SENT:
             self._arrivals += 1
-            metrics.RETRIES.inc(self._arrivals > 1)
+            if self._arrivals > 1:
+                metrics.RETRIES.inc()
 
     def _choose(self) -> target_selection.Choice | None:
         runner, call = self._runner, self._call
--- a/chicorydoor/platform/documents.py
+++ b/chicorydoor/platform/documents.py
@@ -9,6 +9,7 @@
 from chicorydoor.protocol import ids
 from chicorydoor.protocol import serving
 from chicorydoor.state import config_snapshot
+from chicorydoor.state import fleet_view
 
 OPERATOR_PREFIX = "op/"
 TARGET_PREFIX = "servers/"
@@ -210,6 +211,20 @@
     )
 
 
+def decode_entry(key: str, value: bytes) -> fleet_view.Registration:
+    """An entry's registration.
+
+    Raises:
+        ConfigurationError: If it cannot be read.
+    """
+    registration = _decode(value, fleet_view.Registration)
+    if key != ENTRY_PREFIX + registration.instance:
+        raise errors.ConfigurationError(
+            f"{key}: names {registration.instance!r}"
+        )
+    return registration
+
+
 def evacuated_domain(key: str) -> ids.DomainId | None:
     """The failure domain that a key asks to evacuate, or None."""
     if not key.startswith(EVACUATION_PREFIX):
--- a/chicorydoor/platform/registrations.py
+++ b/chicorydoor/platform/registrations.py
@@ -1,8 +1,8 @@
 """Brings what stands in the platform's store into the product's parts."""
 
+from collections import abc
 import logging
-
-import msgspec
+import typing
 
 from chicorydoor import errors
 from chicorydoor.coordination import plan_keeper
@@ -85,39 +85,41 @@
     def take_target_items(self, items: list[store_items.StoredItem]) -> None:
         """Targets' registrations."""
         for item in items:
-            target_id = ids.TargetId(
-                item.key.removeprefix(documents.TARGET_PREFIX)
-            )
             if item.value is None:
-                self._registry.remove(target_id)
-                continue
-            try:
-                record = documents.decode_target(item.key, item.value)
-            except errors.ConfigurationError as error:
-                _LOG.warning(
-                    "target registration ignored",
-                    extra={"key": item.key, "reason": f"{error}"},
-                )
+                name = item.key.removeprefix(documents.TARGET_PREFIX)
+                self._registry.remove(ids.TargetId(name))
                 continue
-            self._registry.put(record)
+            record = _read(item, documents.decode_target)
+            if record is not None:
+                self._registry.put(record)
 
     def take_entry_items(self, items: list[store_items.StoredItem]) -> None:
         """Entries' registrations."""
         for item in items:
-            instance = item.key.removeprefix(documents.ENTRY_PREFIX)
             if item.value is None:
+                name = item.key.removeprefix(documents.ENTRY_PREFIX)
                 self._fleet.note_unregistered(
-                    ids.InstanceId(instance), self._clock.now()
-                )
-                continue
-            try:
-                registration = msgspec.json.decode(
-                    item.value, type=fleet_view.Registration
-                )
-            except msgspec.DecodeError as error:
-                _LOG.warning(
-                    "entry registration ignored",
-                    extra={"key": item.key, "reason": f"{error}"},
+                    ids.InstanceId(name), self._clock.now()
                 )
                 continue
-            self._fleet.note_registration(registration)
+            registration = _read(item, documents.decode_entry)
+            if registration is not None:
+                self._fleet.note_registration(registration)
+
+
+_RecordT = typing.TypeVar("_RecordT")
+
+
+def _read(
+    item: store_items.StoredItem,
+    decode: abc.Callable[[str, bytes], _RecordT],
+) -> _RecordT | None:
+    """A registration, or None if another writer has spoilt it."""
+    try:
+        return decode(item.key, item.value or b"")
+    except errors.ConfigurationError as error:
+        _LOG.warning(
+            "registration ignored",
+            extra={"key": item.key, "reason": f"{error}"},
+        )
+        return None
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -3,6 +3,7 @@
 import json
 import pathlib
 
+import msgspec
 import pytest
 
 from chicorydoor import errors
@@ -11,6 +12,7 @@
 from chicorydoor.platform import settings
 from chicorydoor.protocol import serving
 from chicorydoor.state import config_snapshot
+from chicorydoor.state import fleet_view
 
 _TARGET = {
     "address": "10.0.0.9:80",
@@ -173,6 +175,29 @@
         assert left != documents.target_essence(leaving)
 
 
+class TestEntries:
+    _REGISTRATION = fleet_view.Registration(
+        "e1", 3, "na", "n", "10.0.0.1:1", "10.0.0.1:2"
+    )
+
+    def test_written_and_read_back(self):
+        value = msgspec.json.encode(self._REGISTRATION)
+        key = documents.ENTRY_PREFIX + "e1"
+        assert documents.decode_entry(key, value) == self._REGISTRATION
+
+    @pytest.mark.parametrize(
+        ("name", "value"),
+        [
+            ("e1", b"\x00"),
+            ("e1", b"{}"),
+            ("e2", msgspec.json.encode(_REGISTRATION)),
+        ],
+    )
+    def test_other_writers(self, name, value):
+        with pytest.raises(errors.ConfigurationError):
+            documents.decode_entry(documents.ENTRY_PREFIX + name, value)
+
+
 class TestSettings:
     def test_fields(self, tmp_path):
         path = tmp_path / "settings.yaml"
