--- a/chicorydoor/coordination/target_sender.py
+++ b/chicorydoor/coordination/target_sender.py
@@ -240,8 +240,7 @@
 
     def pool(self, view: target_book.TargetView) -> target_channel.ChannelPool:
         """Connections to a target's present incarnation."""
-        name = (view.target_id, view.record.started_ms)
-        pool = self._pool_by_target.get(name)
+        pool = self._pool_by_target.get(view.holder)
         if pool is None:
             pool = target_channel.ChannelPool(
                 view.record.address,
@@ -249,13 +248,13 @@
                 self._clock,
                 lambda seconds: self._on_distance(view.region, seconds),
             )
-            self._pool_by_target[name] = pool
+            self._pool_by_target[view.holder] = pool
         return pool
 
     def forget_gone(self) -> None:
         """Close connections to targets that are no longer known."""
         known = {
-            (view.target_id, view.record.started_ms)
+            view.holder
             for view in self._book.target_by_id.values()
             if self._book.may_get_work(view)
         }
--- a/chicorydoor/standins/fleet.py
+++ b/chicorydoor/standins/fleet.py
@@ -7,7 +7,6 @@
 import asyncio
 import hashlib
 import itertools
-import socket
 import typing
 
 import httpx
@@ -19,6 +18,7 @@
 from chicorydoor.protocol import ids
 from chicorydoor.protocol import settings as settings_module
 from chicorydoor.standins import instance_list
+from chicorydoor.standins import ports
 from chicorydoor.standins import store
 from chicorydoor.standins import target
 
@@ -28,9 +28,7 @@
 
 def free_port() -> int:
     """A TCP port of the loopback interface that is free now."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+    return ports.free_ports(1)[0]
 
 
 def entry_settings(
--- a/chicorydoor/standins/platform_site.py
+++ b/chicorydoor/standins/platform_site.py
@@ -9,7 +9,6 @@
 import os
 import pathlib
 import signal
-import socket
 import sys
 import typing
 
@@ -22,6 +21,7 @@
 from chicorydoor.platform import wire
 from chicorydoor.standins import platform_store
 from chicorydoor.standins import platform_target
+from chicorydoor.standins import ports
 
 KEY = "loopback-key"
 CUSTOMER = "kivuli"
@@ -74,11 +74,13 @@
 
     def __init__(self, name: str, folder: pathlib.Path, store: str) -> None:
         self.name = name
-        ports = _free_ports(4)
+        numbers = ports.free_ports(4)
         self._address_by_use = {
-            use: f"127.0.0.1:{port}"
-            for use, port in zip(
-                ("front", "ready", "control", "directory"), ports, strict=True
+            use: f"127.0.0.1:{number}"
+            for use, number in zip(
+                ("front", "ready", "control", "directory"),
+                numbers,
+                strict=True,
             )
         }
         self.callers = self._address_by_use["front"]
@@ -88,7 +90,7 @@
         self._process: asyncio.subprocess.Process | None = None
 
     def _settings(self, store: str) -> dict[str, typing.Any]:
-        metrics = _free_ports(1)[0]
+        metrics = ports.free_ports(1)[0]
         return {
             "self": {
                 "nodeName": self.name,
@@ -214,12 +216,3 @@
         for target in self.targets:
             await target.stop()
         await self.store.stop()
-
-
-def _free_ports(count: int) -> list[int]:
-    """Ports of the loopback interface that are free now."""
-    with contextlib.ExitStack() as stack:
-        probes = [stack.enter_context(socket.socket()) for _ in range(count)]
-        for probe in probes:
-            probe.bind(("127.0.0.1", 0))
-        return [probe.getsockname()[1] for probe in probes]
--- a/tests/test_platform_entry.py
+++ b/tests/test_platform_entry.py
@@ -4,7 +4,6 @@
 import contextlib
 import json
 import random
-import socket
 import time
 
 import httpx
@@ -14,6 +13,7 @@
 from chicorydoor import compose_fleet
 from chicorydoor.protocol import fleet_settings
 from chicorydoor.standins import platform_store
+from chicorydoor.standins import ports
 from chicorydoor.state import fleet_view
 from chicorydoor.transport import clock as clock_module
 from tests.support import clocks
@@ -36,19 +36,9 @@
 _BUSY = b"HTTP/1.1 503 No\r\nnot-executed: 1\r\ncontent-length: 0\r\n\r\n"
 
 
-def _free_ports(count):
-    sockets = [socket.socket() for _ in range(count)]
-    for bound in sockets:
-        bound.bind(("127.0.0.1", 0))
-    ports = [bound.getsockname()[1] for bound in sockets]
-    for bound in sockets:
-        bound.close()
-    return ports
-
-
 def _settings(name, store, seeds=()):
-    ports = _free_ports(5)
-    addresses = [f"127.0.0.1:{port}" for port in ports[:4]]
+    numbers = ports.free_ports(5)
+    addresses = [f"127.0.0.1:{port}" for port in numbers[:4]]
     return fleet_settings.FleetSettings(
         instance=name,
         domain="na",
@@ -57,7 +47,7 @@
         readiness=addresses[1],
         peers=addresses[2],
         lookups=addresses[3],
-        metrics_port=ports[4],
+        metrics_port=numbers[4],
         seed_addresses=tuple(seeds),
         region_by_domain={"na": "n", "ma": "m"},
         store=store,
