Spend retries only on sends that are made; operator's limits on callers' connections

Cause: a second send took from the service's budget before a target was found for it, and again when the target it found got nothing. A request whose time ran out while its connection opened was still written once. Header and idle time-outs of the configuration, and its bound on headers, were read and not used on the platform path.

Change: a repeat is paid once it has a target, and once an arrival. A request without time left is not written. transport/caller_protocol.py holds a connection's limits; an unfinished header gets 408, or nothing while an earlier answer is due.

Ruled out: uvicorn's own keep-alive alone, it has no bound on headers.

--- a/chicorydoor/compose.py
+++ b/chicorydoor/compose.py
@@ -37,6 +37,7 @@
 from chicorydoor.state import idempotency
 from chicorydoor.state import target_table
 from chicorydoor.transport import asgi
+from chicorydoor.transport import caller_protocol
 from chicorydoor.transport import clock as clock_module
 from chicorydoor.transport import http_server
 from chicorydoor.transport import metrics
@@ -414,7 +415,9 @@
             self._answer_caller,
             settings.callers.address,
             settings.callers.port,
-            settings.limits.header_bytes,
+            lambda: caller_protocol.ConnectionLimits(
+                settings.limits.header_bytes
+            ),
         )
         self.callers = callers
         self.parts = EntryParts(
--- a/chicorydoor/compose_fleet.py
+++ b/chicorydoor/compose_fleet.py
@@ -43,6 +43,7 @@
 from chicorydoor.state import store_mirror
 from chicorydoor.state import target_book
 from chicorydoor.transport import asgi
+from chicorydoor.transport import caller_protocol
 from chicorydoor.transport import clock as clock_module
 from chicorydoor.transport import http_server
 from chicorydoor.transport import nng_link
@@ -367,10 +368,19 @@
         ) -> None:
             await app_by_port[scope["server"][1]](scope, receive, send)
 
+        def limits() -> caller_protocol.ConnectionLimits:
+            in_force = parts.plans.plan.limits
+            return caller_protocol.ConnectionLimits(
+                in_force.header_bytes,
+                in_force.header_timeout_s,
+                in_force.idle_timeout_s,
+            )
+
         return http_server.HttpServer(
             dispatch,
             host,
             int(number),
+            limits=limits,
             more_endpoints=(
                 settings.readiness,
                 settings.lookups,
--- a/chicorydoor/coordination/call_runner.py
+++ b/chicorydoor/coordination/call_runner.py
@@ -112,6 +112,7 @@
         self._trace = trace
         self._tried: list[ids.TargetId] = []
         self._arrivals = 0
+        self._paid_repeats = 0
         self._may_have_run = False
         self._failed: target_channel.WholeAnswer | None = None
         self._refusal = requests.RefusedError(
@@ -122,7 +123,7 @@
         """Send until there is an answer, or nothing more may be done."""
         for _ in range(_TRIES):
             choice = self._choose()
-            if choice is None:
+            if choice is None or not self._is_paid():
                 break
             sent = await self._runner.sender.send(self._call, choice)
             self._note(sent)
@@ -181,7 +182,7 @@
         return choice
 
     def _may_send_again(self, sent: target_sender.Sent) -> bool:
-        """Whether another send keeps every promise; counts it if so."""
+        """Whether another send keeps every promise but the budget."""
         call = self._call
         if self._may_have_run and not call.route.is_repeatable:
             return False
@@ -192,9 +193,15 @@
             return False
         if sent.verdict is target_sender.Verdict.NOT_SENT:
             return True
-        if self._arrivals >= call.route.attempt_limit:
-            return False
-        return self._runner.may_retry(self._subject.service_id)
+        return self._arrivals < call.route.attempt_limit
+
+    def _is_paid(self) -> bool:
+        """Whether the next send is the first, or the budget bears it."""
+        if self._arrivals > self._paid_repeats:
+            if not self._runner.may_retry(self._subject.service_id):
+                return False
+            self._paid_repeats += 1
+        return True
 
     def _give_up(self) -> target_channel.WholeAnswer:
         """The target's own failure, or a refusal that is true."""
--- a/chicorydoor/coordination/target_sender.py
+++ b/chicorydoor/coordination/target_sender.py
@@ -135,6 +135,11 @@
             return Sent(Verdict.NOT_SENT, view.target_id, reason=f"{error}")
         started_at = self._clock.now()
         remaining_s = call.deadline - started_at - ANSWER_MARGIN_S
+        if remaining_s <= 0:
+            pool.put_back(channel, view.record.slots)
+            return Sent(
+                Verdict.NOT_SENT, view.target_id, reason="no time left"
+            )
         request = calls.encode(call, self._wire, view.target_id, remaining_s)
         try:
             async with asyncio.timeout(remaining_s):
--- a/chicorydoor/protocol/result_codes.py
+++ b/chicorydoor/protocol/result_codes.py
@@ -35,6 +35,12 @@
         Outcome.UNKNOWN,
         "the caller closed its connection before the answer",
     )
+    HEADERS_LATE = (
+        106,
+        408,
+        Outcome.NOT_RUN,
+        "the caller took too long to send its headers",
+    )
     KEY_MISSING = (110, 401, Outcome.NOT_RUN, "the route needs a key")
     KEY_REFUSED = (111, 401, Outcome.NOT_RUN, "the key is not in force")
     KEY_IN_DOUBT = (
--- a/chicorydoor/transport/http_server.py
+++ b/chicorydoor/transport/http_server.py
@@ -7,10 +7,10 @@
 import typing
 
 import uvicorn
-from uvicorn.protocols.http import httptools_impl
+
+from chicorydoor.transport import caller_protocol
 
 _BACKLOG = 1024
-_KEEP_ALIVE_S = 75
 
 
 def listening_socket(address: str, port: int) -> socket.socket:
@@ -32,47 +32,6 @@
         yield
 
 
-def _limited_protocol(header_bytes: int) -> type:
-    """Protocol class that bounds the bytes before a request's headers end.
-
-    httptools itself has no bound, so an endless header would fill memory.
-    """
-
-    class LimitedProtocol(httptools_impl.HttpToolsProtocol):
-        pending_bytes = 0
-
-        def on_message_begin(self) -> None:
-            self.in_headers = True
-            super().on_message_begin()
-
-        def on_headers_complete(self) -> None:
-            self.in_headers = False
-            self.pending_bytes = 0
-            super().on_headers_complete()
-
-        def data_received(self, data: bytes) -> None:
-            before = self.pending_bytes
-            self.in_headers = True if before else self.in_headers
-            super().data_received(data)
-            if self.in_headers:
-                self.pending_bytes = before + len(data)
-            if self.pending_bytes > header_bytes:
-                self._refuse()
-
-        in_headers = False
-
-        def _refuse(self) -> None:
-            self.transport.write(
-                b"HTTP/1.1 431 Request Header Fields Too Large\r\n"
-                b"x-chicorydoor-code: 101\r\n"
-                b"x-chicorydoor-outcome: not-run\r\n"
-                b"content-length: 0\r\nconnection: close\r\n\r\n"
-            )
-            self.transport.close()
-
-    return LimitedProtocol
-
-
 class HttpServer:
     """One listening port.
 
@@ -80,10 +39,8 @@
         app (ASGI application): Answers the requests.
         address (str): IP number.
         port (int): TCP port; 0 lets the system choose.
-        header_bytes (int): Bound on request line and headers. Defaults to
-            16 KiB.
-        keep_alive_s (float): Time after which an idle connection is closed.
-            Defaults to 75.
+        limits (callable): Limits for callers now. Defaults to the defaults
+            of ``ConnectionLimits``.
         more_endpoints (Sequence): Further ``ip:port`` with the same
             application. Defaults to none.
     """
@@ -93,8 +50,9 @@
         app: typing.Any,
         address: str,
         port: int,
-        header_bytes: int = 16 * 1024,
-        keep_alive_s: float = _KEEP_ALIVE_S,
+        limits: abc.Callable[
+            [], caller_protocol.ConnectionLimits
+        ] = caller_protocol.ConnectionLimits,
         more_endpoints: abc.Sequence[str] = (),
     ) -> None:
         self._sockets = [listening_socket(address, port)]
@@ -105,7 +63,7 @@
         self.port = self._sockets[0].getsockname()[1]
         config = uvicorn.Config(
             app,
-            http=_limited_protocol(header_bytes),
+            http=caller_protocol.limited(limits),
             interface="asgi3",
             proxy_headers=False,
             ws="none",
@@ -114,7 +72,6 @@
             log_level="warning",
             access_log=False,
             backlog=_BACKLOG,
-            timeout_keep_alive=int(keep_alive_s),
             server_header=False,
             date_header=False,
         )
--- a/tests/test_platform_entry.py
+++ b/tests/test_platform_entry.py
@@ -389,6 +389,69 @@
         _play(scenario)
 
 
+_LIMITS = {
+    "maxHeaderBytes": 16384,
+    "maxBodyBytes": 1048576,
+    "headerTimeout": "200ms",
+    "idleTimeout": "400ms",
+}
+_HEAD = b"GET /read/1 HTTP/1.1\r\nhost: shop.example\r\nx-api-key: key-1\r\n"
+
+
+async def _open_limited(site):
+    """A connection to an entry whose operator limits callers' times."""
+    site.store.put("op/config", _config(2, limits=_LIMITS))
+
+    async def in_force():
+        reply = await site.call()
+        return reply.status_code == 200
+
+    await site.until(in_force)
+    await asyncio.sleep(0.3)
+    address = site.entries[0].settings.callers
+    host, _, port = address.rpartition(":")
+    return await asyncio.open_connection(host, int(port))
+
+
+class TestCallerLimits:
+    def test_headers_that_never_end(self):
+        async def scenario(site):
+            reader, writer = await _open_limited(site)
+            writer.write(_HEAD)
+            async with asyncio.timeout(2.0):
+                answer = await reader.read()
+            assert answer.startswith(b"HTTP/1.1 408 ")
+            assert b"x-chicorydoor-outcome: not-run" in answer
+            writer.close()
+
+        _play(scenario)
+
+    def test_idle_connection_is_closed(self):
+        async def scenario(site):
+            reader, writer = await _open_limited(site)
+            writer.write(_HEAD + b"request-id: r1\r\n\r\n")
+            async with asyncio.timeout(2.0):
+                answer = await reader.read()
+            assert answer.startswith(b"HTTP/1.1 200 ")
+            writer.close()
+
+        _play(scenario)
+
+    def test_next_headers_do_not_end_a_running_request(self):
+        async def scenario(site):
+            for target in site.targets:
+                target.work_s = 0.6
+            reader, writer = await _open_limited(site)
+            writer.write(_HEAD + b"request-id: r1\r\n\r\n" + _HEAD)
+            async with asyncio.timeout(3.0):
+                answer = await reader.read()
+            assert answer.startswith(b"HTTP/1.1 200 ")
+            assert answer.count(b"HTTP/1.1 408 ") == 1
+            writer.close()
+
+        _play(scenario)
+
+
 class TestChanges:
     def test_configuration_and_keys(self):
         async def scenario(site):
