Entries hear their region one by one and other regions as sums

Cause: heartbeats of every entry to every other one, each with all customers' rates and all names heard, filled 5 Mbit/s links on the grown deployment.

Change: heartbeats stay inside the region, get rarer beyond 12 entries, tell only rates that moved and name who is not heard. coordination/region_teller.py sends the region's sums to other regions, three senders in turn for each receiver. A few entries of a region read each part of the store for all.

An entry gives up its share when it could not renew its registration and hears only a minority, no longer only when it hears nobody at all.

--- a/bench/fleet_control.py
+++ b/bench/fleet_control.py
@@ -22,7 +22,7 @@
 
 
 def _heartbeat(members: int, customers: int) -> fleet_view.Heartbeat:
-    report = rate_shares.RateReport(0.0123456789, 3.14159265)
+    report = rate_shares.RateReport.of(0.0123456789, 3.14159265)
     return fleet_view.Heartbeat(
         registration=fleet_view.Registration(
             ids.InstanceId("front-nairobi-a-1"),
@@ -41,10 +41,6 @@
             ids.CustomerId(f"customer{index}"): report
             for index in range(customers)
         },
-        heard=[
-            ids.InstanceId(f"front-nairobi-a-{index}")
-            for index in range(members)
-        ],
     )
 
 
@@ -72,9 +68,9 @@
         serving.CustomerRule(ids.CustomerId(f"c{index}"), None, 100.0, 100.0)
         for index in range(customers)
     ]
-    report = rate_shares.RateReport(1 / members, 5.0)
+    report = rate_shares.RateReport.of(1 / members, 5.0)
     peer = {rule.customer_id: report for rule in rules}
-    peers = [peer] * (members - 1)
+    peers = [rate_shares.Reported(1, peer)] * (members - 1)
     started = time.process_time()
     rounds = max(3, _REPEATS // members)
     for index in range(rounds):
--- a/chicorydoor/compose_fleet.py
+++ b/chicorydoor/compose_fleet.py
@@ -22,6 +22,7 @@
 from chicorydoor.coordination import entry_lookup
 from chicorydoor.coordination import peer_exchange
 from chicorydoor.coordination import plan_keeper
+from chicorydoor.coordination import region_teller
 from chicorydoor.coordination import registrar
 from chicorydoor.coordination import store_follower
 from chicorydoor.coordination import target_prober
@@ -51,20 +52,40 @@
 _LOG = logging.getLogger(__name__)
 
 _PARTS = (
-    # Configurations and evacuations are rare and urgent: always listening.
-    store_follower.Part(documents.OPERATOR_PREFIX, wait_s=4.0, gap_s=0.0),
+    # Configurations and evacuations are rare and urgent: some listen all
+    # the time, the rest step in well inside the shortest bound.
+    store_follower.Part(
+        documents.OPERATOR_PREFIX,
+        wait_s=1.5,
+        readers=3,
+        gap_s=0.0,
+        patience_s=2.0,
+        stagger_s=0.05,
+    ),
     # Targets write all the time; a reading a second meets the bounds.
     store_follower.Part(
-        documents.TARGET_PREFIX, wait_s=2.0, gap_s=0.8, stagger_s=0.25
+        documents.TARGET_PREFIX,
+        wait_s=2.0,
+        readers=1,
+        gap_s=0.8,
+        patience_s=1.05,
+        stagger_s=0.25,
     ),
     # Entries come and go rarely; their heartbeats tell the rest.
-    store_follower.Part(documents.ENTRY_PREFIX, wait_s=20.0, gap_s=0.0),
+    store_follower.Part(
+        documents.ENTRY_PREFIX,
+        wait_s=5.0,
+        readers=2,
+        gap_s=1.0,
+        patience_s=7.5,
+        stagger_s=0.25,
+    ),
 )
 _MESSAGE_BYTES = 4 * 1024 * 1024
 # An entry's duties that need no precision.
 _UPKEEP_S = 0.25
-# An entry that has reached nobody for this long gives up what others may
-# take over when its registration has lapsed.
+# An entry that could not renew its registration and has not heard most others
+# for this long gives up what these may take over once it has lapsed.
 _ISOLATED_S = registrar.LEASE_S - 2.0
 # Callers keep an answer for this long; leaving entries wait for them.
 _LOOKUP_TTL_S = 2.0
@@ -109,7 +130,10 @@
             caller_address=settings.callers,
         )
         self.fleet = fleet_view.FleetView(
-            me, peer_exchange.SILENCE_S, registrar.LEASE_S
+            me,
+            peer_exchange.SILENCE_S,
+            registrar.LEASE_S,
+            peer_exchange.DIGEST_SILENCE_S,
         )
         self.plans = plan_keeper.PlanKeeper()
         self.book = target_book.TargetBook(settings.region_by_domain)
@@ -120,8 +144,10 @@
             link=link,
             clock=clock,
             seed_addresses=settings.seed_addresses,
-            rate_reports=self.rates.reports,
-            running=lambda: self.calls.running,
+            rates=self.rates,
+            teller=region_teller.RegionTeller(
+                self.fleet, self.rates, self.rng
+            ),
             memory=self.selection.memory,
         )
         self.registrar = registrar.Registrar(
@@ -223,10 +249,11 @@
             self.peers.add_follower(follower)
 
     def _rank(self) -> int:
-        """Position of this entry among those that read for all."""
+        """Position of this entry among those of its region."""
         now = self.clock.now()
         names = [
-            member.registration.instance for member in self.fleet.live(now)
+            member.registration.instance
+            for member in self.fleet.live_mates(now)
         ]
         return sum(name < self.settings.instance for name in names)
 
@@ -269,29 +296,21 @@
 
     def _rebalance_rates(self) -> None:
         now = self.clock.now()
-        members = self.fleet.member_by_instance.values()
-        reports = [
-            member.heartbeat.rate_by_customer if member.heartbeat else None
-            for member in members
-        ]
         customers: abc.Iterable[serving.CustomerRule] = (
             self.plans.plan.customer_by_id.values()
         )
-        limited = [each for each in customers if each.rate_per_s > 0]
-        self.rates.rebalance(limited, reports, now, self._is_isolated(now))
+        self.rates.rebalance(
+            [each for each in customers if each.rate_per_s > 0],
+            [*self.fleet.reported_near(), *self.fleet.reported_far()],
+            now,
+            self._is_isolated(now),
+        )
 
     def _is_isolated(self, now: float) -> bool:
-        if not self.fleet.member_by_instance:
+        """Whether others may take this entry's shares soon."""
+        if now - self.registrar.contact_at <= _ISOLATED_S:
             return False
-        contacts = [
-            self.registrar.contact_at,
-            *(follower.news_at for follower in self.followers),
-            *(
-                member.heard_at
-                for member in self.fleet.member_by_instance.values()
-            ),
-        ]
-        return now - max(contacts) > _ISOLATED_S
+        return self.fleet.hears_minority(now, _ISOLATED_S)
 
     def leave(self) -> None:
         """Stop being named to callers."""
--- a/chicorydoor/coordination/peer_exchange.py
+++ b/chicorydoor/coordination/peer_exchange.py
@@ -1,8 +1,9 @@
-"""Heartbeats and store news between the entries.
+"""Heartbeats, digests and store news between the entries.
 
-Every entry sends to every other one. Messages may be lost: heartbeats
-repeat, and they tell how far the sender's copies of the store reach, so
-that an entry which missed something asks for it.
+Every entry sends heartbeats to every other one of its region, and digests
+of the region to some of the others. Messages may be lost: both repeat, and
+they tell how far the sender's copies of the store reach, so that an entry
+which missed something asks for it.
 """
 
 import asyncio
@@ -11,6 +12,7 @@
 import typing
 
 from chicorydoor import errors
+from chicorydoor.coordination import region_teller
 from chicorydoor.coordination import store_follower
 from chicorydoor.protocol import fleet_messages
 from chicorydoor.protocol import ids
@@ -22,8 +24,22 @@
 # Shares of rates and news that were lost move with heartbeats: several fit
 # into the shortest bound, a withdrawn key's few seconds.
 HEARTBEAT_S = 0.4
+# With more entries in the region heartbeats get rarer, down to two within
+# the time after which an entry counts as silent.
+_FULL_PACE_MATES = 12
+_SLOWEST_HEARTBEAT_S = 0.8
 # An entry that is silent this long is not named to callers.
 SILENCE_S = 2.0
+# A heartbeat in this many tells all rates, the others what has moved.
+_WHOLE_EVERY = 4
+# Between regions; two fit into the time within which shares follow demand.
+DIGEST_S = 0.8
+# A region that is silent this long is not named to callers: each entry
+# hears its digests from several senders in turn.
+DIGEST_SILENCE_S = 4.0
+# Nobody tells whether digests arrive, so their connections are opened anew
+# at this interval in case one has gone silent.
+_FAR_REDIAL_S = 5.0
 # A connection over which nothing came for this long is opened anew.
 _REDIAL_S = 1.6
 
@@ -51,8 +67,8 @@
         link (Link): Moves messages.
         clock (Clock): Time.
         seed_addresses (Sequence): Peers that may answer first.
-        rate_reports (callable): What this entry announces of rates.
-        running (callable): Requests under way.
+        rates (RateShares): What this entry announces of rates.
+        teller (RegionTeller): Makes digests for other regions.
         memory (ObjectMemory): Where objects were handled.
     """
 
@@ -63,10 +79,8 @@
         link: Link,
         clock: clock_module.Clock,
         seed_addresses: abc.Sequence[str],
-        rate_reports: abc.Callable[
-            [], dict[ids.CustomerId, rate_shares.RateReport]
-        ],
-        running: abc.Callable[[], int],
+        rates: rate_shares.RateShares,
+        teller: region_teller.RegionTeller,
         memory: object_memory.ObjectMemory,
     ) -> None:
         self._fleet = fleet
@@ -74,12 +88,13 @@
         self._link = link
         self._clock = clock
         self._seed_addresses = seed_addresses
-        self._rate_reports = rate_reports
-        self._running = running
+        self._rates = rates
+        self._teller = teller
         self.standing = fleet_view.Standing.STARTING
         self.follower_by_prefix: dict[str, store_follower.StoreFollower] = {}
         self._redialled_at_by_address: dict[str, float] = {}
         self._live: set[ids.InstanceId] = set()
+        self._beats = 0
 
     def add_follower(self, follower: store_follower.StoreFollower) -> None:
         """Share a part of the store with the peers."""
@@ -99,44 +114,69 @@
         self.send_heartbeats()
 
     def publish(self, message: fleet_messages.Message) -> None:
-        """Send a message to every other entry."""
+        """Send a message to every other entry of the region."""
         data = fleet_messages.encode(message)
-        for address in self._addresses():
+        for address in self._mate_addresses():
             self._link.send(address, data)
 
-    def _addresses(self) -> set[str]:
+    def _mate_addresses(self) -> set[str]:
         addresses = {
-            member.registration.peer_address
-            for member in self._fleet.member_by_instance.values()
+            member.registration.peer_address for member in self._fleet.mates()
         }
-        if not addresses:
+        if not self._fleet.member_by_instance:
             addresses.update(self._seed_addresses)
         addresses.discard(self._fleet.me.peer_address)
         return addresses
 
+    def _extents(self) -> dict[str, fleet_view.Extent]:
+        return {
+            prefix: follower.extent()
+            for prefix, follower in self.follower_by_prefix.items()
+        }
+
     def send_heartbeats(self) -> None:
-        """Tell all others how this entry is."""
+        """Tell the region's entries how this one is."""
         now = self._clock.now()
-        live = self._fleet.live(now)
+        is_whole = self._beats % _WHOLE_EVERY == 0
+        self._beats += 1
+        unheard = [
+            member.registration.instance
+            for member in self._fleet.mates()
+            if not member.is_live(now, SILENCE_S)
+        ]
         self.publish(
             fleet_view.Heartbeat(
                 registration=self._fleet.me,
                 standing=self.standing,
-                extent_by_prefix={
-                    prefix: follower.extent()
-                    for prefix, follower in self.follower_by_prefix.items()
-                },
-                rate_by_customer=self._rate_reports(),
-                heard=[member.registration.instance for member in live],
+                extent_by_prefix=self._extents(),
+                rate_by_customer=(
+                    self._rates.reports()
+                    if is_whole
+                    else self._rates.moved_reports()
+                ),
+                is_whole=is_whole,
+                unheard=unheard,
                 sightings=self._memory.take_news(now),
-                running=self._running(),
             )
         )
 
+    def send_digests(self) -> None:
+        """Tell other regions what this one holds."""
+        now = self._clock.now()
+        addresses = self._teller.next_addresses(now)
+        if not addresses:
+            return
+        digest = self._teller.digest(self.standing, self._extents(), now)
+        data = fleet_messages.encode(digest)
+        for address in addresses:
+            self._redial_at_intervals(address, _FAR_REDIAL_S)
+            self._link.send(address, data)
+
     async def run(self) -> None:
         """Exchange messages until cancelled."""
         async with asyncio.TaskGroup() as group:
             group.create_task(self._beat())
+            group.create_task(self._tell_regions())
             group.create_task(self._receive())
 
     async def _beat(self) -> None:
@@ -144,7 +184,18 @@
             self.send_heartbeats()
             self._note_membership()
             self._redial_silent()
-            await asyncio.sleep(HEARTBEAT_S)
+            await asyncio.sleep(self._heartbeat_s())
+
+    def _heartbeat_s(self) -> float:
+        crowd = len(self._fleet.mates()) / _FULL_PACE_MATES
+        return min(_SLOWEST_HEARTBEAT_S, HEARTBEAT_S * max(1.0, crowd))
+
+    async def _tell_regions(self) -> None:
+        # Before it has heard its region an entry would tell guesses.
+        await asyncio.sleep(SILENCE_S)
+        while True:
+            self.send_digests()
+            await asyncio.sleep(DIGEST_S)
 
     def _note_membership(self) -> None:
         """Log who was lost and who is back."""
@@ -155,7 +206,8 @@
                 extra={"peer": member.registration.instance},
             )
         live = {
-            member.registration.instance for member in self._fleet.live(now)
+            member.registration.instance
+            for member in self._fleet.live_mates(now)
         }
         for instance in live - self._live:
             _LOG.info("peer heard", extra={"peer": instance})
@@ -167,18 +219,20 @@
         """Open connections anew that have gone silent without an error."""
         now = self._clock.now()
         me = self._fleet.me.instance
-        for member in self._fleet.member_by_instance.values():
+        for member in self._fleet.mates():
             beat = member.heartbeat
             is_heard = member.is_live(now, _REDIAL_S)
-            hears_us = beat is not None and me in beat.heard
-            if is_heard and hears_us:
-                continue
-            address = member.registration.peer_address
-            last = self._redialled_at_by_address.get(address, now)
-            self._redialled_at_by_address.setdefault(address, now)
-            if now - last >= _REDIAL_S:
-                self._redialled_at_by_address[address] = now
-                self._link.redial(address)
+            hears_us = beat is not None and me not in beat.unheard
+            if not (is_heard and hears_us):
+                address = member.registration.peer_address
+                self._redial_at_intervals(address, _REDIAL_S)
+
+    def _redial_at_intervals(self, address: str, interval_s: float) -> None:
+        now = self._clock.now()
+        last = self._redialled_at_by_address.setdefault(address, now)
+        if now - last >= interval_s:
+            self._redialled_at_by_address[address] = now
+            self._link.redial(address)
 
     # Receiving.
 
@@ -199,6 +253,8 @@
         match message:
             case fleet_view.Heartbeat():
                 self._take_heartbeat(message)
+            case fleet_view.RegionDigest():
+                self._take_digest(message)
             case fleet_messages.StoreNews():
                 follower = self.follower_by_prefix.get(message.prefix)
                 if follower is not None:
@@ -218,10 +274,20 @@
         for prefix, extent in heartbeat.extent_by_prefix.items():
             follower = self.follower_by_prefix.get(prefix)
             if follower is not None and follower.wants_copy(extent):
-                request = fleet_messages.CopyRequest(
-                    prefix, self._fleet.me.peer_address
-                )
-                self._link.send(address, fleet_messages.encode(request))
+                self._ask_for_copy(prefix, address)
+
+    def _take_digest(self, digest: fleet_view.RegionDigest) -> None:
+        self._fleet.note_digest(digest, self._clock.now())
+        for prefix, extent in digest.extent_by_prefix.items():
+            follower = self.follower_by_prefix.get(prefix)
+            if follower is not None and follower.wants_far_copy(extent):
+                self._ask_for_copy(prefix, digest.reply_address)
+
+    def _ask_for_copy(self, prefix: str, address: str) -> None:
+        request = fleet_messages.CopyRequest(
+            prefix, self._fleet.me.peer_address
+        )
+        self._link.send(address, fleet_messages.encode(request))
 
     def _send_copy(self, request: fleet_messages.CopyRequest) -> None:
         follower = self.follower_by_prefix.get(request.prefix)
--- a/chicorydoor/coordination/store_follower.py
+++ b/chicorydoor/coordination/store_follower.py
@@ -1,8 +1,7 @@
 """Keeps copies of parts of the store, from the store and from peers.
 
-Each part has one task. Where changes come all the time, an entry leaves the
-reading to others: every reader passes on what changed, and an entry that
-had news lately waits with its own call.
+Each part has one task. A few entries of a region read it for all and pass
+on what changed; any other one reads when it has had no news for too long.
 """
 
 import asyncio
@@ -25,6 +24,11 @@
 _RETRY_MOST_S = 1.0
 # Least time between two requests for a peer's copy.
 _COPY_INTERVAL_S = 0.5
+# What another region has read first, the own one is likely to read itself
+# within this time.
+_FAR_PATIENCE_S = 1.0
+# A waiting entry notices within this time that others before it are gone.
+_RANK_RECHECK_S = 0.5
 
 _LOG = logging.getLogger(__name__)
 
@@ -47,16 +51,30 @@
     Args:
         prefix (str): Which keys.
         wait_s (float): Longest wait of a call for changes.
-        gap_s (float): Least time between two readings, of all entries; 0
-            to read all the time.
-        stagger_s (float): Extra wait of entries that are not the first to
-            read. Defaults to 0.
+        readers (int): Entries of a region that read it for all.
+        gap_s (float): Least time between two readings by these; 0 to read
+            all the time.
+        patience_s (float): Time without news after which the next entry
+            reads too.
+        stagger_s (float): Further time for each one after that.
     """
 
     prefix: str
     wait_s: float
+    readers: int
     gap_s: float
-    stagger_s: float = 0.0
+    patience_s: float
+    stagger_s: float
+
+    def patience(self, rank: int) -> float:
+        """Seconds without news after which an entry reads.
+
+        Args:
+            rank (int): Its position among the region's entries.
+        """
+        if rank < self.readers:
+            return self.gap_s
+        return self.patience_s + self.stagger_s * (rank - self.readers)
 
 
 OnItems = abc.Callable[[list[store_items.StoredItem]], None]
@@ -71,9 +89,9 @@
         feed (Feed): The store.
         mirror (StoreMirror): The copy.
         clock (Clock): Time.
-        publish (callable): Sends a message to all peers.
+        publish (callable): Sends a message to the region's entries.
         on_items (callable): Gets what has changed.
-        rank (callable): Position of this entry among the readers.
+        rank (callable): Position of this entry in its region.
         on_contact (callable): Called when the store was heard, directly or
             through a peer.
     """
@@ -102,6 +120,7 @@
         self.news_at = float("-inf")
         self._is_lost = False
         self._copy_asked_at = float("-inf")
+        self._behind_since: float | None = None
 
     async def run(self) -> None:
         """Follow until cancelled."""
@@ -173,15 +192,12 @@
 
     async def _wait_for_turn(self) -> None:
         """Wait while peers read often enough."""
-        if self.part.gap_s <= 0:
-            return
         while True:
-            patience = self.part.gap_s + self.part.stagger_s * self._rank()
-            due_at = self.news_at + patience
-            left_s = due_at - self._clock.now()
+            patience_s = self.part.patience(self._rank())
+            left_s = self.news_at + patience_s - self._clock.now()
             if left_s <= 0:
                 return
-            await asyncio.sleep(left_s)
+            await asyncio.sleep(min(left_s, _RANK_RECHECK_S))
 
     def _take(self, changed: list[store_items.StoredItem], since: int) -> None:
         self._note_news()
@@ -196,11 +212,8 @@
             )
         if changed:
             self._on_items(changed)
-        if changed or self.part.gap_s > 0:
-            batch = store_items.ItemBatch(changed, self.mirror.as_of)
-            self._publish(
-                fleet_messages.StoreNews(self.part.prefix, since, batch)
-            )
+        batch = store_items.ItemBatch(changed, self.mirror.as_of)
+        self._publish(fleet_messages.StoreNews(self.part.prefix, since, batch))
 
     def _note_news(self) -> None:
         self.news_at = self._clock.now()
@@ -255,3 +268,15 @@
             return False
         self._copy_asked_at = now
         return True
+
+    def wants_far_copy(self, extent: fleet_view.Extent) -> bool:
+        """Whether another region has had something for longer than usual."""
+        now = self._clock.now()
+        if extent.latest <= self.mirror.as_of:
+            self._behind_since = None
+            return self.wants_copy(extent)
+        if self._behind_since is None:
+            self._behind_since = now
+        if now - self._behind_since < _FAR_PATIENCE_S:
+            return False
+        return self.wants_copy(extent)
--- a/chicorydoor/protocol/fleet_messages.py
+++ b/chicorydoor/protocol/fleet_messages.py
@@ -37,7 +37,13 @@
     batch: store_items.ItemBatch
 
 
-Message = fleet_view.Heartbeat | StoreNews | CopyRequest | StoreCopy
+Message = (
+    fleet_view.Heartbeat
+    | fleet_view.RegionDigest
+    | StoreNews
+    | CopyRequest
+    | StoreCopy
+)
 
 _ENCODER = msgspec.msgpack.Encoder()
 _DECODER: msgspec.msgpack.Decoder[Message] = msgspec.msgpack.Decoder(Message)
--- a/chicorydoor/state/rate_shares.py
+++ b/chicorydoor/state/rate_shares.py
@@ -8,6 +8,7 @@
 """
 
 from collections import abc
+import math
 
 import msgspec
 
@@ -25,16 +26,70 @@
 _PLANNED_OVERAGE = 0.7
 
 
+_SHARE_UNITS = 1_000_000
+_DEMAND_UNITS = 100
+# Smaller moves are told with the next full report: a part of the last told
+# share, well inside the overage that is not planned with.
+_TOLD_SHARE_MOVE = 0.02
+# Demand only says where shares should move; it may be told more coarsely.
+_TOLD_DEMAND_MOVE = 0.25
+_TOLD_DEMAND_LEAST_PER_S = 0.3
+
+
 class RateReport(msgspec.Struct, frozen=True, array_like=True):
-    """An entry's announcement for one customer.
+    """An announcement for one customer, in whole numbers to be short.
 
     Args:
-        share (float): Its part of the rate, 0 to 1.
-        demand_per_s (float): Requests offered to it.
+        share_millionths (int): Part of the rate that is taken.
+        demand_hundredths (int): Requests offered in 100 seconds.
     """
 
-    share: float
-    demand_per_s: float
+    share_millionths: int
+    demand_hundredths: int
+
+    @classmethod
+    def of(cls, share: float, demand_per_s: float) -> "RateReport":
+        """A report that never tells less than the share."""
+        return cls(
+            math.ceil(share * _SHARE_UNITS),
+            round(demand_per_s * _DEMAND_UNITS),
+        )
+
+    @property
+    def share(self) -> float:
+        """Part of the rate, 0 to 1."""
+        return self.share_millionths / _SHARE_UNITS
+
+    @property
+    def demand_per_s(self) -> float:
+        """Requests offered per second."""
+        return self.demand_hundredths / _DEMAND_UNITS
+
+    def differs(self, told: "RateReport") -> bool:
+        """Whether this should be told before the next full report."""
+        moved = abs(self.share_millionths - told.share_millionths)
+        if moved > _TOLD_SHARE_MOVE * told.share_millionths:
+            return True
+        demand = abs(self.demand_per_s - told.demand_per_s)
+        return demand > max(
+            _TOLD_DEMAND_LEAST_PER_S, _TOLD_DEMAND_MOVE * told.demand_per_s
+        )
+
+
+RateTable = dict[ids.CustomerId, RateReport]
+
+
+class Reported(msgspec.Struct):
+    """What some other entries have announced, added up.
+
+    Args:
+        members (int): How many they are.
+        rate_by_customer (Mapping): None if they were never heard; each is
+            then taken to hold an equal share.
+    """
+
+    members: int
+    rate_by_customer: abc.Mapping[ids.CustomerId, RateReport] | None
 
 
 class RateAllowance(msgspec.Struct, frozen=True):
@@ -72,6 +127,7 @@
         self._allowance = allowance
         self._bucket_by_customer: dict[ids.CustomerId, _Bucket] = {}
         self._members = 1
+        self._told: RateTable = {}
 
     def _bucket(self, customer_id: ids.CustomerId, now: float) -> _Bucket:
         bucket = self._bucket_by_customer.get(customer_id)
@@ -120,17 +176,39 @@
         bucket.tokens = min(room, bucket.tokens + gained)
         bucket.filled_at = now
 
-    def reports(self) -> dict[ids.CustomerId, RateReport]:
-        """What the entry announces."""
-        return {
-            customer_id: RateReport(bucket.share, bucket.demand_per_s)
+    def reports(self) -> RateTable:
+        """What the entry announces, for all customers."""
+        self._told = {
+            customer_id: RateReport.of(bucket.share, bucket.demand_per_s)
             for customer_id, bucket in self._bucket_by_customer.items()
         }
+        return dict(self._told)
+
+    def moved_reports(self) -> RateTable:
+        """What has moved since it was announced last."""
+        moved: RateTable = {}
+        for customer_id, bucket in self._bucket_by_customer.items():
+            report = RateReport.of(bucket.share, bucket.demand_per_s)
+            told = self._told.get(customer_id)
+            if told is None or report.differs(told):
+                moved[customer_id] = report
+        self._told |= moved
+        return moved
+
+    def sums(self, others: abc.Sequence[Reported]) -> RateTable:
+        """What this entry and some others hold together."""
+        table: RateTable = {}
+        for customer_id, bucket in self._bucket_by_customer.items():
+            taken, demand = self._add_up(customer_id, others)
+            table[customer_id] = RateReport.of(
+                taken + bucket.share, demand + bucket.demand_per_s
+            )
+        return table
 
     def rebalance(
         self,
         customers: abc.Iterable[serving.CustomerRule],
-        peers: abc.Sequence[abc.Mapping[ids.CustomerId, RateReport] | None],
+        others: abc.Sequence[Reported],
         now: float,
         is_isolated: bool = False,
     ) -> None:
@@ -138,19 +216,18 @@
 
         Args:
             customers (Iterable): All customers with a rate.
-            peers (Sequence): The latest announcement of each other entry
-                that may be alive, heard or not; None for one that was
-                never heard.
+            others (Sequence): The latest announcements of all other
+                entries that may be alive, heard or not.
             now (float): Time.
-            is_isolated (bool): Whether nobody may still reserve the own
-                share; it shrinks to its equal part. Defaults to False.
+            is_isolated (bool): Whether others may take the own share; it
+                shrinks to its equal part. Defaults to False.
         """
-        self._members = len(peers) + 1
+        self._members = sum(each.members for each in others) + 1
         for customer in customers:
             bucket = self._bucket(customer.customer_id, now)
             self._fill(customer, bucket, now)
             self._measure_demand(bucket, now)
-            share = self._next_share(customer.customer_id, bucket, peers)
+            share = self._next_share(customer.customer_id, bucket, others)
             if is_isolated:
                 share = min(share, _EQUAL_PART / self._members)
             bucket.share = share
@@ -169,15 +246,29 @@
         self,
         customer_id: ids.CustomerId,
         bucket: _Bucket,
-        peers: abc.Sequence[abc.Mapping[ids.CustomerId, RateReport] | None],
+        others: abc.Sequence[Reported],
     ) -> float:
+        taken, demand = self._add_up(customer_id, others)
+        demand += bucket.demand_per_s
         equal = 1.0 / self._members
-        taken = 0.0
-        demand = bucket.demand_per_s
-        for reports in peers:
-            report = None if reports is None else reports.get(customer_id)
-            taken += equal if report is None else report.share
-            demand += 0.0 if report is None else report.demand_per_s
         part = bucket.demand_per_s / demand if demand > 0 else equal
         wanted = _EQUAL_PART * equal + (1 - _EQUAL_PART) * part
         return min(wanted, max(0.0, 1.0 - taken))
+
+    def _add_up(
+        self, customer_id: ids.CustomerId, others: abc.Sequence[Reported]
+    ) -> tuple[float, float]:
+        """Share and demand of other entries."""
+        taken, demand, silent = 0, 0, 0
+        for each in others:
+            table = each.rate_by_customer
+            report = None if table is None else table.get(customer_id)
+            if report is None:
+                silent += each.members
+            else:
+                taken += report.share_millionths
+                demand += report.demand_hundredths
+        return (
+            taken / _SHARE_UNITS + silent / self._members,
+            demand / _DEMAND_UNITS,
+        )
--- a/tests/test_peer_exchange.py
+++ b/tests/test_peer_exchange.py
@@ -1,15 +1,19 @@
 """Messages between entries over a link that loses them."""
 
 import asyncio
+import random
 
 from chicorydoor.coordination import peer_exchange
+from chicorydoor.coordination import region_teller
 from chicorydoor.coordination import store_follower
 from chicorydoor.protocol import fleet_messages
 from chicorydoor.protocol import store_items
 from chicorydoor.state import fleet_view
 from chicorydoor.state import object_memory
+from chicorydoor.state import rate_shares
 from chicorydoor.state import store_mirror
 from chicorydoor.transport import clock as clock_module
+from tests.support import serving as make
 from tests.support import virtual_time
 
 
@@ -20,6 +24,7 @@
         self.queue_by_address = {}
         self.cut = set()
         self.redialled = []
+        self.sent = []
 
 
 class _Link:
@@ -30,6 +35,7 @@
         network.queue_by_address[address] = self._queue
 
     def send(self, address, data):
+        self._network.sent.append((self._address, address, len(data)))
         queue = self._network.queue_by_address.get(address)
         if queue is not None and (self._address, address) not in (
             self._network.cut
@@ -44,26 +50,36 @@
 
 
 class _Entry:
-    def __init__(self, network, name, seeds=()):
+    def __init__(self, network, name, seeds=(), region="n"):
         clock = clock_module.LoopClock()
         me = fleet_view.Registration(
-            name, 1, "na", "n", f"{name}:1", f"{name}:2"
+            name, 1, f"{region}a", region, f"{name}:1", f"{name}:2"
+        )
+        self.fleet = fleet_view.FleetView(
+            me,
+            peer_exchange.SILENCE_S,
+            12.0,
+            peer_exchange.DIGEST_SILENCE_S,
         )
-        self.fleet = fleet_view.FleetView(me, peer_exchange.SILENCE_S, 12.0)
         self.memory = object_memory.ObjectMemory()
+        self.rates = rate_shares.RateShares(
+            rate_shares.RateAllowance(0.1, 20.0)
+        )
         self.link = _Link(network, me.peer_address)
         self.peers = peer_exchange.PeerExchange(
             fleet=self.fleet,
             link=self.link,
             clock=clock,
             seed_addresses=seeds,
-            rate_reports=dict,
-            running=lambda: 0,
+            rates=self.rates,
+            teller=region_teller.RegionTeller(
+                self.fleet, self.rates, random.Random(1)
+            ),
             memory=self.memory,
         )
         self.items = []
         self.follower = store_follower.StoreFollower(
-            part=store_follower.Part("p/", 1.0, 0.0),
+            part=store_follower.Part("p/", 1.0, 1, 0.0, 2.0, 0.1),
             feed=None,
             mirror=store_mirror.StoreMirror("p/"),
             clock=clock,
@@ -75,12 +91,12 @@
         self.peers.add_follower(self.follower)
 
 
-def _play(scenario, count=3):
+def _play(scenario, regions="nnn"):
     async def run():
         network = _Network()
         entries = [
-            _Entry(network, f"e{i}", ["e0:1"] if i else [])
-            for i in range(count)
+            _Entry(network, f"e{i}", ["e0:1"] if i else [], region)
+            for i, region in enumerate(regions)
         ]
         for entry in entries:
             for other in entries:
@@ -98,7 +114,7 @@
 
 def _live(entry):
     now = entry.peers._clock.now()
-    return {m.registration.instance for m in entry.fleet.live(now)}
+    return {m.registration.instance for m in entry.fleet.live_mates(now)}
 
 
 class TestHeartbeats:
@@ -173,3 +189,108 @@
             assert [i.key for i in entries[1].items] == ["p/a"]
 
         _play(scenario)
+
+
+def _ready_far(entry):
+    now = entry.peers._clock.now()
+    region = entry.fleet.me.region
+    return {
+        each.instance
+        for each in entry.fleet.ready(now)
+        if each.region != region
+    }
+
+
+class TestDigests:
+    def test_other_regions_are_known_as_a_whole(self):
+        async def scenario(network, entries):
+            for entry in entries:
+                entry.peers.set_standing(fleet_view.Standing.READY)
+            await asyncio.sleep(6.0)
+            assert _live(entries[0]) == {"e1"}
+            assert _ready_far(entries[0]) == {"e2", "e3", "e4"}
+            assert _ready_far(entries[4]) == {"e0", "e1"}
+
+        _play(scenario, "nnmmm")
+
+    def test_sums_reach_the_other_region(self):
+        async def scenario(network, entries):
+            customer = make.customer(rate_per_s=100.0, burst=100.0)
+            entries[2].rates.rebalance([customer], [], 0.0)
+            entries[3].rates.rebalance([customer], [], 0.0)
+            await asyncio.sleep(6.0)
+            (reported,) = entries[0].fleet.reported_far()
+            assert reported.members == 2
+            assert 1.99 <= reported.rate_by_customer["kivuli"].share <= 2.01
+
+        _play(scenario, "nnmm")
+
+    def test_lost_sender_is_made_good_by_the_next(self):
+        async def scenario(network, entries):
+            for entry in entries:
+                entry.peers.set_standing(fleet_view.Standing.READY)
+            await asyncio.sleep(6.0)
+            network.cut = {("e2:1", f"e{i}:1") for i in range(2)}
+            for _ in range(20):
+                await asyncio.sleep(0.5)
+                assert _ready_far(entries[0])
+                assert _ready_far(entries[1])
+
+        _play(scenario, "nnmmm")
+
+    def test_silent_region_is_not_named_but_still_reserved(self):
+        async def scenario(network, entries):
+            for entry in entries:
+                entry.peers.set_standing(fleet_view.Standing.READY)
+            await asyncio.sleep(6.0)
+            network.cut = {("e2:1", "e0:1"), ("e2:1", "e1:1")}
+            await asyncio.sleep(5.0)
+            assert _ready_far(entries[0]) == set()
+            (reported,) = entries[0].fleet.reported_far()
+            assert reported.rate_by_customer is not None
+
+        _play(scenario, "nnm")
+
+    def test_unlisted_entry_is_not_forgotten_by_other_regions(self):
+        async def scenario(network, entries):
+            await asyncio.sleep(6.0)
+            for entry in entries:
+                entry.fleet.note_unregistered("e2", entry.peers._clock.now())
+            await asyncio.sleep(15.0)
+            assert "e2" in entries[0].fleet.member_by_instance
+            network.cut = {("e2:1", f"e{i}:1") for i in range(4)}
+            await asyncio.sleep(30.0)
+            assert "e2" not in entries[0].fleet.member_by_instance
+
+        _play(scenario, "nnmm")
+
+    def test_store_news_cross_when_a_region_cannot_read(self):
+        async def scenario(network, entries):
+            await asyncio.sleep(4.0)
+            item = store_items.StoredItem("p/a", 5, b"1")
+            batch = store_items.ItemBatch([item], 6)
+            entries[2].follower.mirror.merge(batch, 0)
+            entries[3].follower.mirror.merge(batch, 0)
+            await asyncio.sleep(4.5)
+            for entry in entries[:2]:
+                assert [i.key for i in entry.items] == ["p/a"]
+
+        _play(scenario, "nnmm")
+
+    def test_messages_of_an_entry_do_not_grow_with_other_regions(self):
+        async def count(network, entries, found):
+            await asyncio.sleep(3.0)
+            network.sent.clear()
+            await asyncio.sleep(12.0)
+            sent = [each for each in network.sent if each[0] == "e0:1"]
+            found.append(len(sent))
+
+        found = []
+        for far in (4, 40):
+            _play(
+                lambda network, entries: count(network, entries, found),
+                "nnnn" + "m" * far,
+            )
+        heartbeats = 3 * 12.0 / peer_exchange.HEARTBEAT_S
+        assert found[0] <= heartbeats + 20
+        assert found[1] <= heartbeats + 20 + 40 / 4 * 15
--- a/tests/test_rate_shares.py
+++ b/tests/test_rate_shares.py
@@ -51,7 +51,7 @@
 
     def _beat(self, index):
         peers = [
-            report
+            rate_shares.Reported(1, report)
             for other, report in enumerate(self.heard[index])
             if other != index
         ]
@@ -170,6 +170,7 @@
     def test_isolated_entry_shrinks_to_its_equal_part(self):
         customer = make.customer(rate_per_s=100.0, burst=100.0)
         shares = rate_shares.RateShares(_ALLOWANCE)
-        shares.rebalance([customer], [{}, {}, {}], 0.0)
-        shares.rebalance([customer], [{}, {}, {}], 1.0, is_isolated=True)
+        others = [rate_shares.Reported(3, {})]
+        shares.rebalance([customer], others, 0.0)
+        shares.rebalance([customer], others, 1.0, is_isolated=True)
         assert shares.reports()["kivuli"].share <= 0.25 / 4
--- a/tests/test_serving_limits.py
+++ b/tests/test_serving_limits.py
@@ -130,10 +130,10 @@
 
 class TestFleetView:
     def _view(self):
-        return fleet_view.FleetView(_entry("me", "na", "n"), 2.0, 10.0)
+        return fleet_view.FleetView(_entry("me", "na", "n"), 2.0, 10.0, 4.0)
 
     def _beat(self, entry, standing=fleet_view.Standing.READY):
-        return fleet_view.Heartbeat(entry, standing, {}, {}, [])
+        return fleet_view.Heartbeat(entry, standing, {}, {})
 
     def test_silent_entry_is_not_named(self):
         view = self._view()
--- a/tests/test_store_follower.py
+++ b/tests/test_store_follower.py
@@ -67,7 +67,7 @@
         self.published = []
         self.contacts = 0
         self.follower = store_follower.StoreFollower(
-            part=store_follower.Part("p/", 1.0, gap_s, 0.25),
+            part=store_follower.Part("p/", 1.0, 1, gap_s, gap_s + 0.25, 0.25),
             feed=feed,
             mirror=store_mirror.StoreMirror("p/"),
             clock=clock_module.LoopClock(),
