Pool small rates at two desks of a region

Change: below 2 requests a second for each entry a rate is held by two desks of the region, chosen by rendezvous hashing in two domains; the others ask them (coordination/rate_desk.py).

--- a/chicorydoor/compose_fleet.py
+++ b/chicorydoor/compose_fleet.py
@@ -22,6 +22,7 @@
 from chicorydoor.coordination import entry_lookup
 from chicorydoor.coordination import peer_exchange
 from chicorydoor.coordination import plan_keeper
+from chicorydoor.coordination import rate_desk
 from chicorydoor.coordination import region_teller
 from chicorydoor.coordination import registrar
 from chicorydoor.coordination import store_follower
@@ -136,6 +137,19 @@
             peer_exchange.DIGEST_SILENCE_S,
         )
         self.plans = plan_keeper.PlanKeeper()
+        self.rates = rate_shares.RateShares(
+            rate_shares.RateAllowance(
+                self._promises.rate_overage, self._promises.rate_slack
+            )
+        )
+        self.desk = rate_desk.RateDesk(
+            fleet=self.fleet,
+            rates=self.rates,
+            plans=self.plans,
+            link=link,
+            clock=clock,
+            rng=rng,
+        )
         self.book = target_book.TargetBook(settings.region_by_domain)
         self.registry = target_registry.TargetRegistry(self.book, clock)
         self._wire_requests()
@@ -148,6 +162,7 @@
             teller=region_teller.RegionTeller(
                 self.fleet, self.rates, self.rng
             ),
+            desk=self.desk,
             memory=self.selection.memory,
         )
         self.registrar = registrar.Registrar(
@@ -161,11 +176,6 @@
 
     def _wire_requests(self) -> None:
         promises = self._promises
-        self.rates = rate_shares.RateShares(
-            rate_shares.RateAllowance(
-                promises.rate_overage, promises.rate_slack
-            )
-        )
         self.cold = cold_limits.ColdLimits(
             self.settings.instance, self.fleet.possible_instances
         )
@@ -206,7 +216,7 @@
             self.book, self.sender, self.plans, wire.HEADERS, self.clock
         )
         self.gate = admission.Admission(
-            self.plans, self.rates, self.clock, self.rng
+            self.plans, self.rates, self.desk, self.clock, self.rng
         )
         self.calls = call_app.CallApp(
             self.gate, self.runner, self.plans, wire.HEADERS, self.clock
@@ -296,6 +306,7 @@
 
     def _rebalance_rates(self) -> None:
         now = self.clock.now()
+        self.desk.refresh()
         customers: abc.Iterable[serving.CustomerRule] = (
             self.plans.plan.customer_by_id.values()
         )
@@ -303,7 +314,8 @@
             [each for each in customers if each.rate_per_s > 0],
             [*self.fleet.reported_near(), *self.fleet.reported_far()],
             now,
-            self._is_isolated(now),
+            fair_part=self.desk.fair_part,
+            is_isolated=self._is_isolated(now),
         )
 
     def _is_isolated(self, now: float) -> bool:
--- a/chicorydoor/coordination/admission.py
+++ b/chicorydoor/coordination/admission.py
@@ -4,6 +4,7 @@
 import random
 
 from chicorydoor.coordination import plan_keeper
+from chicorydoor.coordination import rate_desk
 from chicorydoor.coordination import requests
 from chicorydoor.protocol import result_codes
 from chicorydoor.protocol import serving
@@ -26,6 +27,7 @@
     Args:
         plans (PlanKeeper): The configuration.
         rates (RateShares): The entry's parts of the customers' rates.
+        desk (RateDesk): Counts requests against the rates.
         clock (Clock): Time.
         rng (Random): Randomness.
     """
@@ -34,11 +36,13 @@
         self,
         plans: plan_keeper.PlanKeeper,
         rates: rate_shares.RateShares,
+        desk: rate_desk.RateDesk,
         clock: clock_module.Clock,
         rng: random.Random,
     ) -> None:
         self._plans = plans
         self._rates = rates
+        self._desk = desk
         self._clock = clock
         self._rng = rng
 
@@ -80,28 +84,43 @@
             raise requests.RefusedError(_CODES.KEY_REFUSED)
         return customer
 
-    def take_rate(self, customer: serving.CustomerRule | None) -> None:
+    async def take_rate(
+        self, customer: serving.CustomerRule | None
+    ) -> rate_desk.Grant | None:
         """Count a request against its customer's rate.
 
+        Returns:
+            What to give back if it does not run; None without a customer.
+
         Raises:
             RefusedError: If it is over the rate.
         """
         if customer is None:
-            return
-        wait_s = self._rates.take(customer, self._clock.now())
-        if wait_s > 0:
+            return None
+        grant = await self._desk.take(customer)
+        if grant.wait_s > 0:
+            code = (
+                _CODES.RATE_EXCEEDED
+                if grant.is_answered
+                else _CODES.RATE_UNAVAILABLE
+            )
             share = self._rates.share(customer.customer_id)
             raise requests.RefusedError(
-                _CODES.RATE_EXCEEDED,
+                code,
                 f"this entry's share is {share:.3f} of "
                 f"{customer.rate_per_s:g}/s and {customer.burst:g}",
-                retry_after_s=self.spread(min(wait_s, _LONGEST_RETRY_S)),
+                retry_after_s=self.spread(min(grant.wait_s, _LONGEST_RETRY_S)),
             )
+        return grant
 
-    def give_back_rate(self, customer: serving.CustomerRule | None) -> None:
+    def give_back_rate(
+        self,
+        customer: serving.CustomerRule | None,
+        grant: rate_desk.Grant | None,
+    ) -> None:
         """A counted request did not run."""
-        if customer is not None:
-            self._rates.give_back(customer, self._clock.now())
+        if customer is not None and grant is not None:
+            self._desk.give_back(customer, grant)
 
     def spread(self, seconds: float) -> float:
         """A time to come back after, jittered upwards."""
--- a/chicorydoor/coordination/call_app.py
+++ b/chicorydoor/coordination/call_app.py
@@ -151,7 +151,7 @@
         customer = app._gate.customer(route, keys)
         if customer is not None:
             self._customer_name = customer.customer_id
-        app._gate.take_rate(customer)
+        grant = await app._gate.take_rate(customer)
         query = scope["query_string"]
         headers = scope["headers"]
         call = calls.Call(
@@ -172,7 +172,7 @@
             return await app._runner.run(call, self._trace)
         except requests.RefusedError as refusal:
             if refusal.is_not_run:
-                app._gate.give_back_rate(customer)
+                app._gate.give_back_rate(customer, grant)
             raise
 
     def _deadline(self, timeout_s: float) -> float:
--- a/chicorydoor/coordination/peer_exchange.py
+++ b/chicorydoor/coordination/peer_exchange.py
@@ -12,6 +12,7 @@
 import typing
 
 from chicorydoor import errors
+from chicorydoor.coordination import rate_desk
 from chicorydoor.coordination import region_teller
 from chicorydoor.coordination import store_follower
 from chicorydoor.protocol import fleet_messages
@@ -69,6 +70,7 @@
         seed_addresses (Sequence): Peers that may answer first.
         rates (RateShares): What this entry announces of rates.
         teller (RegionTeller): Makes digests for other regions.
+        desk (RateDesk): Counts requests of the region's entries.
         memory (ObjectMemory): Where objects were handled.
     """
 
@@ -81,6 +83,7 @@
         seed_addresses: abc.Sequence[str],
         rates: rate_shares.RateShares,
         teller: region_teller.RegionTeller,
+        desk: rate_desk.RateDesk,
         memory: object_memory.ObjectMemory,
     ) -> None:
         self._fleet = fleet
@@ -95,6 +98,16 @@
         self._redialled_at_by_address: dict[str, float] = {}
         self._live: set[ids.InstanceId] = set()
         self._beats = 0
+        self._handler_by_type: dict[type, abc.Callable[..., None]] = {
+            fleet_view.Heartbeat: self._take_heartbeat,
+            fleet_view.RegionDigest: self._take_digest,
+            fleet_messages.StoreNews: self._take_news,
+            fleet_messages.StoreCopy: self._take_copy,
+            fleet_messages.CopyRequest: self._send_copy,
+            fleet_messages.RateAsk: desk.answer,
+            fleet_messages.RateAnswer: desk.take_answer,
+            fleet_messages.RateReturn: desk.take_return,
+        }
 
     def add_follower(self, follower: store_follower.StoreFollower) -> None:
         """Share a part of the store with the peers."""
@@ -250,21 +263,17 @@
 
     def take(self, message: fleet_messages.Message) -> None:
         """Take in a message."""
-        match message:
-            case fleet_view.Heartbeat():
-                self._take_heartbeat(message)
-            case fleet_view.RegionDigest():
-                self._take_digest(message)
-            case fleet_messages.StoreNews():
-                follower = self.follower_by_prefix.get(message.prefix)
-                if follower is not None:
-                    follower.take_news(message)
-            case fleet_messages.StoreCopy():
-                follower = self.follower_by_prefix.get(message.prefix)
-                if follower is not None:
-                    follower.take_copy(message)
-            case fleet_messages.CopyRequest():
-                self._send_copy(message)
+        self._handler_by_type[type(message)](message)
+
+    def _take_news(self, news: fleet_messages.StoreNews) -> None:
+        follower = self.follower_by_prefix.get(news.prefix)
+        if follower is not None:
+            follower.take_news(news)
+
+    def _take_copy(self, copy: fleet_messages.StoreCopy) -> None:
+        follower = self.follower_by_prefix.get(copy.prefix)
+        if follower is not None:
+            follower.take_copy(copy)
 
     def _take_heartbeat(self, heartbeat: fleet_view.Heartbeat) -> None:
         if not self._fleet.note_heartbeat(heartbeat, self._clock.now()):
--- /dev/null
+++ b/chicorydoor/coordination/rate_desk.py
@@ -0,0 +1,243 @@
+"""Counts requests against customers' rates, here or at a desk of the region.
+
+Pattern: divided over many entries, the rate of a small customer is less than
+one request at each, and chance decides who is refused. Such a rate is pooled:
+in each region two desks, the same for all its entries, hold what the region
+has of it, and the other entries ask them for each request.
+"""
+
+import asyncio
+from collections import abc
+import itertools
+import random
+import typing
+
+import msgspec
+import xxhash
+
+from chicorydoor.coordination import plan_keeper
+from chicorydoor.protocol import fleet_messages
+from chicorydoor.protocol import ids
+from chicorydoor.protocol import serving
+from chicorydoor.state import fleet_view
+from chicorydoor.state import rate_shares
+from chicorydoor.transport import clock as clock_module
+from chicorydoor.transport import metrics
+
+# Below this an entry's part of a rate is pooled: fewer requests a second
+# come too irregularly for a bucket of their own.
+_LEAST_OWN_PER_S = 2.0
+# Desks of a customer in a region: the loss of one leaves the other.
+_DESKS = 2
+# An answer from the same region takes a few milliseconds; the rest is for
+# entries that are busy.
+_ANSWER_S = 0.1
+# A desk that did not answer is asked last for this long.
+_DOUBT_S = 1.0
+
+
+class Grant(msgspec.Struct, frozen=True):
+    """The result of counting a request.
+
+    Args:
+        wait_s (float): 0 if there is room, else seconds until there is.
+        holder (str): ``ip:port`` of the desk; empty for the own entry.
+            Defaults to empty.
+        is_answered (bool): Whether anybody who holds the rate was reached.
+            Defaults to True.
+    """
+
+    wait_s: float
+    holder: str = ""
+    is_answered: bool = True
+
+
+class Link(typing.Protocol):
+    """Unreliable delivery of messages to addresses."""
+
+    def send(self, address: str, data: bytes) -> None:
+        """Queue a message; it may be lost."""
+
+
+class RateDesk:
+    """The rates that one entry holds for its region, and those it asks for.
+
+    Args:
+        fleet (FleetView): The entries.
+        rates (RateShares): The own shares of the customers' rates.
+        plans (PlanKeeper): The configuration.
+        link (Link): Moves messages between entries.
+        clock (Clock): Time.
+        rng (Random): Randomness.
+    """
+
+    def __init__(
+        self,
+        *,
+        fleet: fleet_view.FleetView,
+        rates: rate_shares.RateShares,
+        plans: plan_keeper.PlanKeeper,
+        link: Link,
+        clock: clock_module.Clock,
+        rng: random.Random,
+    ) -> None:
+        self._fleet = fleet
+        self._rates = rates
+        self._plans = plans
+        self._link = link
+        self._clock = clock
+        self._rng = rng
+        self._numbers = itertools.count(1)
+        self._answer_by_number: dict[int, asyncio.Future[float | None]] = {}
+        self._doubted_until_by_address: dict[str, float] = {}
+        self._candidates: list[fleet_view.Registration] = [fleet.me]
+        self._desks_by_customer: dict[
+            ids.CustomerId, list[fleet_view.Registration]
+        ] = {}
+
+    # Who holds what.
+
+    def refresh(self) -> None:
+        """Take in which entries of the region are there."""
+        ready = self._fleet.ready_mates(self._clock.now())
+        candidates = sorted(
+            [*ready, self._fleet.me], key=lambda entry: entry.instance
+        )
+        if candidates != self._candidates:
+            self._candidates = candidates
+            self._desks_by_customer.clear()
+
+    def is_pooled(self, customer: serving.CustomerRule) -> bool:
+        """Whether the rate is too small to be divided over all entries."""
+        entries = len(self._fleet.possible_instances())
+        return customer.rate_per_s / entries < _LEAST_OWN_PER_S
+
+    def fair_part(self, customer: serving.CustomerRule) -> float:
+        """The own part of a rate, as long as nobody has any demand."""
+        if not self.is_pooled(customer):
+            return 1.0 / len(self._fleet.possible_instances())
+        desks = self._desks(customer.customer_id)
+        if self._fleet.me not in desks:
+            return 0.0
+        regions = 1 + len(self._fleet.far_regions())
+        return 1.0 / (regions * len(desks))
+
+    def _desks(
+        self, customer_id: ids.CustomerId
+    ) -> list[fleet_view.Registration]:
+        desks = self._desks_by_customer.get(customer_id)
+        if desks is None:
+            desks = _choose_desks(customer_id, self._candidates)
+            self._desks_by_customer[customer_id] = desks
+        return desks
+
+    # Counting.
+
+    async def take(self, customer: serving.CustomerRule) -> Grant:
+        """Count a request where its customer's rate is held."""
+        if customer.rate_per_s <= 0 or not self.is_pooled(customer):
+            return Grant(self._rates.take(customer, self._clock.now()))
+        waits: list[float] = []
+        for desk in self._ordered_desks(customer.customer_id):
+            wait_s = await self._take_at(desk, customer)
+            if wait_s == 0:
+                return Grant(0.0, self._holder(desk))
+            if wait_s is not None:
+                waits.append(wait_s)
+        if waits:
+            return Grant(min(waits))
+        wait_s = self._rates.take(customer, self._clock.now())
+        return Grant(wait_s, is_answered=False)
+
+    def give_back(self, customer: serving.CustomerRule, grant: Grant) -> None:
+        """A counted request did not run."""
+        if not grant.holder:
+            self._rates.give_back(customer, self._clock.now())
+            return
+        message = fleet_messages.RateReturn(customer.customer_id)
+        self._link.send(grant.holder, fleet_messages.encode(message))
+
+    def _holder(self, desk: fleet_view.Registration) -> str:
+        return "" if desk == self._fleet.me else desk.peer_address
+
+    def _ordered_desks(
+        self, customer_id: ids.CustomerId
+    ) -> list[fleet_view.Registration]:
+        """The own entry first, doubted ones last, the rest at random."""
+        now = self._clock.now()
+        doubted = self._doubted_until_by_address
+
+        def order(desk: fleet_view.Registration) -> tuple[bool, bool, float]:
+            return (
+                doubted.get(desk.peer_address, 0.0) > now,
+                desk != self._fleet.me,
+                self._rng.random(),
+            )
+
+        return sorted(self._desks(customer_id), key=order)
+
+    async def _take_at(
+        self,
+        desk: fleet_view.Registration,
+        customer: serving.CustomerRule,
+    ) -> float | None:
+        """Seconds to wait as a desk says; None if it cannot tell."""
+        if desk == self._fleet.me:
+            return self._rates.take(customer, self._clock.now())
+        number = next(self._numbers)
+        answer = asyncio.get_running_loop().create_future()
+        self._answer_by_number[number] = answer
+        ask = fleet_messages.RateAsk(
+            number, customer.customer_id, self._fleet.me.peer_address
+        )
+        self._link.send(desk.peer_address, fleet_messages.encode(ask))
+        try:
+            async with asyncio.timeout(_ANSWER_S):
+                return await answer
+        except TimeoutError:
+            metrics.RATE_DESKS_SILENT.inc()
+            until = self._clock.now() + _DOUBT_S
+            self._doubted_until_by_address[desk.peer_address] = until
+            return None
+        finally:
+            del self._answer_by_number[number]
+
+    # Messages of the region's entries.
+
+    def answer(self, ask: fleet_messages.RateAsk) -> None:
+        """Count a request for another entry."""
+        customer = self._plans.plan.customer_by_id.get(ask.customer_id)
+        wait_s = None
+        if customer is not None:
+            wait_s = self._rates.take(customer, self._clock.now())
+        message = fleet_messages.RateAnswer(ask.number, wait_s)
+        self._link.send(ask.reply_address, fleet_messages.encode(message))
+
+    def take_answer(self, message: fleet_messages.RateAnswer) -> None:
+        """A desk has answered."""
+        answer = self._answer_by_number.get(message.number)
+        if answer is not None and not answer.done():
+            answer.set_result(message.wait_s)
+
+    def take_return(self, message: fleet_messages.RateReturn) -> None:
+        """A request that was counted here did not run."""
+        customer = self._plans.plan.customer_by_id.get(message.customer_id)
+        if customer is not None:
+            self._rates.give_back(customer, self._clock.now())
+
+
+def _choose_desks(
+    customer_id: ids.CustomerId,
+    candidates: abc.Iterable[fleet_view.Registration],
+) -> list[fleet_view.Registration]:
+    """The first by rendezvous hashing, and the first of another domain."""
+    ranked = sorted(
+        candidates,
+        key=lambda entry: xxhash.xxh3_64_intdigest(
+            f"{customer_id}\0{entry.instance}".encode()
+        ),
+        reverse=True,
+    )
+    first = ranked[0]
+    elsewhere = [each for each in ranked if each.domain != first.domain]
+    return [first, *elsewhere, *ranked[1:]][:_DESKS]
--- a/chicorydoor/protocol/fleet_messages.py
+++ b/chicorydoor/protocol/fleet_messages.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from chicorydoor import errors
+from chicorydoor.protocol import ids
 from chicorydoor.protocol import store_items
 from chicorydoor.state import fleet_view
 
@@ -37,12 +38,46 @@
     batch: store_items.ItemBatch
 
 
+class RateAsk(msgspec.Struct, frozen=True, tag="rate-ask"):
+    """Asks a desk to count a request against a customer's rate.
+
+    Args:
+        number (int): Names the question among the sender's.
+        reply_address (str): ``ip:port`` of the asking entry.
+    """
+
+    number: int
+    customer_id: ids.CustomerId
+    reply_address: str
+
+
+class RateAnswer(msgspec.Struct, frozen=True, tag="rate-answer"):
+    """A desk's answer.
+
+    Args:
+        wait_s (float): 0 if the request was counted, else seconds until
+            there may be room; None if the desk does not know the customer.
+    """
+
+    number: int
+    wait_s: float | None
+
+
+class RateReturn(msgspec.Struct, frozen=True, tag="rate-return"):
+    """A request that the desk has counted did not run."""
+
+    customer_id: ids.CustomerId
+
+
 Message = (
     fleet_view.Heartbeat
     | fleet_view.RegionDigest
     | StoreNews
     | CopyRequest
     | StoreCopy
+    | RateAsk
+    | RateAnswer
+    | RateReturn
 )
 
 _ENCODER = msgspec.msgpack.Encoder()
--- a/chicorydoor/state/fleet_view.py
+++ b/chicorydoor/state/fleet_view.py
@@ -114,9 +114,9 @@
         """Take in a heartbeat."""
         self.heartbeat = heartbeat
         self.heard_at = now
-        if heartbeat.is_whole or self.rate_by_customer is None:
+        if heartbeat.is_whole:
             self.rate_by_customer = dict(heartbeat.rate_by_customer)
-        else:
+        elif self.rate_by_customer is not None:
             self.rate_by_customer |= heartbeat.rate_by_customer
 
 
--- a/chicorydoor/state/rate_shares.py
+++ b/chicorydoor/state/rate_shares.py
@@ -15,8 +15,8 @@
 from chicorydoor.protocol import ids
 from chicorydoor.protocol import serving
 
-# Part of each rate that is divided equally, so that an entry whose demand
-# begins is not refused until shares have moved.
+# Part of each rate that is divided without regard to demand, so that an entry
+# whose demand begins is not refused until shares have moved.
 _EQUAL_PART = 0.25
 # Half-life of the demand that shares follow: long enough to smooth single
 # requests, short enough to follow callers who move.
@@ -76,6 +76,7 @@
         )
 
 
+FairPart = abc.Callable[[serving.CustomerRule], float]
 RateTable = dict[ids.CustomerId, RateReport]
 
 
@@ -210,6 +211,8 @@
         customers: abc.Iterable[serving.CustomerRule],
         others: abc.Sequence[Reported],
         now: float,
+        *,
+        fair_part: FairPart | None = None,
         is_isolated: bool = False,
     ) -> None:
         """Move the shares towards the demand.
@@ -219,6 +222,8 @@
             others (Sequence): The latest announcements of all other
                 entries that may be alive, heard or not.
             now (float): Time.
+            fair_part (callable): The own part of a customer's rate without
+                any demand. Defaults to equal parts of all entries.
             is_isolated (bool): Whether others may take the own share; it
                 shrinks to its equal part. Defaults to False.
         """
@@ -227,7 +232,10 @@
             bucket = self._bucket(customer.customer_id, now)
             self._fill(customer, bucket, now)
             self._measure_demand(bucket, now)
-            share = self._next_share(customer.customer_id, bucket, others)
+            fair = fair_part(customer) if fair_part else 1.0 / self._members
+            share = self._next_share(
+                customer.customer_id, bucket, others, fair
+            )
             if is_isolated:
                 share = min(share, _EQUAL_PART / self._members)
             bucket.share = share
@@ -247,12 +255,12 @@
         customer_id: ids.CustomerId,
         bucket: _Bucket,
         others: abc.Sequence[Reported],
+        fair: float,
     ) -> float:
         taken, demand = self._add_up(customer_id, others)
         demand += bucket.demand_per_s
-        equal = 1.0 / self._members
-        part = bucket.demand_per_s / demand if demand > 0 else equal
-        wanted = _EQUAL_PART * equal + (1 - _EQUAL_PART) * part
+        part = bucket.demand_per_s / demand if demand > 0 else fair
+        wanted = _EQUAL_PART * fair + (1 - _EQUAL_PART) * part
         return min(wanted, max(0.0, 1.0 - taken))
 
     def _add_up(
--- a/chicorydoor/transport/metrics.py
+++ b/chicorydoor/transport/metrics.py
@@ -23,6 +23,10 @@
 RETRIES = prometheus_client.Counter(
     "chicorydoor_retries", "Requests sent to a second target."
 )
+RATE_DESKS_SILENT = prometheus_client.Counter(
+    "chicorydoor_rate_desks_silent",
+    "Questions about a customer's rate that a desk did not answer in time.",
+)
 QUEUE_LENGTH = prometheus_client.Gauge(
     "chicorydoor_queue_length", "Requests waiting for a slot.", ["service"]
 )
--- a/tests/test_peer_exchange.py
+++ b/tests/test_peer_exchange.py
@@ -4,6 +4,8 @@
 import random
 
 from chicorydoor.coordination import peer_exchange
+from chicorydoor.coordination import plan_keeper
+from chicorydoor.coordination import rate_desk
 from chicorydoor.coordination import region_teller
 from chicorydoor.coordination import store_follower
 from chicorydoor.protocol import fleet_messages
@@ -66,6 +68,15 @@
             rate_shares.RateAllowance(0.1, 20.0)
         )
         self.link = _Link(network, me.peer_address)
+        self.plans = plan_keeper.PlanKeeper()
+        self.desk = rate_desk.RateDesk(
+            fleet=self.fleet,
+            rates=self.rates,
+            plans=self.plans,
+            link=self.link,
+            clock=clock,
+            rng=random.Random(2),
+        )
         self.peers = peer_exchange.PeerExchange(
             fleet=self.fleet,
             link=self.link,
@@ -75,6 +86,7 @@
             teller=region_teller.RegionTeller(
                 self.fleet, self.rates, random.Random(1)
             ),
+            desk=self.desk,
             memory=self.memory,
         )
         self.items = []
