Do not pass on the first listing; rank entries by registration at the start

Cause: at the start each entry listed the store and sent the listing to all others of its region, and each took itself for a reader.

--- a/chicorydoor/compose_fleet.py
+++ b/chicorydoor/compose_fleet.py
@@ -121,6 +121,7 @@
         self.settings = settings
         self.clock = clock
         self.rng = rng
+        self._started_at = clock.now()
         self._promises = settings.promises
         me = fleet_view.Registration(
             instance=settings.instance,
@@ -261,10 +262,10 @@
     def _rank(self) -> int:
         """Position of this entry among those of its region."""
         now = self.clock.now()
-        names = [
-            member.registration.instance
-            for member in self.fleet.live_mates(now)
-        ]
+        # Heartbeats of the others have not come yet right after the start.
+        is_new = now - self._started_at < peer_exchange.SILENCE_S
+        mates = self.fleet.mates() if is_new else self.fleet.live_mates(now)
+        names = [member.registration.instance for member in mates]
         return sum(name < self.settings.instance for name in names)
 
     def addresses(
--- a/chicorydoor/coordination/store_follower.py
+++ b/chicorydoor/coordination/store_follower.py
@@ -212,8 +212,12 @@
             )
         if changed:
             self._on_items(changed)
-        batch = store_items.ItemBatch(changed, self.mirror.as_of)
-        self._publish(fleet_messages.StoreNews(self.part.prefix, since, batch))
+        if since > 0:
+            # The first listing is news only here: all list at their start.
+            batch = store_items.ItemBatch(changed, self.mirror.as_of)
+            self._publish(
+                fleet_messages.StoreNews(self.part.prefix, since, batch)
+            )
 
     def _note_news(self) -> None:
         self.news_at = self._clock.now()
