Shares far below the rate stay fair; a copy is asked for only when news fail

Cause: with little demand the share of a rate followed noise. Heartbeats overtake the news that they tell of, and each time a whole copy was asked for.

--- a/chicorydoor/coordination/peer_exchange.py
+++ b/chicorydoor/coordination/peer_exchange.py
@@ -289,7 +289,9 @@
         self._fleet.note_digest(digest, self._clock.now())
         for prefix, extent in digest.extent_by_prefix.items():
             follower = self.follower_by_prefix.get(prefix)
-            if follower is not None and follower.wants_far_copy(extent):
+            if follower is not None and follower.wants_copy(
+                extent, is_far=True
+            ):
                 self._ask_for_copy(prefix, digest.reply_address)
 
     def _ask_for_copy(self, prefix: str, address: str) -> None:
--- a/chicorydoor/coordination/store_follower.py
+++ b/chicorydoor/coordination/store_follower.py
@@ -24,6 +24,8 @@
 _RETRY_MOST_S = 1.0
 # Least time between two requests for a peer's copy.
 _COPY_INTERVAL_S = 0.5
+# Heartbeats of other entries overtake the news that they tell of.
+_NEAR_PATIENCE_S = 0.3
 # What another region has read first, the own one is likely to read itself
 # within this time.
 _FAR_PATIENCE_S = 1.0
@@ -120,7 +122,9 @@
         self.news_at = float("-inf")
         self._is_lost = False
         self._copy_asked_at = float("-inf")
-        self._behind_since: float | None = None
+        # A change that a peer has, and since when that is known.
+        self._missed = 0
+        self._behind_since = 0.0
 
     async def run(self) -> None:
         """Follow until cancelled."""
@@ -256,11 +260,18 @@
         )
         self._on_items(changed)
 
-    def wants_copy(self, extent: fleet_view.Extent) -> bool:
-        """Whether a peer has something that this entry lacks.
+    def wants_copy(
+        self, extent: fleet_view.Extent, is_far: bool = False
+    ) -> bool:
+        """Whether a peer has had something for long that this entry lacks.
 
         A peer whose latest change is known here tells that nothing has
         changed up to its own extent.
+
+        Args:
+            extent (Extent): How far the peer's copy reaches.
+            is_far (bool): Whether the peer is of another region. Defaults
+                to False.
         """
         now = self._clock.now()
         if extent.latest <= self.mirror.as_of:
@@ -268,19 +279,12 @@
                 self.mirror.advance(extent.as_of)
                 self._note_news()
             return False
-        if now - self._copy_asked_at < _COPY_INTERVAL_S:
+        if self._missed <= self.mirror.as_of:
+            self._missed = extent.latest
+            self._behind_since = now
+        patience_s = _FAR_PATIENCE_S if is_far else _NEAR_PATIENCE_S
+        is_due = now - self._behind_since >= patience_s
+        if not is_due or now - self._copy_asked_at < _COPY_INTERVAL_S:
             return False
         self._copy_asked_at = now
         return True
-
-    def wants_far_copy(self, extent: fleet_view.Extent) -> bool:
-        """Whether another region has had something for longer than usual."""
-        now = self._clock.now()
-        if extent.latest <= self.mirror.as_of:
-            self._behind_since = None
-            return self.wants_copy(extent)
-        if self._behind_since is None:
-            self._behind_since = now
-        if now - self._behind_since < _FAR_PATIENCE_S:
-            return False
-        return self.wants_copy(extent)
--- a/chicorydoor/state/rate_shares.py
+++ b/chicorydoor/state/rate_shares.py
@@ -18,6 +18,8 @@
 # Part of each rate that is divided without regard to demand, so that an entry
 # whose demand begins is not refused until shares have moved.
 _EQUAL_PART = 0.25
+# Rate that follows the demand, as a multiple of it: room for its noise.
+_HEADROOM = 1.4
 # Half-life of the demand that shares follow: long enough to smooth single
 # requests, short enough to follow callers who move.
 _DEMAND_HALF_LIFE_S = 3.0
@@ -233,9 +235,7 @@
             self._fill(customer, bucket, now)
             self._measure_demand(bucket, now)
             fair = fair_part(customer) if fair_part else 1.0 / self._members
-            share = self._next_share(
-                customer.customer_id, bucket, others, fair
-            )
+            share = self._next_share(customer, bucket, others, fair)
             if is_isolated:
                 share = min(share, _EQUAL_PART / self._members)
             bucket.share = share
@@ -252,15 +252,19 @@
 
     def _next_share(
         self,
-        customer_id: ids.CustomerId,
+        customer: serving.CustomerRule,
         bucket: _Bucket,
         others: abc.Sequence[Reported],
         fair: float,
     ) -> float:
-        taken, demand = self._add_up(customer_id, others)
+        taken, demand = self._add_up(customer.customer_id, others)
         demand += bucket.demand_per_s
         part = bucket.demand_per_s / demand if demand > 0 else fair
-        wanted = _EQUAL_PART * fair + (1 - _EQUAL_PART) * part
+        # Far below the rate demand says little: a few requests more or less
+        # would move the shares.
+        used = _HEADROOM * demand / customer.rate_per_s
+        fair_weight = max(_EQUAL_PART, 1.0 - used)
+        wanted = fair_weight * fair + (1.0 - fair_weight) * part
         return min(wanted, max(0.0, 1.0 - taken))
 
     def _add_up(
--- a/tests/test_store_follower.py
+++ b/tests/test_store_follower.py
@@ -211,6 +211,9 @@
         async def scenario(feed, made):
             await asyncio.sleep(0.1)
             newer = fleet_view.Extent(feed.revision + 5, feed.revision + 5)
+            # The news itself may still be on its way.
+            assert not made.follower.wants_copy(newer)
+            await asyncio.sleep(0.4)
             assert made.follower.wants_copy(newer)
             assert not made.follower.wants_copy(newer)
             await asyncio.sleep(0.6)
