Say in a refusal over the rate which desks refused with which shares

The line of a refused request named only the own share, which says nothing where desks hold the rate.

--- a/chicorydoor/compose_fleet.py
+++ b/chicorydoor/compose_fleet.py
@@ -217,7 +217,7 @@
             self.book, self.sender, self.plans, wire.HEADERS, self.clock
         )
         self.gate = admission.Admission(
-            self.plans, self.rates, self.desk, self.clock, self.rng
+            self.plans, self.desk, self.clock, self.rng
         )
         self.calls = call_app.CallApp(
             self.gate, self.runner, self.plans, wire.HEADERS, self.clock
--- a/chicorydoor/coordination/admission.py
+++ b/chicorydoor/coordination/admission.py
@@ -9,7 +9,6 @@
 from chicorydoor.protocol import result_codes
 from chicorydoor.protocol import serving
 from chicorydoor.state import config_snapshot
-from chicorydoor.state import rate_shares
 from chicorydoor.transport import clock as clock_module
 
 _CODES = result_codes.ResultCode
@@ -26,7 +25,6 @@
 
     Args:
         plans (PlanKeeper): The configuration.
-        rates (RateShares): The entry's parts of the customers' rates.
         desk (RateDesk): Counts requests against the rates.
         clock (Clock): Time.
         rng (Random): Randomness.
@@ -35,13 +33,11 @@
     def __init__(
         self,
         plans: plan_keeper.PlanKeeper,
-        rates: rate_shares.RateShares,
         desk: rate_desk.RateDesk,
         clock: clock_module.Clock,
         rng: random.Random,
     ) -> None:
         self._plans = plans
-        self._rates = rates
         self._desk = desk
         self._clock = clock
         self._rng = rng
@@ -104,11 +100,14 @@
                 if grant.is_answered
                 else _CODES.RATE_UNAVAILABLE
             )
-            share = self._rates.share(customer.customer_id)
+            shares = ", ".join(
+                f"{share:.3f} at {instance}"
+                for instance, share in grant.share_by_instance.items()
+            )
             raise requests.RefusedError(
                 code,
-                f"this entry's share is {share:.3f} of "
-                f"{customer.rate_per_s:g}/s and {customer.burst:g}",
+                f"shares: {shares}, of {customer.rate_per_s:g}/s and "
+                f"{customer.burst:g}",
                 retry_after_s=self.spread(min(grant.wait_s, _LONGEST_RETRY_S)),
             )
         return grant
--- a/chicorydoor/coordination/rate_desk.py
+++ b/chicorydoor/coordination/rate_desk.py
@@ -45,11 +45,13 @@
             Defaults to empty.
         is_answered (bool): Whether anybody who holds the rate was reached.
             Defaults to True.
+        share_by_instance (dict): Parts of the rate at those who refused.
     """
 
     wait_s: float
     holder: str = ""
     is_answered: bool = True
+    share_by_instance: dict[ids.InstanceId, float] = {}
 
 
 class Link(typing.Protocol):
@@ -136,18 +138,32 @@
     async def take(self, customer: serving.CustomerRule) -> Grant:
         """Count a request where its customer's rate is held."""
         if customer.rate_per_s <= 0 or not self.is_pooled(customer):
-            return Grant(self._rates.take(customer, self._clock.now()))
-        waits: list[float] = []
+            return self._take_here(customer)
+        refusals: list[Grant] = []
         for desk in self._ordered_desks(customer.customer_id):
-            wait_s = await self._take_at(desk, customer)
-            if wait_s == 0:
-                return Grant(0.0, self._holder(desk))
-            if wait_s is not None:
-                waits.append(wait_s)
-        if waits:
-            return Grant(min(waits))
+            grant = await self._take_at(desk, customer)
+            if grant is not None and grant.wait_s == 0:
+                return grant
+            if grant is not None:
+                refusals.append(grant)
+        if not refusals:
+            here = self._take_here(customer)
+            return msgspec.structs.replace(here, is_answered=False)
+        return Grant(
+            min(refusal.wait_s for refusal in refusals),
+            share_by_instance={
+                instance: share
+                for refusal in refusals
+                for instance, share in refusal.share_by_instance.items()
+            },
+        )
+
+    def _take_here(self, customer: serving.CustomerRule) -> Grant:
         wait_s = self._rates.take(customer, self._clock.now())
-        return Grant(wait_s, is_answered=False)
+        share = self._rates.share(customer.customer_id)
+        return Grant(
+            wait_s, share_by_instance={self._fleet.me.instance: share}
+        )
 
     def give_back(self, customer: serving.CustomerRule, grant: Grant) -> None:
         """A counted request did not run."""
@@ -157,9 +173,6 @@
         message = fleet_messages.RateReturn(customer.customer_id)
         self._link.send(grant.holder, fleet_messages.encode(message))
 
-    def _holder(self, desk: fleet_view.Registration) -> str:
-        return "" if desk == self._fleet.me else desk.peer_address
-
     def _ordered_desks(
         self, customer_id: ids.CustomerId
     ) -> list[fleet_view.Registration]:
@@ -180,20 +193,20 @@
         self,
         desk: fleet_view.Registration,
         customer: serving.CustomerRule,
-    ) -> float | None:
-        """Seconds to wait as a desk says; None if it cannot tell."""
+    ) -> Grant | None:
+        """What a desk says; None if it cannot tell."""
         if desk == self._fleet.me:
-            return self._rates.take(customer, self._clock.now())
+            return self._take_here(customer)
         number = next(self._numbers)
-        answer = asyncio.get_running_loop().create_future()
-        self._answer_by_number[number] = answer
+        coming = asyncio.get_running_loop().create_future()
+        self._answer_by_number[number] = coming
         ask = fleet_messages.RateAsk(
             number, customer.customer_id, self._fleet.me.peer_address
         )
         self._link.send(desk.peer_address, fleet_messages.encode(ask))
         try:
             async with asyncio.timeout(_ANSWER_S):
-                return await answer
+                answer = await coming
         except TimeoutError:
             metrics.RATE_DESKS_SILENT.inc()
             until = self._clock.now() + _DOUBT_S
@@ -201,6 +214,13 @@
             return None
         finally:
             del self._answer_by_number[number]
+        if answer.wait_s is None:
+            return None
+        return Grant(
+            answer.wait_s,
+            desk.peer_address,
+            share_by_instance={desk.instance: answer.share},
+        )
 
     # Messages of the region's entries.
 
@@ -210,14 +230,15 @@
         wait_s = None
         if customer is not None:
             wait_s = self._rates.take(customer, self._clock.now())
-        message = fleet_messages.RateAnswer(ask.number, wait_s)
+        share = self._rates.share(ask.customer_id)
+        message = fleet_messages.RateAnswer(ask.number, wait_s, share)
         self._link.send(ask.reply_address, fleet_messages.encode(message))
 
     def take_answer(self, message: fleet_messages.RateAnswer) -> None:
         """A desk has answered."""
         answer = self._answer_by_number.get(message.number)
         if answer is not None and not answer.done():
-            answer.set_result(message.wait_s)
+            answer.set_result(message)
 
     def take_return(self, message: fleet_messages.RateReturn) -> None:
         """A request that was counted here did not run."""
--- a/chicorydoor/protocol/fleet_messages.py
+++ b/chicorydoor/protocol/fleet_messages.py
@@ -57,10 +57,12 @@
     Args:
         wait_s (float): 0 if the request was counted, else seconds until
             there may be room; None if the desk does not know the customer.
+        share (float): The desk's part of the rate, 0 to 1.
     """
 
     number: int
     wait_s: float | None
+    share: float
 
 
 class RateReturn(msgspec.Struct, frozen=True, tag="rate-return"):
