Tell that there is a new configuration instead of sending it; borrow rates

Cause: three readers sent each new configuration, some 30 kB with 86 customers, to 28 others; a 5 Mbit/s link was full for a second and desks did not answer (56 requests in one second of the logged region).

Change: readers of the operator's part only tell that something changed, and entries read it themselves; a peer's copy remains for those that the store refuses. A request that finds no room at the region's desks may be counted in another region, as long as the fleet is offered less than the rate.

--- a/chicorydoor/compose_fleet.py
+++ b/chicorydoor/compose_fleet.py
@@ -62,6 +62,7 @@
         gap_s=0.0,
         patience_s=2.0,
         stagger_s=0.05,
+        passes_values=False,
     ),
     # Targets write all the time; a reading a second meets the bounds.
     store_follower.Part(
--- a/chicorydoor/coordination/peer_exchange.py
+++ b/chicorydoor/coordination/peer_exchange.py
@@ -102,6 +102,7 @@
             fleet_view.Heartbeat: self._take_heartbeat,
             fleet_view.RegionDigest: self._take_digest,
             fleet_messages.StoreNews: self._take_news,
+            fleet_messages.StoreHint: self._take_hint,
             fleet_messages.StoreCopy: self._take_copy,
             fleet_messages.CopyRequest: self._send_copy,
             fleet_messages.RateAsk: desk.answer,
@@ -270,6 +271,11 @@
         if follower is not None:
             follower.take_news(news)
 
+    def _take_hint(self, hint: fleet_messages.StoreHint) -> None:
+        follower = self.follower_by_prefix.get(hint.prefix)
+        if follower is not None:
+            follower.take_hint(hint)
+
     def _take_copy(self, copy: fleet_messages.StoreCopy) -> None:
         follower = self.follower_by_prefix.get(copy.prefix)
         if follower is not None:
--- a/chicorydoor/coordination/rate_desk.py
+++ b/chicorydoor/coordination/rate_desk.py
@@ -3,7 +3,8 @@
 Pattern: divided over many entries, the rate of a small customer is less than
 one request at each, and chance decides who is refused. Such a rate is pooled:
 in each region two desks, the same for all its entries, hold what the region
-has of it, and the other entries ask them for each request.
+has of it, and the other entries ask them for each request. What one region
+lacks for the moment another may have.
 """
 
 import asyncio
@@ -32,6 +33,8 @@
 # An answer from the same region takes a few milliseconds; the rest is for
 # entries that are busy.
 _ANSWER_S = 0.1
+# The same from another region, whose entry asks two desks of its own.
+_FAR_ANSWER_S = 0.5
 # A desk that did not answer is asked last for this long.
 _DOUBT_S = 1.0
 
@@ -91,6 +94,7 @@
         self._rng = rng
         self._numbers = itertools.count(1)
         self._answer_by_number: dict[int, asyncio.Future[float | None]] = {}
+        self._answering: set[asyncio.Task] = set()
         self._doubted_until_by_address: dict[str, float] = {}
         self._candidates: list[fleet_view.Registration] = [fleet.me]
         self._desks_by_customer: dict[
@@ -139,9 +143,20 @@
         """Count a request where its customer's rate is held."""
         if customer.rate_per_s <= 0 or not self.is_pooled(customer):
             return self._take_here(customer)
+        grant = await self._take_near(customer)
+        if grant.wait_s > 0 and not self._rates.is_in_demand(customer):
+            lent = await self._borrow(customer)
+            return lent or grant
+        return grant
+
+    async def _take_near(self, customer: serving.CustomerRule) -> Grant:
+        """Count a request at a desk of the own region."""
         refusals: list[Grant] = []
         for desk in self._ordered_desks(customer.customer_id):
-            grant = await self._take_at(desk, customer)
+            if desk == self._fleet.me:
+                grant = self._take_here(customer)
+            else:
+                grant = await self._ask(desk, customer, _ANSWER_S)
             if grant is not None and grant.wait_s == 0:
                 return grant
             if grant is not None:
@@ -158,6 +173,20 @@
             },
         )
 
+    async def _borrow(self, customer: serving.CustomerRule) -> Grant | None:
+        """Count a request in another region; None if there is no room."""
+        region = self._fleet.me.region
+        far = [
+            entry
+            for entry in self._fleet.ready(self._clock.now())
+            if entry.region != region
+        ]
+        if not far:
+            return None
+        lender = self._rng.choice(far)
+        grant = await self._ask(lender, customer, _FAR_ANSWER_S)
+        return grant if grant is not None and grant.wait_s == 0 else None
+
     def _take_here(self, customer: serving.CustomerRule) -> Grant:
         wait_s = self._rates.take(customer, self._clock.now())
         share = self._rates.share(customer.customer_id)
@@ -189,23 +218,25 @@
 
         return sorted(self._desks(customer_id), key=order)
 
-    async def _take_at(
+    async def _ask(
         self,
         desk: fleet_view.Registration,
         customer: serving.CustomerRule,
+        patience_s: float,
     ) -> Grant | None:
-        """What a desk says; None if it cannot tell."""
-        if desk == self._fleet.me:
-            return self._take_here(customer)
+        """What another entry says; None if it cannot tell."""
         number = next(self._numbers)
         coming = asyncio.get_running_loop().create_future()
         self._answer_by_number[number] = coming
         ask = fleet_messages.RateAsk(
-            number, customer.customer_id, self._fleet.me.peer_address
+            number,
+            customer.customer_id,
+            self._fleet.me.peer_address,
+            is_far=desk.region != self._fleet.me.region,
         )
         self._link.send(desk.peer_address, fleet_messages.encode(ask))
         try:
-            async with asyncio.timeout(_ANSWER_S):
+            async with asyncio.timeout(patience_s):
                 answer = await coming
         except TimeoutError:
             metrics.RATE_DESKS_SILENT.inc()
@@ -227,11 +258,26 @@
     def answer(self, ask: fleet_messages.RateAsk) -> None:
         """Count a request for another entry."""
         customer = self._plans.plan.customer_by_id.get(ask.customer_id)
-        wait_s = None
-        if customer is not None:
-            wait_s = self._rates.take(customer, self._clock.now())
-        share = self._rates.share(ask.customer_id)
-        message = fleet_messages.RateAnswer(ask.number, wait_s, share)
+        if customer is None:
+            self._reply(ask, None)
+        elif ask.is_far:
+            task = asyncio.create_task(self._answer_far(ask, customer))
+            self._answering.add(task)
+            task.add_done_callback(self._answering.discard)
+        else:
+            self._reply(ask, self._take_here(customer))
+
+    async def _answer_far(
+        self, ask: fleet_messages.RateAsk, customer: serving.CustomerRule
+    ) -> None:
+        self._reply(ask, await self._take_near(customer))
+
+    def _reply(self, ask: fleet_messages.RateAsk, grant: Grant | None) -> None:
+        message = fleet_messages.RateAnswer(
+            ask.number,
+            None if grant is None else grant.wait_s,
+            self._rates.share(ask.customer_id),
+        )
         self._link.send(ask.reply_address, fleet_messages.encode(message))
 
     def take_answer(self, message: fleet_messages.RateAnswer) -> None:
--- a/chicorydoor/coordination/store_follower.py
+++ b/chicorydoor/coordination/store_follower.py
@@ -6,6 +6,7 @@
 
 import asyncio
 from collections import abc
+import contextlib
 import logging
 import typing
 
@@ -59,6 +60,9 @@
         patience_s (float): Time without news after which the next entry
             reads too.
         stagger_s (float): Further time for each one after that.
+        passes_values (bool): Whether readers pass on what they read; else
+            they only tell that there is something to read, so that large
+            values do not fill an entry's link. Defaults to True.
     """
 
     prefix: str
@@ -67,6 +71,7 @@
     gap_s: float
     patience_s: float
     stagger_s: float
+    passes_values: bool = True
 
     def patience(self, rank: int) -> float:
         """Seconds without news after which an entry reads.
@@ -125,6 +130,8 @@
         # A change that a peer has, and since when that is known.
         self._missed = 0
         self._behind_since = 0.0
+        # Set when a change is known that this entry has to read itself.
+        self._is_behind = asyncio.Event()
 
     async def run(self) -> None:
         """Follow until cancelled."""
@@ -199,9 +206,12 @@
         while True:
             patience_s = self.part.patience(self._rank())
             left_s = self.news_at + patience_s - self._clock.now()
-            if left_s <= 0:
+            if left_s <= 0 or self._is_behind.is_set():
+                self._is_behind.clear()
                 return
-            await asyncio.sleep(min(left_s, _RANK_RECHECK_S))
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(min(left_s, _RANK_RECHECK_S)):
+                    await self._is_behind.wait()
 
     def _take(self, changed: list[store_items.StoredItem], since: int) -> None:
         self._note_news()
@@ -218,10 +228,15 @@
             self._on_items(changed)
         if since > 0:
             # The first listing is news only here: all list at their start.
+            self._tell(since)
+
+    def _tell(self, since: int) -> None:
+        prefix = self.part.prefix
+        if self.part.passes_values:
             batch = self.mirror.news(since)
-            self._publish(
-                fleet_messages.StoreNews(self.part.prefix, since, batch)
-            )
+            self._publish(fleet_messages.StoreNews(prefix, since, batch))
+        else:
+            self._publish(fleet_messages.StoreHint(prefix, self.extent()))
 
     def _note_news(self) -> None:
         self.news_at = self._clock.now()
@@ -242,6 +257,13 @@
         if changed:
             self._note_peer_news(changed)
 
+    def take_hint(self, hint: fleet_messages.StoreHint) -> None:
+        """Take in that a peer has read something."""
+        if self.mirror.note_extent(hint.extent.as_of, hint.extent.latest):
+            self._note_news()
+        if hint.extent.latest > self.mirror.as_of:
+            self._is_behind.set()
+
     def take_copy(self, copy: fleet_messages.StoreCopy) -> None:
         """Take in a peer's copy."""
         changed = self.mirror.replace(copy.batch)
@@ -278,6 +300,8 @@
             self._note_news()
         if extent.latest <= self.mirror.as_of:
             return False
+        if not self.part.passes_values:
+            self._is_behind.set()
         if self._missed <= self.mirror.as_of:
             self._missed = extent.latest
             self._behind_since = now
--- a/chicorydoor/protocol/fleet_messages.py
+++ b/chicorydoor/protocol/fleet_messages.py
@@ -20,6 +20,17 @@
     batch: store_items.ItemBatch
 
 
+class StoreHint(msgspec.Struct, frozen=True, tag="hint"):
+    """The sender has read a part of the store; others may need to.
+
+    Args:
+        extent (Extent): How far its copy reaches now.
+    """
+
+    prefix: str
+    extent: fleet_view.Extent
+
+
 class CopyRequest(msgspec.Struct, frozen=True, tag="copy-request"):
     """Asks for everything below a prefix.
 
@@ -44,11 +55,14 @@
     Args:
         number (int): Names the question among the sender's.
         reply_address (str): ``ip:port`` of the asking entry.
+        is_far (bool): Whether it is of another region: the asked entry then
+            asks the desks of its own. Defaults to False.
     """
 
     number: int
     customer_id: ids.CustomerId
     reply_address: str
+    is_far: bool = False
 
 
 class RateAnswer(msgspec.Struct, frozen=True, tag="rate-answer"):
@@ -75,6 +89,7 @@
     fleet_view.Heartbeat
     | fleet_view.RegionDigest
     | StoreNews
+    | StoreHint
     | CopyRequest
     | StoreCopy
     | RateAsk
--- a/chicorydoor/state/rate_shares.py
+++ b/chicorydoor/state/rate_shares.py
@@ -23,6 +23,8 @@
 # Half-life of the demand that shares follow: long enough to smooth single
 # requests, short enough to follow callers who move.
 _DEMAND_HALF_LIFE_S = 3.0
+# Part of a rate beyond which no entry has any of it to spare.
+_NEARLY_ALL = 0.9
 # Part of the tolerated overage that is planned with; the rest covers shares
 # that move.
 _PLANNED_OVERAGE = 0.7
@@ -115,6 +117,7 @@
         self.tokens = 0.0
         self.filled_at = now
         self.demand_per_s = 0.0
+        self.fleet_demand_per_s = 0.0
         self.counted = 0
         self.counted_at = now
 
@@ -166,6 +169,13 @@
         bucket = self._bucket_by_customer.get(customer_id)
         return bucket.share if bucket is not None else 0.0
 
+    def is_in_demand(self, customer: serving.CustomerRule) -> bool:
+        """Whether the fleet is offered about as much as the rate, or more."""
+        bucket = self._bucket_by_customer.get(customer.customer_id)
+        if bucket is None:
+            return False
+        return bucket.fleet_demand_per_s > _NEARLY_ALL * customer.rate_per_s
+
     def _rate(self, customer: serving.CustomerRule, bucket: _Bucket) -> float:
         overage = 1.0 + _PLANNED_OVERAGE * self._allowance.overage
         return customer.rate_per_s * overage * bucket.share
@@ -259,6 +269,7 @@
     ) -> float:
         taken, demand = self._add_up(customer.customer_id, others)
         demand += bucket.demand_per_s
+        bucket.fleet_demand_per_s = demand
         part = bucket.demand_per_s / demand if demand > 0 else fair
         # Far below the rate demand says little: a few requests more or less
         # would move the shares.
--- /dev/null
+++ b/tests/support/peer_fleet.py
@@ -0,0 +1,153 @@
+"""Entries that exchange messages over a link which can be cut."""
+
+import asyncio
+import random
+
+from chicorydoor.coordination import peer_exchange
+from chicorydoor.coordination import plan_keeper
+from chicorydoor.coordination import rate_desk
+from chicorydoor.coordination import region_teller
+from chicorydoor.coordination import store_follower
+from chicorydoor.protocol import serving
+from chicorydoor.state import fleet_view
+from chicorydoor.state import object_memory
+from chicorydoor.state import rate_shares
+from chicorydoor.state import store_mirror
+from chicorydoor.transport import clock as clock_module
+from tests.support import virtual_time
+
+
+class Network:
+    """Delivers messages unless a pair of addresses is cut."""
+
+    def __init__(self):
+        self.queue_by_address = {}
+        self.cut = set()
+        self.redialled = []
+        self.sent = []
+
+
+class _Link:
+    def __init__(self, network, address):
+        self._network = network
+        self._address = address
+        self._queue = asyncio.Queue()
+        network.queue_by_address[address] = self._queue
+
+    def send(self, address, data):
+        self._network.sent.append((self._address, address, len(data)))
+        queue = self._network.queue_by_address.get(address)
+        if queue is not None and (self._address, address) not in (
+            self._network.cut
+        ):
+            queue.put_nowait(data)
+
+    async def receive(self):
+        return await self._queue.get()
+
+    def redial(self, address):
+        self._network.redialled.append((self._address, address))
+
+
+class Entry:
+    """The parts of an entry that speak to other entries."""
+
+    def __init__(self, network, name, seeds=(), region="n"):
+        clock = clock_module.LoopClock()
+        me = fleet_view.Registration(
+            name, 1, f"{region}a", region, f"{name}:1", f"{name}:2"
+        )
+        self.fleet = fleet_view.FleetView(
+            me,
+            peer_exchange.SILENCE_S,
+            12.0,
+            peer_exchange.DIGEST_SILENCE_S,
+        )
+        self.memory = object_memory.ObjectMemory()
+        self.rates = rate_shares.RateShares(
+            rate_shares.RateAllowance(0.1, 20.0)
+        )
+        self.link = _Link(network, me.peer_address)
+        self.plans = plan_keeper.PlanKeeper()
+        self.desk = rate_desk.RateDesk(
+            fleet=self.fleet,
+            rates=self.rates,
+            plans=self.plans,
+            link=self.link,
+            clock=clock,
+            rng=random.Random(name),
+        )
+        self.peers = peer_exchange.PeerExchange(
+            fleet=self.fleet,
+            link=self.link,
+            clock=clock,
+            seed_addresses=seeds,
+            rates=self.rates,
+            teller=region_teller.RegionTeller(
+                self.fleet, self.rates, random.Random(name)
+            ),
+            desk=self.desk,
+            memory=self.memory,
+        )
+        self.items = []
+        self.follower = store_follower.StoreFollower(
+            part=store_follower.Part("p/", 1.0, 1, 0.0, 2.0, 0.1),
+            feed=None,
+            mirror=store_mirror.StoreMirror("p/"),
+            clock=clock,
+            publish=self.peers.publish,
+            on_items=self.items.extend,
+            rank=lambda: 0,
+            on_contact=lambda: None,
+        )
+        self.peers.add_follower(self.follower)
+
+    async def keep_rates(self, customers):
+        """Move shares as an entry does, until cancelled."""
+        version = self.plans.plan.version + 1
+        plan = serving.ServingPlan(version=version, customers=customers)
+        self.plans.offer(plan)
+        self.peers.set_standing(fleet_view.Standing.READY)
+        while True:
+            self.desk.refresh()
+            self.rates.rebalance(
+                customers,
+                [*self.fleet.reported_near(), *self.fleet.reported_far()],
+                self.peers._clock.now(),
+                fair_part=self.desk.fair_part,
+            )
+            await asyncio.sleep(0.25)
+
+
+def play(scenario, regions="nnn", customers=()):
+    """Run a scenario with one entry for each letter, a region's name.
+
+    Args:
+        scenario (callable): Gets the network and the entries.
+        regions (str): Regions of the entries. Defaults to three of one.
+        customers (tuple): Those whose rates the entries divide. Defaults
+            to none.
+    """
+
+    async def run():
+        network = Network()
+        entries = [
+            Entry(network, f"e{i}", ["e0:1"] if i else [], region)
+            for i, region in enumerate(regions)
+        ]
+        for entry in entries:
+            for other in entries:
+                entry.fleet.note_registration(other.fleet.me)
+        tasks = [asyncio.create_task(e.peers.run()) for e in entries]
+        if customers:
+            tasks += [
+                asyncio.create_task(e.keep_rates(customers)) for e in entries
+            ]
+        try:
+            await scenario(network, entries)
+        finally:
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+
+    virtual_time.run(run())
--- a/tests/test_peer_exchange.py
+++ b/tests/test_peer_exchange.py
@@ -1,127 +1,13 @@
 """Messages between entries over a link that loses them."""
 
 import asyncio
-import random
 
 from chicorydoor.coordination import peer_exchange
-from chicorydoor.coordination import plan_keeper
-from chicorydoor.coordination import rate_desk
-from chicorydoor.coordination import region_teller
-from chicorydoor.coordination import store_follower
 from chicorydoor.protocol import fleet_messages
 from chicorydoor.protocol import store_items
 from chicorydoor.state import fleet_view
-from chicorydoor.state import object_memory
-from chicorydoor.state import rate_shares
-from chicorydoor.state import store_mirror
-from chicorydoor.transport import clock as clock_module
+from tests.support import peer_fleet
 from tests.support import serving as make
-from tests.support import virtual_time
-
-
-class _Network:
-    """Delivers messages unless a pair of addresses is cut."""
-
-    def __init__(self):
-        self.queue_by_address = {}
-        self.cut = set()
-        self.redialled = []
-        self.sent = []
-
-
-class _Link:
-    def __init__(self, network, address):
-        self._network = network
-        self._address = address
-        self._queue = asyncio.Queue()
-        network.queue_by_address[address] = self._queue
-
-    def send(self, address, data):
-        self._network.sent.append((self._address, address, len(data)))
-        queue = self._network.queue_by_address.get(address)
-        if queue is not None and (self._address, address) not in (
-            self._network.cut
-        ):
-            queue.put_nowait(data)
-
-    async def receive(self):
-        return await self._queue.get()
-
-    def redial(self, address):
-        self._network.redialled.append((self._address, address))
-
-
-class _Entry:
-    def __init__(self, network, name, seeds=(), region="n"):
-        clock = clock_module.LoopClock()
-        me = fleet_view.Registration(
-            name, 1, f"{region}a", region, f"{name}:1", f"{name}:2"
-        )
-        self.fleet = fleet_view.FleetView(
-            me,
-            peer_exchange.SILENCE_S,
-            12.0,
-            peer_exchange.DIGEST_SILENCE_S,
-        )
-        self.memory = object_memory.ObjectMemory()
-        self.rates = rate_shares.RateShares(
-            rate_shares.RateAllowance(0.1, 20.0)
-        )
-        self.link = _Link(network, me.peer_address)
-        self.plans = plan_keeper.PlanKeeper()
-        self.desk = rate_desk.RateDesk(
-            fleet=self.fleet,
-            rates=self.rates,
-            plans=self.plans,
-            link=self.link,
-            clock=clock,
-            rng=random.Random(2),
-        )
-        self.peers = peer_exchange.PeerExchange(
-            fleet=self.fleet,
-            link=self.link,
-            clock=clock,
-            seed_addresses=seeds,
-            rates=self.rates,
-            teller=region_teller.RegionTeller(
-                self.fleet, self.rates, random.Random(1)
-            ),
-            desk=self.desk,
-            memory=self.memory,
-        )
-        self.items = []
-        self.follower = store_follower.StoreFollower(
-            part=store_follower.Part("p/", 1.0, 1, 0.0, 2.0, 0.1),
-            feed=None,
-            mirror=store_mirror.StoreMirror("p/"),
-            clock=clock,
-            publish=self.peers.publish,
-            on_items=self.items.extend,
-            rank=lambda: 0,
-            on_contact=lambda: None,
-        )
-        self.peers.add_follower(self.follower)
-
-
-def _play(scenario, regions="nnn"):
-    async def run():
-        network = _Network()
-        entries = [
-            _Entry(network, f"e{i}", ["e0:1"] if i else [], region)
-            for i, region in enumerate(regions)
-        ]
-        for entry in entries:
-            for other in entries:
-                entry.fleet.note_registration(other.fleet.me)
-        tasks = [asyncio.create_task(e.peers.run()) for e in entries]
-        try:
-            await scenario(network, entries)
-        finally:
-            for task in tasks:
-                task.cancel()
-            await asyncio.gather(*tasks, return_exceptions=True)
-
-    virtual_time.run(run())
 
 
 def _live(entry):
@@ -135,7 +21,7 @@
             await asyncio.sleep(1.0)
             assert _live(entries[0]) == {"e1", "e2"}
 
-        _play(scenario)
+        peer_fleet.play(scenario)
 
     def test_standing_is_told_at_once(self):
         async def scenario(network, entries):
@@ -146,7 +32,7 @@
             ready = entries[0].fleet.ready(now)
             assert [entry.instance for entry in ready] == ["e1"]
 
-        _play(scenario)
+        peer_fleet.play(scenario)
 
     def test_silent_entry_is_lost_and_redialled(self):
         async def scenario(network, entries):
@@ -161,7 +47,7 @@
             await asyncio.sleep(1.0)
             assert _live(entries[0]) == {"e1", "e2"}
 
-        _play(scenario)
+        peer_fleet.play(scenario)
 
     def test_sightings_reach_all(self):
         async def scenario(network, entries):
@@ -173,7 +59,7 @@
                 known = other.memory.holders(("r", b"7"), now)
                 assert list(known) == [("t", 1)]
 
-        _play(scenario)
+        peer_fleet.play(scenario)
 
     def test_unreadable_message_changes_nothing(self):
         async def scenario(network, entries):
@@ -181,7 +67,7 @@
             await asyncio.sleep(1.0)
             assert _live(entries[0]) == {"e1", "e2"}
 
-        _play(scenario)
+        peer_fleet.play(scenario)
 
 
 class TestStoreNews:
@@ -200,7 +86,7 @@
             await asyncio.sleep(1.0)
             assert [i.key for i in entries[1].items] == ["p/a"]
 
-        _play(scenario)
+        peer_fleet.play(scenario)
 
 
 def _ready_far(entry):
@@ -223,7 +109,7 @@
             assert _ready_far(entries[0]) == {"e2", "e3", "e4"}
             assert _ready_far(entries[4]) == {"e0", "e1"}
 
-        _play(scenario, "nnmmm")
+        peer_fleet.play(scenario, "nnmmm")
 
     def test_sums_reach_the_other_region(self):
         async def scenario(network, entries):
@@ -235,7 +121,7 @@
             assert reported.members == 2
             assert 1.99 <= reported.rate_by_customer["kivuli"].share <= 2.01
 
-        _play(scenario, "nnmm")
+        peer_fleet.play(scenario, "nnmm")
 
     def test_lost_sender_is_made_good_by_the_next(self):
         async def scenario(network, entries):
@@ -248,7 +134,7 @@
                 assert _ready_far(entries[0])
                 assert _ready_far(entries[1])
 
-        _play(scenario, "nnmmm")
+        peer_fleet.play(scenario, "nnmmm")
 
     def test_silent_region_is_not_named_but_still_reserved(self):
         async def scenario(network, entries):
@@ -261,7 +147,7 @@
             (reported,) = entries[0].fleet.reported_far()
             assert reported.rate_by_customer is not None
 
-        _play(scenario, "nnm")
+        peer_fleet.play(scenario, "nnm")
 
     def test_unlisted_entry_is_not_forgotten_by_other_regions(self):
         async def scenario(network, entries):
@@ -274,7 +160,7 @@
             await asyncio.sleep(30.0)
             assert "e2" not in entries[0].fleet.member_by_instance
 
-        _play(scenario, "nnmm")
+        peer_fleet.play(scenario, "nnmm")
 
     def test_store_news_cross_when_a_region_cannot_read(self):
         async def scenario(network, entries):
@@ -287,7 +173,7 @@
             for entry in entries[:2]:
                 assert [i.key for i in entry.items] == ["p/a"]
 
-        _play(scenario, "nnmm")
+        peer_fleet.play(scenario, "nnmm")
 
     def test_messages_of_an_entry_do_not_grow_with_other_regions(self):
         async def count(network, entries, found):
@@ -299,7 +185,7 @@
 
         found = []
         for far in (4, 40):
-            _play(
+            peer_fleet.play(
                 lambda network, entries: count(network, entries, found),
                 "nnnn" + "m" * far,
             )
