Tell the region what was seen of targets

Cause: with 87 entries each sends a target one request in some seconds, so the load that a target tells with its answers is stale by the next one, and a failing or slow target is found by each entry alone.

Change: heartbeats carry what was seen of targets since the last one, load, answers, failures and pace; others average it with a smaller weight.

--- a/chicorydoor/compose_fleet.py
+++ b/chicorydoor/compose_fleet.py
@@ -166,6 +166,7 @@
             ),
             desk=self.desk,
             memory=self.selection.memory,
+            book=self.book,
         )
         self.registrar = registrar.Registrar(
             store,
--- a/chicorydoor/coordination/peer_exchange.py
+++ b/chicorydoor/coordination/peer_exchange.py
@@ -20,6 +20,7 @@
 from chicorydoor.state import fleet_view
 from chicorydoor.state import object_memory
 from chicorydoor.state import rate_shares
+from chicorydoor.state import target_book
 from chicorydoor.transport import clock as clock_module
 
 # Shares of rates and news that were lost move with heartbeats: several fit
@@ -72,6 +73,7 @@
         teller (RegionTeller): Makes digests for other regions.
         desk (RateDesk): Counts requests of the region's entries.
         memory (ObjectMemory): Where objects were handled.
+        book (TargetBook): What was seen of targets.
     """
 
     def __init__(
@@ -85,9 +87,11 @@
         teller: region_teller.RegionTeller,
         desk: rate_desk.RateDesk,
         memory: object_memory.ObjectMemory,
+        book: target_book.TargetBook,
     ) -> None:
         self._fleet = fleet
         self._memory = memory
+        self._book = book
         self._link = link
         self._clock = clock
         self._seed_addresses = seed_addresses
@@ -171,6 +175,7 @@
                 is_whole=is_whole,
                 unheard=unheard,
                 sightings=self._memory.take_news(now),
+                target_reports=self._book.take_reports(),
             )
         )
 
@@ -284,7 +289,9 @@
     def _take_heartbeat(self, heartbeat: fleet_view.Heartbeat) -> None:
         if not self._fleet.note_heartbeat(heartbeat, self._clock.now()):
             return
-        self._memory.hear(heartbeat.sightings, self._clock.now())
+        now = self._clock.now()
+        self._memory.hear(heartbeat.sightings, now)
+        self._book.hear(heartbeat.target_reports, now)
         address = heartbeat.registration.peer_address
         for prefix, extent in heartbeat.extent_by_prefix.items():
             follower = self.follower_by_prefix.get(prefix)
--- a/chicorydoor/state/fleet_view.py
+++ b/chicorydoor/state/fleet_view.py
@@ -11,6 +11,7 @@
 from chicorydoor.protocol import ids
 from chicorydoor.state import object_memory
 from chicorydoor.state import rate_shares
+from chicorydoor.state import target_book
 
 
 class Standing(enum.Enum):
@@ -61,6 +62,7 @@
         is_whole (bool): Whether ``rate_by_customer`` has all of them.
         unheard (list): Entries of the region that it has not heard lately.
         sightings (list): Objects that targets have newly handled.
+        target_reports (list): What it has lately seen of targets.
     """
 
     registration: Registration
@@ -70,6 +72,7 @@
     is_whole: bool = True
     unheard: list[ids.InstanceId] = []
     sightings: list[object_memory.Sighting] = []
+    target_reports: list[target_book.TargetReport] = []
 
 
 class RegionDigest(msgspec.Struct, frozen=True, tag="digest"):
--- a/chicorydoor/state/target_book.py
+++ b/chicorydoor/state/target_book.py
@@ -8,11 +8,16 @@
 import enum
 import math
 
+import msgspec
+
 from chicorydoor.protocol import ids
 from chicorydoor.protocol import serving
 
 # Weight of the newest observation in the moving averages.
 _OBSERVATION_WEIGHT = 0.15
+# The same for each answer that another entry of the region has seen: there
+# are many of these, so they may count less.
+_HEARD_WEIGHT = 0.05
 # Averages return to normal with this half-life, so that a target that was
 # slow or failing is tried again.
 _FORGETTING_HALF_LIFE_S = 4.0
@@ -32,6 +37,51 @@
     REPLACED = "replaced"
 
 
+class TargetReport(msgspec.Struct, frozen=True, array_like=True):
+    """What an entry has lately seen of a target, for its region.
+
+    Pattern: each of many entries sends a target few requests, and knows its
+    load and its failures only from these; together they know it well.
+
+    Args:
+        started_ms (int): Start of the target's incarnation.
+        running (int): Its running and waiting requests as it told last; -1
+            if it told none.
+        answers (int): Requests that have ended.
+        failures (int): Those among them that failed.
+        pace_percent (int): Mean time of the others over the expected time.
+    """
+
+    target_id: ids.TargetId
+    started_ms: int
+    running: int
+    answers: int
+    failures: int
+    pace_percent: int
+
+
+class _Untold:
+    """What is to be reported of a target."""
+
+    def __init__(self) -> None:
+        self.running = -1
+        self.answers = 0
+        self.failures = 0
+        self.timed = 0
+        self.ratios = 0.0
+
+    def report(self, target_id: ids.TargetId, started_ms: int) -> TargetReport:
+        pace = self.ratios / self.timed if self.timed else 1.0
+        return TargetReport(
+            target_id,
+            started_ms,
+            self.running,
+            self.answers,
+            self.failures,
+            round(100 * pace),
+        )
+
+
 class TargetView:
     """One target as one entry sees it.
 
@@ -62,6 +112,7 @@
         self._observed_at = now
         self._unanswered = 0
         self._answered_at = float("-inf")
+        self._untold: _Untold | None = None
 
     @property
     def is_leaving(self) -> bool:
@@ -90,9 +141,43 @@
             running (int): Its running and waiting requests of all callers.
             now (float): Time.
         """
+        self._set_load(running, now)
+        self._to_tell().running = running
+
+    def _set_load(self, running: int, now: float) -> None:
         self._others_running = max(0.0, running - self.own_running)
         self._reported_at = now
 
+    def _to_tell(self) -> _Untold:
+        if self._untold is None:
+            self._untold = _Untold()
+        return self._untold
+
+    def take_report(self) -> TargetReport | None:
+        """What has been seen since the last report; None for nothing."""
+        untold, self._untold = self._untold, None
+        if untold is None:
+            return None
+        return untold.report(self.target_id, self.record.started_ms)
+
+    def hear(self, report: TargetReport, now: float) -> None:
+        """Take in what another entry of the region has seen."""
+        if report.started_ms != self.record.started_ms:
+            return
+        self.has_worked = True
+        if report.running >= 0:
+            self._set_load(report.running, now)
+        if report.answers > 0:
+            weight = 1.0 - (1.0 - _HEARD_WEIGHT) ** report.answers
+            pace = report.pace_percent / 100
+            is_timed = report.answers > report.failures
+            self._average(
+                pace if is_timed else None,
+                report.failures / report.answers,
+                weight,
+                now,
+            )
+
     def report_age_s(self, now: float) -> float | None:
         """Age of the load that it told last; None if it never told one."""
         if self._reported_at == float("-inf"):
@@ -145,13 +230,23 @@
 
     def _observe(
         self, ratio: float | None, is_failure: bool, now: float
+    ) -> None:
+        untold = self._to_tell()
+        untold.answers += 1
+        untold.failures += is_failure
+        if ratio is not None and not is_failure:
+            untold.timed += 1
+            untold.ratios += ratio
+        self._average(ratio, float(is_failure), _OBSERVATION_WEIGHT, now)
+
+    def _average(
+        self, ratio: float | None, failed: float, weight: float, now: float
     ) -> None:
         slowness, failures = self.slowness(now), self.failure_share(now)
-        weight = _OBSERVATION_WEIGHT
         if ratio is not None:
             bounded = min(max(ratio, _SLOWNESS_LEAST), _SLOWNESS_MOST)
             slowness += weight * (bounded - slowness)
-        failures += weight * (float(is_failure) - failures)
+        failures += weight * (failed - failures)
         self._slowness, self._failures = slowness, failures
         self._observed_at = now
 
@@ -211,6 +306,18 @@
         self.evacuated_domains = now_evacuated
         self.reindex()
 
+    def take_reports(self) -> list[TargetReport]:
+        """What this entry has seen of targets since the last call."""
+        reports = [view.take_report() for view in self.target_by_id.values()]
+        return [report for report in reports if report is not None]
+
+    def hear(self, reports: abc.Iterable[TargetReport], now: float) -> None:
+        """Take in what another entry of the region has seen."""
+        for report in reports:
+            view = self.target_by_id.get(report.target_id)
+            if view is not None:
+                view.hear(report, now)
+
     def reindex(self) -> None:
         """Rebuild the list of targets that may get work."""
         by_service: dict[ids.ServiceId, list[TargetView]] = {}
--- a/tests/support/peer_fleet.py
+++ b/tests/support/peer_fleet.py
@@ -13,7 +13,9 @@
 from chicorydoor.state import object_memory
 from chicorydoor.state import rate_shares
 from chicorydoor.state import store_mirror
+from chicorydoor.state import target_book
 from chicorydoor.transport import clock as clock_module
+from tests.support import serving as make
 from tests.support import virtual_time
 
 
@@ -64,6 +66,7 @@
             peer_exchange.DIGEST_SILENCE_S,
         )
         self.memory = object_memory.ObjectMemory()
+        self.book = target_book.TargetBook(make.REGION_BY_DOMAIN)
         self.rates = rate_shares.RateShares(
             rate_shares.RateAllowance(0.1, 20.0)
         )
@@ -88,6 +91,7 @@
             ),
             desk=self.desk,
             memory=self.memory,
+            book=self.book,
         )
         self.items = []
         self.follower = store_follower.StoreFollower(
