End an entry's tasks and sockets with it

Cause: cancelling an entry left its tasks and its peer socket to the end of the event loop, where a pynng call that is cancelled just when it completes goes on for ever. A run of tests/test_platform_entry.py hung in this way once, in test_entry_without_the_store_learns_from_its_peers; 24 further runs of the test did not, so the link between the two is read from the code, not shown.

Test: TestCancelling fails without the change.

--- a/chicorydoor/compose_fleet.py
+++ b/chicorydoor/compose_fleet.py
@@ -367,17 +367,34 @@
         gc.collect()
         gc.freeze()
         tasks = asyncio.create_task(parts.run())
+        try:
+            await self._serve(parts, server, tasks)
+        finally:
+            tasks.cancel()
+            await asyncio.gather(tasks, return_exceptions=True)
+            # A pynng call that is cancelled just when it completes goes on;
+            # only closing its socket ends it.
+            await link.close()
+        await parts.registrar.withdraw()
+        _LOG.info("stopped")
+
+    async def _serve(
+        self,
+        parts: FleetParts,
+        server: http_server.HttpServer,
+        tasks: asyncio.Task,
+    ) -> None:
+        """Serve until told to stop, or until a task fails."""
         stopping = asyncio.create_task(self._stopping.wait())
-        await asyncio.wait(
-            [tasks, stopping], return_when=asyncio.FIRST_COMPLETED
-        )
+        try:
+            await asyncio.wait(
+                [tasks, stopping], return_when=asyncio.FIRST_COMPLETED
+            )
+        finally:
+            stopping.cancel()
         if tasks.done():
             tasks.result()
         await self._leave(parts, server)
-        tasks.cancel()
-        await asyncio.gather(tasks, return_exceptions=True)
-        await parts.registrar.withdraw()
-        _LOG.info("stopped")
 
     def _serve_ports(self, parts: FleetParts) -> http_server.HttpServer:
         settings = self._settings
--- a/tests/test_platform_entry.py
+++ b/tests/test_platform_entry.py
@@ -582,6 +582,21 @@
         _play(scenario)
 
 
+class TestCancelling:
+    def test_nothing_of_the_entry_runs_on(self):
+        async def scenario(site):
+            site.tasks[0].cancel()
+            await asyncio.gather(site.tasks[0], return_exceptions=True)
+            await asyncio.sleep(0)
+            running = {
+                task.get_coro().__qualname__ for task in asyncio.all_tasks()
+            }
+            ours = ("NngLink.", "_Sender.", "FleetParts.", "StoreFollower.")
+            assert not [name for name in running if name.startswith(ours)]
+
+        _play(scenario)
+
+
 def _parts(clock):
     return compose_fleet.FleetParts(
         settings=_settings("e", "127.0.0.1:1"),
