Pass messages on inside a failure domain instead of sending each across

Change: a message for the region crosses to another domain once, to an entry chosen at random, which passes it on; a region's digest goes to one entry of another region, on average two times in 0.8 s. Heartbeats have a number, since relayed ones may overtake each other.

Tests: TestRelays.

--- a/chicorydoor/coordination/peer_exchange.py
+++ b/chicorydoor/coordination/peer_exchange.py
@@ -9,6 +9,7 @@
 import asyncio
 from collections import abc
 import logging
+import random
 import typing
 
 from chicorydoor import errors
@@ -34,10 +35,12 @@
 SILENCE_S = 2.0
 # A heartbeat in this many tells all rates, the others what has moved.
 _WHOLE_EVERY = 4
+# Entries of another failure domain from which on one passes on to the rest.
+_RELAYED = 3
 # Between regions; two fit into the time within which shares follow demand.
 DIGEST_S = 0.8
-# A region that is silent this long is not named to callers: each entry
-# hears its digests from several senders in turn.
+# A region that is silent this long is not named to callers: digests come from
+# a few of its entries each time, some of which may be lost.
 DIGEST_SILENCE_S = 4.0
 # Nobody tells whether digests arrive, so their connections are opened anew
 # at this interval in case one has gone silent.
@@ -74,6 +77,7 @@
         desk (RateDesk): Counts requests of the region's entries.
         memory (ObjectMemory): Where objects were handled.
         book (TargetBook): What was seen of targets.
+        rng (Random): Randomness.
     """
 
     def __init__(
@@ -88,10 +92,12 @@
         desk: rate_desk.RateDesk,
         memory: object_memory.ObjectMemory,
         book: target_book.TargetBook,
+        rng: random.Random,
     ) -> None:
         self._fleet = fleet
         self._memory = memory
         self._book = book
+        self._rng = rng
         self._link = link
         self._clock = clock
         self._seed_addresses = seed_addresses
@@ -112,6 +118,7 @@
             fleet_messages.RateAsk: desk.answer,
             fleet_messages.RateAnswer: desk.take_answer,
             fleet_messages.RateReturn: desk.take_return,
+            fleet_messages.Relay: self._take_relay,
         }
 
     def add_follower(self, follower: store_follower.StoreFollower) -> None:
@@ -133,18 +140,40 @@
 
     def publish(self, message: fleet_messages.Message) -> None:
         """Send a message to every other entry of the region."""
-        data = fleet_messages.encode(message)
-        for address in self._mate_addresses():
-            self._link.send(address, data)
+        self._spread(fleet_messages.encode(message))
 
-    def _mate_addresses(self) -> set[str]:
-        addresses = {
-            member.registration.peer_address for member in self._fleet.mates()
-        }
+    def _spread(self, data: bytes) -> None:
+        """Send to the region: bytes between failure domains are dear.
+
+        Where another domain has many entries one of them, another each
+        time, passes the message on to the rest.
+        """
         if not self._fleet.member_by_instance:
-            addresses.update(self._seed_addresses)
-        addresses.discard(self._fleet.me.peer_address)
-        return addresses
+            for address in self._seed_addresses:
+                if address != self._fleet.me.peer_address:
+                    self._link.send(address, data)
+        for domain, members in self._fleet.mates_by_domain().items():
+            relay = self._choose_relay(domain, members)
+            if relay is None:
+                _send_to_all(self._link, members, data)
+                continue
+            wrapped = fleet_messages.Relay(
+                fleet_messages.RelayScope.DOMAIN, data
+            )
+            self._link.send(
+                relay.registration.peer_address,
+                fleet_messages.encode(wrapped),
+            )
+
+    def _choose_relay(
+        self, domain: ids.DomainId, members: list[fleet_view.Member]
+    ) -> fleet_view.Member | None:
+        """Who passes on to a domain; None to send to each entry of it."""
+        if domain == self._fleet.me.domain or len(members) < _RELAYED:
+            return None
+        now = self._clock.now()
+        live = [each for each in members if each.is_live(now, SILENCE_S)]
+        return self._rng.choice(live) if live else None
 
     def _extents(self) -> dict[str, fleet_view.Extent]:
         return {
@@ -173,6 +202,7 @@
                     else self._rates.moved_reports()
                 ),
                 is_whole=is_whole,
+                beat=self._beats,
                 unheard=unheard,
                 sightings=self._memory.take_news(now),
                 target_reports=self._book.take_reports(),
@@ -186,7 +216,10 @@
         if not addresses:
             return
         digest = self._teller.digest(self.standing, self._extents(), now)
-        data = fleet_messages.encode(digest)
+        relay = fleet_messages.Relay(
+            fleet_messages.RelayScope.REGION, fleet_messages.encode(digest)
+        )
+        data = fleet_messages.encode(relay)
         for address in addresses:
             self._redial_at_intervals(address, _FAR_REDIAL_S)
             self._link.send(address, data)
@@ -257,15 +290,26 @@
 
     async def _receive(self) -> None:
         while True:
-            data = await self._link.receive()
-            try:
-                message = fleet_messages.decode(data)
-            except errors.PeerError as error:
-                _LOG.warning(
-                    "peer message unreadable", extra={"reason": f"{error}"}
-                )
-                continue
-            self.take(message)
+            self._take_data(await self._link.receive())
+
+    def _take_data(self, data: bytes) -> None:
+        try:
+            message = fleet_messages.decode(data)
+        except errors.PeerError as error:
+            _LOG.warning(
+                "peer message unreadable", extra={"reason": f"{error}"}
+            )
+            return
+        self.take(message)
+
+    def _take_relay(self, relay: fleet_messages.Relay) -> None:
+        if relay.scope is fleet_messages.RelayScope.REGION:
+            self._spread(relay.data)
+        else:
+            mates = self._fleet.mates_by_domain()
+            mine = mates.get(self._fleet.me.domain, [])
+            _send_to_all(self._link, mine, relay.data)
+        self._take_data(relay.data)
 
     def take(self, message: fleet_messages.Message) -> None:
         """Take in a message."""
@@ -321,3 +365,10 @@
             request.prefix, follower.mirror.snapshot()
         )
         self._link.send(request.reply_address, fleet_messages.encode(copy))
+
+
+def _send_to_all(
+    link: Link, members: abc.Iterable[fleet_view.Member], data: bytes
+) -> None:
+    for member in members:
+        link.send(member.registration.peer_address, data)
--- a/chicorydoor/coordination/region_teller.py
+++ b/chicorydoor/coordination/region_teller.py
@@ -1,24 +1,21 @@
 """Tells other regions what the entries of the own one hold together.
 
 Pattern: state of every entry at every other one grows with the square of
-the fleet. Inside a region all hear each other; between regions a sum goes
-from one entry to a few of the other region, in turn, so that each entry
-there hears it from somebody each time and no entry sends to all.
+the fleet. Inside a region all hear each other; between regions a few entries
+each time send a sum to some entry of the other region, which passes it on.
 """
 
-from collections import abc
 import random
 
-from chicorydoor.protocol import ids
 from chicorydoor.state import fleet_view
 from chicorydoor.state import rate_shares
 
 # Ready entries that a digest names: callers of another region are sent
 # there only when their own has none.
 _NAMED = 8
-# Senders that take turns for one entry of another region: one that is cut
-# off is made good by the next.
-_TURNS = 3
+# Entries of the region that send each time, on average: one that is cut off,
+# or whose receiver is, is made good by another.
+_SENDERS = 2.0
 
 
 class RegionTeller:
@@ -39,7 +36,6 @@
         self._fleet = fleet
         self._rates = rates
         self._rng = rng
-        self._turn = 0
 
     def digest(
         self,
@@ -73,33 +69,16 @@
         )
 
     def next_addresses(self, now: float) -> list[str]:
-        """Whom to send the next digest to."""
-        self._turn = (self._turn + 1) % _TURNS
-        fleet = self._fleet
-        near = sorted(
-            [
-                fleet.me.instance,
-                *(
-                    member.registration.instance
-                    for member in fleet.live_mates(now)
-                ),
-            ]
-        )
-        first = near.index(fleet.me.instance) + self._turn
-        return [
-            address
-            for members in fleet.far_regions().values()
-            for address in _every(members, first, len(near))
-        ]
-
-
-def _every(
-    members: abc.Iterable[fleet_view.Member], first: int, step: int
-) -> list[str]:
-    """Addresses of the members at ``first``, ``first + step``, ..."""
-    address_by_instance: dict[ids.InstanceId, str] = {
-        member.registration.instance: member.registration.peer_address
-        for member in members
-    }
-    names = sorted(address_by_instance)
-    return [address_by_instance[name] for name in names[first % step :: step]]
+        """Whom to send the next digest to; often nobody."""
+        entries = 1 + len(self._fleet.live_mates(now))
+        ready = {entry.instance for entry in self._fleet.ready(now)}
+        addresses = []
+        for members in self._fleet.far_regions().values():
+            if self._rng.random() * entries >= _SENDERS:
+                continue
+            names = [member.registration.instance for member in members]
+            known = [name for name in names if name in ready] or names
+            chosen = self._rng.choice(known)
+            registration = self._fleet.member_by_instance[chosen].registration
+            addresses.append(registration.peer_address)
+        return addresses
--- a/chicorydoor/protocol/fleet_messages.py
+++ b/chicorydoor/protocol/fleet_messages.py
@@ -1,5 +1,7 @@
 """Messages between entries that share a platform's store."""
 
+import enum
+
 import msgspec
 
 from chicorydoor import errors
@@ -85,6 +87,24 @@
     customer_id: ids.CustomerId
 
 
+class RelayScope(enum.Enum):
+    """Which entries near its receiver a message is for."""
+
+    DOMAIN = "domain"
+    REGION = "region"
+
+
+class Relay(msgspec.Struct, frozen=True, tag="relay"):
+    """A message for its receiver and for others near it.
+
+    Args:
+        data (bytes): The message.
+    """
+
+    scope: RelayScope
+    data: bytes
+
+
 Message = (
     fleet_view.Heartbeat
     | fleet_view.RegionDigest
@@ -95,6 +115,7 @@
     | RateAsk
     | RateAnswer
     | RateReturn
+    | Relay
 )
 
 _ENCODER = msgspec.msgpack.Encoder()
--- a/chicorydoor/state/fleet_view.py
+++ b/chicorydoor/state/fleet_view.py
@@ -60,6 +60,8 @@
         rate_by_customer (dict): Its shares of the customers' rates, or
             those that have moved.
         is_whole (bool): Whether ``rate_by_customer`` has all of them.
+        beat (int): Counts the sender's heartbeats; relayed ones may overtake
+            each other.
         unheard (list): Entries of the region that it has not heard lately.
         sightings (list): Objects that targets have newly handled.
         target_reports (list): What it has lately seen of targets.
@@ -70,6 +72,7 @@
     extent_by_prefix: dict[str, Extent]
     rate_by_customer: rate_shares.RateTable
     is_whole: bool = True
+    beat: int = 0
     unheard: list[ids.InstanceId] = []
     sightings: list[object_memory.Sighting] = []
     target_reports: list[target_book.TargetReport] = []
@@ -169,13 +172,16 @@
             member.unregistered_at = now
 
     def note_heartbeat(self, heartbeat: Heartbeat, now: float) -> bool:
-        """Take in a heartbeat; False if it is from an earlier incarnation."""
+        """Take in a heartbeat; False if a later one has come before."""
         member = self._learn(heartbeat.registration)
         if member is None:
             return False
         known = member.registration.incarnation
         if heartbeat.registration.incarnation < known:
             return False
+        latest = member.heartbeat
+        if latest is not None and heartbeat.beat < latest.beat:
+            return False
         member.take(heartbeat, now)
         return True
 
@@ -230,6 +236,14 @@
             if member.registration.region == self.me.region
         ]
 
+    def mates_by_domain(self) -> dict[ids.DomainId, list[Member]]:
+        """The other entries of the own region by failure domain."""
+        members_by_domain: dict[ids.DomainId, list[Member]] = {}
+        for member in self.mates():
+            domain = member.registration.domain
+            members_by_domain.setdefault(domain, []).append(member)
+        return members_by_domain
+
     def live_mates(self, now: float) -> list[Member]:
         """Entries of the own region that were heard from lately."""
         return [
--- a/tests/support/peer_fleet.py
+++ b/tests/support/peer_fleet.py
@@ -56,8 +56,9 @@
 
     def __init__(self, network, name, seeds=(), region="n"):
         clock = clock_module.LoopClock()
+        domain = f"{region}{'ab'[int(name[1:]) % 2]}"
         me = fleet_view.Registration(
-            name, 1, f"{region}a", region, f"{name}:1", f"{name}:2"
+            name, 1, domain, region, f"{name}:1", f"{name}:2"
         )
         self.fleet = fleet_view.FleetView(
             me,
@@ -92,6 +93,7 @@
             desk=self.desk,
             memory=self.memory,
             book=self.book,
+            rng=random.Random(name),
         )
         self.items = []
         self.follower = store_follower.StoreFollower(
--- a/tests/test_peer_exchange.py
+++ b/tests/test_peer_exchange.py
@@ -70,6 +70,53 @@
         peer_fleet.play(scenario)
 
 
+class TestRelays:
+    def test_other_domain_gets_a_heartbeat_once(self):
+        async def scenario(network, entries):
+            await asyncio.sleep(3.0)
+            network.sent.clear()
+            await asyncio.sleep(8.0)
+            beats = 8.0 / peer_exchange.HEARTBEAT_S
+            # Entries with odd numbers are in the other domain.
+            crossing = [
+                size
+                for sender, receiver, size in network.sent
+                if sender == "e0:1" and int(receiver[1:-2]) % 2
+            ]
+            assert len(crossing) <= beats + 2
+            assert len(_live(entries[0])) == 11
+
+        peer_fleet.play(scenario, "n" * 12)
+
+    def test_lost_relay_loses_nobody_else(self):
+        async def scenario(network, entries):
+            await asyncio.sleep(3.0)
+            network.cut = {
+                pair
+                for other in range(12)
+                for pair in (("e1:1", f"e{other}:1"), (f"e{other}:1", "e1:1"))
+            }
+            for _ in range(20):
+                await asyncio.sleep(0.5)
+                assert len(_live(entries[0])) >= 10
+                assert len(_live(entries[3])) >= 10
+
+        peer_fleet.play(scenario, "n" * 12)
+
+    def test_heartbeat_that_was_overtaken_changes_nothing(self):
+        async def scenario(network, entries):
+            await asyncio.sleep(1.0)
+            fleet = entries[0].fleet
+            member = fleet.member_by_instance["e1"]
+            late = fleet_view.Heartbeat(
+                member.registration, fleet_view.Standing.LEAVING, {}, {}
+            )
+            now = entries[0].peers._clock.now()
+            assert not fleet.note_heartbeat(late, now)
+
+        peer_fleet.play(scenario)
+
+
 class TestStoreNews:
     def test_lost_news_are_made_good_by_a_copy(self):
         async def scenario(network, entries):
--- a/tests/test_rate_desk.py
+++ b/tests/test_rate_desk.py
@@ -96,6 +96,8 @@
                 for entry in entries
             }
             assert len(names) == 1
+            desks = entries[0].desk._desks("kivuli")
+            assert {desk.domain for desk in desks} == {"na", "nb"}
 
         _play(scenario, "n" * 12)
 
