Take unheard entries to hold their fair part of a rate, at the start too

Cause: after a total loss of power all entries start without having heard each other.

Change: for two seconds after its start an entry takes all registered entries of the region for possible desks, and a silent entry counts with its fair part, that of a desk for a desk, none for the others.

Test: TestStart fails without the change.

--- a/chicorydoor/compose_fleet.py
+++ b/chicorydoor/compose_fleet.py
@@ -318,7 +318,7 @@
             [each for each in customers if each.rate_per_s > 0],
             [*self.fleet.reported_near(), *self.fleet.reported_far()],
             now,
-            fair_part=self.desk.fair_part,
+            fair=self.desk,
             is_isolated=self._is_isolated(now),
         )
 
--- a/chicorydoor/coordination/rate_desk.py
+++ b/chicorydoor/coordination/rate_desk.py
@@ -25,6 +25,9 @@
 from chicorydoor.transport import clock as clock_module
 from chicorydoor.transport import metrics
 
+# Right after the start nobody has been heard; all registered entries of the
+# region may be desks until they had time for a heartbeat or two.
+_UNHEARD_S = 2.0
 # Below this an entry's part of a rate is pooled: fewer requests a second
 # come too irregularly for a bucket of their own.
 _LEAST_OWN_PER_S = 2.0
@@ -96,6 +99,7 @@
         self._answer_by_number: dict[int, asyncio.Future[float | None]] = {}
         self._answering: set[asyncio.Task] = set()
         self._doubted_until_by_address: dict[str, float] = {}
+        self._started_at = clock.now()
         self._candidates: list[fleet_view.Registration] = [fleet.me]
         self._desks_by_customer: dict[
             ids.CustomerId, list[fleet_view.Registration]
@@ -105,9 +109,12 @@
 
     def refresh(self) -> None:
         """Take in which entries of the region are there."""
-        ready = self._fleet.ready_mates(self._clock.now())
+        now = self._clock.now()
+        mates = self._fleet.ready_mates(now)
+        if now - self._started_at < _UNHEARD_S:
+            mates = [member.registration for member in self._fleet.mates()]
         candidates = sorted(
-            [*ready, self._fleet.me], key=lambda entry: entry.instance
+            [*mates, self._fleet.me], key=lambda entry: entry.instance
         )
         if candidates != self._candidates:
             self._candidates = candidates
@@ -118,15 +125,34 @@
         entries = len(self._fleet.possible_instances())
         return customer.rate_per_s / entries < _LEAST_OWN_PER_S
 
-    def fair_part(self, customer: serving.CustomerRule) -> float:
+    def own(self, customer: serving.CustomerRule) -> float:
         """The own part of a rate, as long as nobody has any demand."""
+        return self._fair_part(customer, self._fleet.me.instance)
+
+    def of(
+        self,
+        customer: serving.CustomerRule,
+        others: rate_shares.Reported,
+    ) -> float:
+        """The part of some other entries, as long as nobody has demand."""
+        if others.instance is not None:
+            return self._fair_part(customer, others.instance)
+        if self.is_pooled(customer):
+            return 1.0 / self._regions()
+        return others.members / len(self._fleet.possible_instances())
+
+    def _fair_part(
+        self, customer: serving.CustomerRule, instance: ids.InstanceId
+    ) -> float:
         if not self.is_pooled(customer):
             return 1.0 / len(self._fleet.possible_instances())
         desks = self._desks(customer.customer_id)
-        if self._fleet.me not in desks:
+        if instance not in [desk.instance for desk in desks]:
             return 0.0
-        regions = 1 + len(self._fleet.far_regions())
-        return 1.0 / (regions * len(desks))
+        return 1.0 / (self._regions() * len(desks))
+
+    def _regions(self) -> int:
+        return 1 + len(self._fleet.far_regions())
 
     def _desks(
         self, customer_id: ids.CustomerId
--- a/chicorydoor/state/fleet_view.py
+++ b/chicorydoor/state/fleet_view.py
@@ -290,7 +290,9 @@
     def reported_near(self) -> list[rate_shares.Reported]:
         """Rates that the other entries of the region have announced."""
         return [
-            rate_shares.Reported(1, member.rate_by_customer)
+            rate_shares.Reported(
+                1, member.rate_by_customer, member.registration.instance
+            )
             for member in self.mates()
         ]
 
--- a/chicorydoor/state/rate_shares.py
+++ b/chicorydoor/state/rate_shares.py
@@ -9,6 +9,7 @@
 
 from collections import abc
 import math
+import typing
 
 import msgspec
 
@@ -80,7 +81,6 @@
         )
 
 
-FairPart = abc.Callable[[serving.CustomerRule], float]
 RateTable = dict[ids.CustomerId, RateReport]
 
 
@@ -89,12 +89,44 @@
 
     Args:
         members (int): How many they are.
-        rate_by_customer (Mapping): None if they were never heard; each is
-            then taken to hold an equal share.
+        rate_by_customer (Mapping): None if they were never heard; they are
+            then taken to hold their fair part.
+        instance (str): The entry if it is a single one of the own region.
+            Defaults to none.
     """
 
     members: int
     rate_by_customer: abc.Mapping[ids.CustomerId, RateReport] | None
+    instance: ids.InstanceId | None = None
+
+
+class FairParts(typing.Protocol):
+    """Parts of a customer's rate as long as nobody has any demand."""
+
+    def own(self, customer: serving.CustomerRule) -> float:
+        """The own entry's part, 0 to 1."""
+
+    def of(self, customer: serving.CustomerRule, others: Reported) -> float:
+        """The part of some other entries, 0 to 1."""
+
+
+class EqualParts:
+    """Every entry has the same part.
+
+    Args:
+        entries (int): All entries.
+    """
+
+    def __init__(self, entries: int) -> None:
+        self._entries = entries
+
+    def own(self, customer: serving.CustomerRule) -> float:
+        """The own entry's part, 0 to 1."""
+        return 1.0 / self._entries
+
+    def of(self, customer: serving.CustomerRule, others: Reported) -> float:
+        """The part of some other entries, 0 to 1."""
+        return others.members / self._entries
 
 
 class RateAllowance(msgspec.Struct, frozen=True):
@@ -113,6 +145,7 @@
     """One customer at one entry."""
 
     def __init__(self, now: float) -> None:
+        self.customer: serving.CustomerRule | None = None
         self.share = 0.0
         self.tokens = 0.0
         self.filled_at = now
@@ -133,6 +166,7 @@
         self._allowance = allowance
         self._bucket_by_customer: dict[ids.CustomerId, _Bucket] = {}
         self._members = 1
+        self._fair: FairParts = EqualParts(1)
         self._told: RateTable = {}
 
     def _bucket(self, customer_id: ids.CustomerId, now: float) -> _Bucket:
@@ -212,7 +246,9 @@
         """What this entry and some others hold together."""
         table: RateTable = {}
         for customer_id, bucket in self._bucket_by_customer.items():
-            taken, demand = self._add_up(customer_id, others)
+            if bucket.customer is None:
+                continue
+            taken, demand = self._add_up(bucket.customer, others)
             table[customer_id] = RateReport.of(
                 taken + bucket.share, demand + bucket.demand_per_s
             )
@@ -224,7 +260,7 @@
         others: abc.Sequence[Reported],
         now: float,
         *,
-        fair_part: FairPart | None = None,
+        fair: FairParts | None = None,
         is_isolated: bool = False,
     ) -> None:
         """Move the shares towards the demand.
@@ -234,18 +270,19 @@
             others (Sequence): The latest announcements of all other
                 entries that may be alive, heard or not.
             now (float): Time.
-            fair_part (callable): The own part of a customer's rate without
-                any demand. Defaults to equal parts of all entries.
+            fair (FairParts): Parts of the rates without any demand.
+                Defaults to equal parts of all entries.
             is_isolated (bool): Whether others may take the own share; it
                 shrinks to its equal part. Defaults to False.
         """
         self._members = sum(each.members for each in others) + 1
+        self._fair = fair or EqualParts(self._members)
         for customer in customers:
             bucket = self._bucket(customer.customer_id, now)
             self._fill(customer, bucket, now)
             self._measure_demand(bucket, now)
-            fair = fair_part(customer) if fair_part else 1.0 / self._members
-            share = self._next_share(customer, bucket, others, fair)
+            bucket.customer = customer
+            share = self._next_share(customer, bucket, others)
             if is_isolated:
                 share = min(share, _EQUAL_PART / self._members)
             bucket.share = share
@@ -265,11 +302,11 @@
         customer: serving.CustomerRule,
         bucket: _Bucket,
         others: abc.Sequence[Reported],
-        fair: float,
     ) -> float:
-        taken, demand = self._add_up(customer.customer_id, others)
+        taken, demand = self._add_up(customer, others)
         demand += bucket.demand_per_s
         bucket.fleet_demand_per_s = demand
+        fair = self._fair.own(customer)
         part = bucket.demand_per_s / demand if demand > 0 else fair
         # Far below the rate demand says little: a few requests more or less
         # would move the shares.
@@ -279,19 +316,20 @@
         return min(wanted, max(0.0, 1.0 - taken))
 
     def _add_up(
-        self, customer_id: ids.CustomerId, others: abc.Sequence[Reported]
+        self,
+        customer: serving.CustomerRule,
+        others: abc.Sequence[Reported],
     ) -> tuple[float, float]:
         """Share and demand of other entries."""
-        taken, demand, silent = 0, 0, 0
+        taken, demand, assumed = 0, 0, 0.0
         for each in others:
             table = each.rate_by_customer
-            report = None if table is None else table.get(customer_id)
+            report = None
+            if table is not None:
+                report = table.get(customer.customer_id)
             if report is None:
-                silent += each.members
+                assumed += self._fair.of(customer, each)
             else:
                 taken += report.share_millionths
                 demand += report.demand_hundredths
-        return (
-            taken / _SHARE_UNITS + silent / self._members,
-            demand / _DEMAND_UNITS,
-        )
+        return taken / _SHARE_UNITS + assumed, demand / _DEMAND_UNITS
--- a/tests/support/peer_fleet.py
+++ b/tests/support/peer_fleet.py
@@ -120,7 +120,7 @@
                 customers,
                 [*self.fleet.reported_near(), *self.fleet.reported_far()],
                 self.peers._clock.now(),
-                fair_part=self.desk.fair_part,
+                fair=self.desk,
             )
             await asyncio.sleep(0.25)
 
--- a/tests/test_rate_desk.py
+++ b/tests/test_rate_desk.py
@@ -143,6 +143,17 @@
         _play(scenario, "n" * 6 + "m" * 6 + "k" * 6)
 
 
+class TestStart:
+    def test_rates_are_usable_soon_after_all_have_started(self):
+        async def scenario(network, entries):
+            await asyncio.sleep(0.5)
+            load = _Load(entries)
+            await load.offer(0.65 * _SMALL.rate_per_s, 10.0)
+            assert load.refused <= 0.02 * load.offered
+
+        _play(scenario, "n" * 8 + "m" * 8 + "k" * 8)
+
+
 class TestLostDesk:
     def test_other_desk_answers(self):
         async def scenario(network, entries):
