An entry that the store refuses leaves the reading to others

Change: an entry whose calls fail waits for news like one that is not a reader, and says so in its heartbeats, so that another reads in its place. A peer's copy counts as a listing.

Tests: TestRefusal in tests/test_store_follower.py.

--- a/chicorydoor/compose_fleet.py
+++ b/chicorydoor/compose_fleet.py
@@ -268,8 +268,12 @@
         # Heartbeats of the others have not come yet right after the start.
         is_new = now - self._started_at < peer_exchange.SILENCE_S
         mates = self.fleet.mates() if is_new else self.fleet.live_mates(now)
-        names = [member.registration.instance for member in mates]
-        return sum(name < self.settings.instance for name in names)
+        readers = [
+            member.registration.instance
+            for member in mates
+            if member.heartbeat is None or member.heartbeat.reads_store
+        ]
+        return sum(name < self.settings.instance for name in readers)
 
     def addresses(
         self, region: ids.RegionId, domain: ids.DomainId
--- a/chicorydoor/coordination/peer_exchange.py
+++ b/chicorydoor/coordination/peer_exchange.py
@@ -203,6 +203,10 @@
                 ),
                 is_whole=is_whole,
                 beat=self._beats,
+                reads_store=not any(
+                    follower.is_lost
+                    for follower in self.follower_by_prefix.values()
+                ),
                 unheard=unheard,
                 sightings=self._memory.take_news(now),
                 target_reports=self._book.take_reports(),
--- a/chicorydoor/coordination/store_follower.py
+++ b/chicorydoor/coordination/store_follower.py
@@ -125,7 +125,7 @@
         self._on_contact = on_contact
         self._is_listed = False
         self.news_at = float("-inf")
-        self._is_lost = False
+        self.is_lost = False
         self._copy_asked_at = float("-inf")
         # A change that a peer has, and since when that is known.
         self._missed = 0
@@ -153,9 +153,9 @@
         )
 
     def _note_loss(self, state: tenacity.RetryCallState) -> None:
-        if self._is_lost:
+        if self.is_lost:
             return
-        self._is_lost = True
+        self.is_lost = True
         outcome = state.outcome
         reason = str(outcome.exception()) if outcome else ""
         _LOG.warning(
@@ -204,7 +204,7 @@
     async def _wait_for_turn(self) -> None:
         """Wait while peers read often enough."""
         while True:
-            patience_s = self.part.patience(self._rank())
+            patience_s = self.part.patience(self._place())
             left_s = self.news_at + patience_s - self._clock.now()
             if left_s <= 0 or self._is_behind.is_set():
                 self._is_behind.clear()
@@ -213,10 +213,15 @@
                 async with asyncio.timeout(min(left_s, _RANK_RECHECK_S)):
                     await self._is_behind.wait()
 
+    def _place(self) -> int:
+        """Position among the readers; one whose calls fail comes last."""
+        behind = self.part.readers if self.is_lost else 0
+        return behind + self._rank()
+
     def _take(self, changed: list[store_items.StoredItem], since: int) -> None:
         self._note_news()
-        if self._is_lost:
-            self._is_lost = False
+        if self.is_lost:
+            self.is_lost = False
             _LOG.info(
                 "store regained",
                 extra={
@@ -267,6 +272,8 @@
     def take_copy(self, copy: fleet_messages.StoreCopy) -> None:
         """Take in a peer's copy."""
         changed = self.mirror.replace(copy.batch)
+        # As good as a listing: what changes afterwards can be read.
+        self._is_listed = True
         self._note_news()
         if changed:
             self._note_peer_news(changed)
--- a/chicorydoor/state/fleet_view.py
+++ b/chicorydoor/state/fleet_view.py
@@ -62,6 +62,7 @@
         is_whole (bool): Whether ``rate_by_customer`` has all of them.
         beat (int): Counts the sender's heartbeats; relayed ones may overtake
             each other.
+        reads_store (bool): Whether the store answers it.
         unheard (list): Entries of the region that it has not heard lately.
         sightings (list): Objects that targets have newly handled.
         target_reports (list): What it has lately seen of targets.
@@ -73,6 +74,7 @@
     rate_by_customer: rate_shares.RateTable
     is_whole: bool = True
     beat: int = 0
+    reads_store: bool = True
     unheard: list[ids.InstanceId] = []
     sightings: list[object_memory.Sighting] = []
     target_reports: list[target_book.TargetReport] = []
--- a/tests/test_store_follower.py
+++ b/tests/test_store_follower.py
@@ -206,6 +206,55 @@
         _play(scenario, gap_s=0.8)
 
 
+class TestRefusal:
+    def test_refused_entry_does_not_ask_while_peers_tell(self):
+        async def scenario(feed, made):
+            await asyncio.sleep(0.1)
+            refusal = errors.StoreUnavailableError("not you")
+            feed.failures = [refusal] * 1000
+            for _ in range(4):
+                await asyncio.sleep(1.0)
+            feed.calls.clear()
+            for _ in range(50):
+                feed.revision += 1
+                mirror = made.follower.mirror
+                extent = fleet_view.Extent(feed.revision, mirror.latest)
+                hint = fleet_messages.StoreHint("p/", extent)
+                made.follower.take_hint(hint)
+                await asyncio.sleep(0.2)
+            assert feed.calls == []
+            assert made.follower.is_lost
+
+        _play(scenario)
+
+    def test_refused_entry_asks_when_peers_fall_silent(self):
+        async def scenario(feed, made):
+            await asyncio.sleep(0.1)
+            refusal = errors.StoreUnavailableError("not you")
+            feed.failures = [refusal] * 3
+            feed.write("p/a", b"2")
+            await asyncio.sleep(6.0)
+            assert made.value_by_key == {"p/a": b"2"}
+            assert not made.follower.is_lost
+
+        _play(scenario)
+
+    def test_copy_is_as_good_as_a_listing(self):
+        async def scenario(feed, made):
+            feed.failures = [errors.StoreUnavailableError("no")]
+            item = store_items.StoredItem("p/a", 2, b"1")
+            batch = store_items.ItemBatch([item], feed.revision)
+            await asyncio.sleep(0.01)
+            made.follower.take_copy(fleet_messages.StoreCopy("p/", batch))
+            feed.write("p/b", b"2")
+            await asyncio.sleep(3.0)
+            assert made.value_by_key == {"p/a": b"1", "p/b": b"2"}
+            kinds = [kind for _, kind in feed.calls]
+            assert kinds.count("list") == 1
+
+        _play(scenario)
+
+
 class TestCopies:
     def test_asks_for_what_it_lacks_but_not_all_the_time(self):
         async def scenario(feed, made):
