Distrust rested connections after a loss; leave relapsing targets alone longer

Cause: a target that forgets idle connections resets whatever is sent next; a request that must not be repeated is lost, once for each entry and target. A target that answers probes and no requests came back into use every 0.4 s.

A target that is lost again within ten seconds of its return rests twice as long each time.

--- a/chicorydoor/compose_fleet.py
+++ b/chicorydoor/compose_fleet.py
@@ -167,6 +167,7 @@
             desk=self.desk,
             memory=self.selection.memory,
             book=self.book,
+            caution=self.sender.idle_caution,
             rng=self.rng,
         )
         self.registrar = registrar.Registrar(
--- a/chicorydoor/coordination/peer_exchange.py
+++ b/chicorydoor/coordination/peer_exchange.py
@@ -19,6 +19,7 @@
 from chicorydoor.protocol import fleet_messages
 from chicorydoor.protocol import ids
 from chicorydoor.state import fleet_view
+from chicorydoor.state import idle_caution
 from chicorydoor.state import object_memory
 from chicorydoor.state import rate_shares
 from chicorydoor.state import target_book
@@ -77,6 +78,7 @@
         desk (RateDesk): Counts requests of the region's entries.
         memory (ObjectMemory): Where objects were handled.
         book (TargetBook): What was seen of targets.
+        caution (IdleCaution): Which connections to targets are trusted.
         rng (Random): Randomness.
     """
 
@@ -92,11 +94,13 @@
         desk: rate_desk.RateDesk,
         memory: object_memory.ObjectMemory,
         book: target_book.TargetBook,
+        caution: idle_caution.IdleCaution,
         rng: random.Random,
     ) -> None:
         self._fleet = fleet
         self._memory = memory
         self._book = book
+        self._caution = caution
         self._rng = rng
         self._link = link
         self._clock = clock
@@ -210,6 +214,7 @@
                 unheard=unheard,
                 sightings=self._memory.take_news(now),
                 target_reports=self._book.take_reports(),
+                trusted_idle_s=self._caution.own_limit_s(now),
             )
         )
 
@@ -340,6 +345,7 @@
         now = self._clock.now()
         self._memory.hear(heartbeat.sightings, now)
         self._book.hear(heartbeat.target_reports, now)
+        self._caution.hear(heartbeat.trusted_idle_s, now)
         address = heartbeat.registration.peer_address
         for prefix, extent in heartbeat.extent_by_prefix.items():
             follower = self.follower_by_prefix.get(prefix)
--- a/chicorydoor/coordination/target_prober.py
+++ b/chicorydoor/coordination/target_prober.py
@@ -18,6 +18,10 @@
 _FIRST_PAUSE_S = 0.4
 _LONGEST_PAUSE_S = 3.0
 _CONNECT_TIMEOUT_S = 1.0
+# A target that is lost again this soon after a probe brought it back passes
+# probes but no requests; each time it is left alone for twice as long.
+_RELAPSE_S = 10.0
+_LONGEST_REST_S = 6.4
 # A probe waits for a slot like any request; a full queue takes this long.
 _ANSWER_TIMEOUT_S = 3.0
 _OK = 200
@@ -77,14 +81,23 @@
             )
 
     async def _bring_back(self, view: target_book.TargetView) -> None:
-        pause_s = _FIRST_PAUSE_S
+        pause_s = self._first_pause_s(view)
         while self._is_wanted(view):
             await asyncio.sleep(pause_s)
-            pause_s = min(2 * pause_s, _LONGEST_PAUSE_S)
+            pause_s = max(pause_s, min(2 * pause_s, _LONGEST_PAUSE_S))
             if not self._is_wanted(view):
                 break
             await self._probe(view)
 
+    def _first_pause_s(self, view: target_book.TargetView) -> float:
+        """Rest before the first probe, longer for one that relapsed."""
+        now = self._clock.now()
+        if now - view.brought_back_at > _RELAPSE_S:
+            view.relapses = 0
+        else:
+            view.relapses += 1
+        return min(_LONGEST_REST_S, _FIRST_PAUSE_S * 2**view.relapses)
+
     def _is_wanted(self, view: target_book.TargetView) -> bool:
         return (
             view.reach is target_book.Reach.UNREACHABLE
@@ -144,6 +157,7 @@
             cold_s = 0.0
         view.cold_until = max(view.cold_until, now + cold_s)
         self._book.set_reach(view, target_book.Reach.IN_USE)
+        view.brought_back_at = now
         _LOG.info(
             "target back",
             extra={"target": view.target_id, "cold_s": round(cold_s, 3)},
--- a/chicorydoor/coordination/target_sender.py
+++ b/chicorydoor/coordination/target_sender.py
@@ -18,6 +18,7 @@
 from chicorydoor.protocol import ids
 from chicorydoor.protocol import wire_names
 from chicorydoor.state import cold_limits
+from chicorydoor.state import idle_caution
 from chicorydoor.state import target_book
 from chicorydoor.transport import clock as clock_module
 from chicorydoor.transport import metrics
@@ -26,6 +27,8 @@
 # One lost packet of a handshake is sent again after a second; another
 # target is sooner.
 _CONNECT_TIMEOUT_S = 0.7
+# A reset this soon, beyond the way to the target and back, was no work's end.
+_PROMPT_RESET_S = 0.02
 # Time kept back so that an answer of the entry arrives before the deadline.
 ANSWER_MARGIN_S = 0.01
 _SUCCESS = range(200, 300)
@@ -95,6 +98,7 @@
         self._clock = clock
         self._on_unreachable = on_unreachable
         self._on_distance = on_distance
+        self.idle_caution = idle_caution.IdleCaution()
         self._pool_by_target: dict[
             tuple[ids.TargetId, int], target_channel.ChannelPool
         ] = {}
@@ -129,7 +133,9 @@
             remaining_s = call.deadline - self._clock.now()
             limit_s = min(_CONNECT_TIMEOUT_S, remaining_s)
             pool = self.pool(view)
-            channel = await pool.take(limit_s)
+            channel = await pool.take(
+                limit_s, self.idle_caution.limit_s(self._clock.now())
+            )
         except errors.TargetError as error:
             self._on_unreachable(view, f"{error}")
             return Sent(Verdict.NOT_SENT, view.target_id, reason=f"{error}")
@@ -149,6 +155,7 @@
         except TimeoutError:
             return self._silent(view, started_at)
         except errors.TargetError as error:
+            self._note_idle_loss(view, channel, error, started_at)
             return self._broken(view, error)
         pool.put_back(channel, view.record.slots)
         return self._judge(call, choice, answer, started_at)
@@ -170,6 +177,29 @@
         verdict = Verdict.UNKNOWN if error.sent else Verdict.NOT_SENT
         return Sent(verdict, view.target_id, reason=f"{error}")
 
+    def _note_idle_loss(
+        self,
+        view: target_book.TargetView,
+        channel: target_channel.TargetChannel,
+        error: errors.TargetError,
+        sent_at: float,
+    ) -> None:
+        """Notice a reset of a connection that its target had forgotten."""
+        now = self._clock.now()
+        turn_s = self._selection.distance_s(view.region)
+        is_prompt = now - sent_at < 2 * turn_s + _PROMPT_RESET_S
+        if not error.sent or channel.rested_s <= 0 or not is_prompt:
+            return
+        self.idle_caution.note_loss(channel.rested_s, now)
+        _LOG.info(
+            "idle connection lost",
+            extra={
+                "target": view.target_id,
+                "rested_s": round(channel.rested_s, 3),
+                "trusted_s": round(self.idle_caution.limit_s(now), 3),
+            },
+        )
+
     def _judge(
         self,
         call: calls.Call,
--- a/chicorydoor/state/fleet_view.py
+++ b/chicorydoor/state/fleet_view.py
@@ -66,6 +66,8 @@
         unheard (list): Entries of the region that it has not heard lately.
         sightings (list): Objects that targets have newly handled.
         target_reports (list): What it has lately seen of targets.
+        trusted_idle_s (float): Longest rest of a connection to a target
+            that it trusts after losses of its own; None without any.
     """
 
     registration: Registration
@@ -78,6 +80,7 @@
     unheard: list[ids.InstanceId] = []
     sightings: list[object_memory.Sighting] = []
     target_reports: list[target_book.TargetReport] = []
+    trusted_idle_s: float | None = None
 
 
 class RegionDigest(msgspec.Struct, frozen=True, tag="digest"):
--- a/chicorydoor/state/target_book.py
+++ b/chicorydoor/state/target_book.py
@@ -105,6 +105,8 @@
         self.own_running = 0
         self.has_worked = False
         self.cold_until = now + record.cold_remaining_s
+        self.brought_back_at = float("-inf")
+        self.relapses = 0
         self._others_running = 0.0
         self._reported_at = float("-inf")
         self._slowness = 1.0
--- a/chicorydoor/transport/target_channel.py
+++ b/chicorydoor/transport/target_channel.py
@@ -108,6 +108,8 @@
         self._has_sent = False
         self.idle_limit_s = _DEFAULT_IDLE_S
         self.idle_since = 0.0
+        # How long it had rested before its present use.
+        self.rested_s = 0.0
 
     # Called by the event loop.
 
@@ -325,9 +327,16 @@
         self._clock = clock
         self._idle: collections.deque[TargetChannel] = collections.deque()
 
-    async def take(self, connect_timeout_s: float) -> TargetChannel:
+    async def take(
+        self, connect_timeout_s: float, most_idle_s: float = float("inf")
+    ) -> TargetChannel:
         """A connection that nobody else uses.
 
+        Args:
+            connect_timeout_s (float): Longest time to open one.
+            most_idle_s (float): Longest rest of one that is open. Defaults
+                to what its target allows.
+
         Raises:
             TargetError: If none could be opened; nothing was sent.
         """
@@ -335,7 +344,9 @@
         while self._idle:
             channel = self._idle.pop()
             idle_s = now - channel.idle_since
-            if channel.is_usable and idle_s < channel.idle_limit_s:
+            limit_s = min(channel.idle_limit_s, most_idle_s)
+            if channel.is_usable and idle_s < limit_s:
+                channel.rested_s = idle_s
                 return channel
             channel.abort()
         return await self._open(connect_timeout_s)
--- a/tests/support/peer_fleet.py
+++ b/tests/support/peer_fleet.py
@@ -10,6 +10,7 @@
 from chicorydoor.coordination import store_follower
 from chicorydoor.protocol import serving
 from chicorydoor.state import fleet_view
+from chicorydoor.state import idle_caution
 from chicorydoor.state import object_memory
 from chicorydoor.state import rate_shares
 from chicorydoor.state import store_mirror
@@ -93,6 +94,7 @@
             desk=self.desk,
             memory=self.memory,
             book=self.book,
+            caution=idle_caution.IdleCaution(),
             rng=random.Random(name),
         )
         self.items = []
--- a/tests/test_platform_entry.py
+++ b/tests/test_platform_entry.py
@@ -360,6 +360,24 @@
         _play(scenario, targets=1)
 
 
+class TestIdleConnections:
+    def test_rested_connections_are_not_trusted_after_a_loss(self):
+        async def scenario(site):
+            (target,) = site.targets
+            assert (await site.call()).status_code == 200
+            await asyncio.sleep(0.1)
+            target.acts = [Act.RESET]
+            lost = await site.call("POST", "/order/1", content=b"x")
+            assert lost.status_code == 502
+            assert (await site.call()).status_code == 200
+            before = target.connections
+            await asyncio.sleep(0.2)
+            assert (await site.call()).status_code == 200
+            assert target.connections == before + 1
+
+        _play(scenario, targets=1)
+
+
 class TestTimes:
     def test_silent_target_is_answered_at_the_routes_timeout(self):
         async def scenario(site):
