A soak of the real programs under random faults

chicorydoor soak plays seeds: entries as processes that are paused, killed, stopped and restarted by their ids, proxies that delay, reset, silence or cut one way the links to the store and to targets, a store that refuses, is silent or loses answers and history, configurations, withdrawn keys and leaving targets, in overlapping series. Ten promises are judged from what callers and targets saw. Reports as text, JSON and a plot.

The stand-ins keep each arrival instead of counts.

Not there yet: cuts between entries and clocks that are off.

--- a/chicorydoor/cli/main.py
+++ b/chicorydoor/cli/main.py
@@ -15,6 +15,7 @@
 from chicorydoor.cli import experiment
 from chicorydoor.cli import keys
 from chicorydoor.cli import lookup
+from chicorydoor.cli import soak
 from chicorydoor.cli import standin
 from chicorydoor.cli import status
 from chicorydoor.cli import timeline
@@ -31,6 +32,7 @@
     timeline,
     demo,
     experiment,
+    soak,
     standin,
 )
 
--- /dev/null
+++ b/chicorydoor/cli/soak.py
@@ -0,0 +1,144 @@
+"""``chicorydoor soak``: real programs under random faults from outside."""
+
+import argparse
+import asyncio
+import collections
+import logging
+import pathlib
+import signal
+import sys
+import tempfile
+
+import msgspec
+import rich.console
+import rich.progress
+
+from chicorydoor.cli import exit_codes
+from chicorydoor.soak import soak_run
+
+_ENTRIES = 4
+_SECONDS = 10.0
+
+
+def add_parser(commands: argparse._SubParsersAction) -> None:
+    """Add the sub-command."""
+    parser = commands.add_parser(
+        "soak", help="real programs under random faults from outside"
+    )
+    parser.add_argument("--seeds", type=int, default=1, metavar="N")
+    parser.add_argument("--first", type=int, default=1, metavar="SEED")
+    parser.add_argument("--seconds", type=float, default=_SECONDS)
+    parser.add_argument("--entries", type=int, default=_ENTRIES)
+    parser.add_argument("--jobs", type=int, default=1, metavar="N")
+    parser.add_argument("--folder", type=pathlib.Path, metavar="LOGS")
+    parser.add_argument("--report", type=pathlib.Path, metavar="FILE.json")
+    parser.add_argument("--plot", type=pathlib.Path, metavar="FILE.png")
+    parser.set_defaults(run=_run)
+
+
+def _run(arguments: argparse.Namespace) -> int:
+    # Stand-ins are cut on purpose in the middle of their answers.
+    logging.disable(logging.ERROR)
+    if arguments.folder is not None:
+        arguments.folder.mkdir(parents=True, exist_ok=True)
+    seeds = range(arguments.first, arguments.first + arguments.seeds)
+    if len(seeds) == 1:
+        reports = [asyncio.run(_play_here(seeds[0], arguments))]
+    else:
+        reports = asyncio.run(_play_all(seeds, arguments))
+    _print(reports)
+    if arguments.report is not None:
+        arguments.report.write_bytes(msgspec.json.encode(reports))
+    if arguments.plot is not None:
+        _plot(reports, arguments.plot)
+    if any(report.broken_by_promise for report in reports):
+        return exit_codes.ExitCode.FAILED
+    return exit_codes.ExitCode.OK
+
+
+async def _play_here(
+    seed: int, arguments: argparse.Namespace
+) -> soak_run.SoakReport:
+    playing = asyncio.current_task()
+    assert playing is not None
+    # Its own processes must not outlive it.
+    asyncio.get_running_loop().add_signal_handler(
+        signal.SIGTERM, playing.cancel
+    )
+    return await soak_run.play(
+        seed, arguments.seconds, arguments.entries, arguments.folder
+    )
+
+
+async def _play_all(
+    seeds: range, arguments: argparse.Namespace
+) -> list[soak_run.SoakReport]:
+    """Each seed in a process of its own, some at a time."""
+    free = asyncio.Semaphore(arguments.jobs)
+
+    async def play(seed: int, folder: str) -> soak_run.SoakReport:
+        path = pathlib.Path(folder) / f"{seed}.json"
+        command = [
+            *("soak", "--first", f"{seed}", "--report", f"{path}"),
+            *("--seconds", f"{arguments.seconds}"),
+            *("--entries", f"{arguments.entries}"),
+        ]
+        if arguments.folder is not None:
+            command += ["--folder", f"{arguments.folder / str(seed)}"]
+        async with free:
+            process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                "chicorydoor",
+                *command,
+                stdout=asyncio.subprocess.DEVNULL,
+            )
+            await process.wait()
+        if not path.exists():
+            return soak_run.unfinished(seed, arguments.entries)
+        return msgspec.json.decode(
+            path.read_bytes(), type=list[soak_run.SoakReport]
+        )[0]
+
+    with tempfile.TemporaryDirectory() as folder:
+        return await asyncio.gather(*(play(seed, folder) for seed in seeds))
+
+
+def _print(reports: list[soak_run.SoakReport]) -> None:
+    console = rich.console.Console()
+    for report in reports:
+        broken = report.broken_by_promise
+        mark = "BROKEN" if broken else "kept"
+        console.print(
+            f"{mark:<6} seed {report.seed}: {report.requests} requests, "
+            f"{len(report.faults)} faults"
+        )
+        for promise, examples in broken.items():
+            console.print(f"       {promise}: {examples}")
+    failed = sum(1 for report in reports if report.broken_by_promise)
+    console.print(f"{len(reports)} seeds, {failed} with a promise broken")
+
+
+def _plot(reports: list[soak_run.SoakReport], path: pathlib.Path) -> None:
+    # Only this option needs the plotting library.
+    import matplotlib
+
+    matplotlib.use("Agg")
+    from matplotlib import pyplot
+
+    total: collections.Counter[int] = collections.Counter()
+    for report in reports:
+        total.update(report.count_by_status)
+    faults = collections.Counter(
+        name for report in reports for _, name in report.faults
+    )
+    figure, (left, right) = pyplot.subplots(1, 2, figsize=(10, 4))
+    statuses = sorted(total)
+    left.bar([f"{status}" for status in statuses], [*map(total.get, statuses)])
+    left.set_yscale("log")
+    left.set_xlabel("answer, 0 for none")
+    left.set_ylabel("requests")
+    right.barh(sorted(faults), [faults[name] for name in sorted(faults)])
+    right.set_xlabel("faults")
+    figure.tight_layout()
+    figure.savefig(path)
--- a/chicorydoor/demo/platform_session.py
+++ b/chicorydoor/demo/platform_session.py
@@ -113,8 +113,9 @@
         for name, status in traffic.status_by_order.items()
         if status in (429, 503) and runs.get(name, 0)
     ]
-    customers = set().union(*(target.customers for target in site.targets))
-    has_seen_key = any(target.has_seen_key for target in site.targets)
+    arrivals = [each for target in site.targets for each in target.arrivals]
+    customers = {each.customer for each in arrivals}
+    has_seen_key = any(each.has_key for each in arrivals)
     return [
         promises.Verdict(
             "an order runs at most once",
@@ -148,15 +149,16 @@
     target = site.targets[0]
     target.register(site.store, "draining")
     await asyncio.sleep(_IN_FORCE_S)
-    before = target.runs_by_request.total()
+    before = len(target.arrivals)
     await asyncio.sleep(0.5)
-    late = target.runs_by_request.total() - before
+    late = len(target.arrivals) - before
     target.register(site.store)
     return late
 
 
 async def _withdraw(site: platform_site.PlatformSite) -> set[int]:
-    value = platform_site.configuration(2, [platform_site.KEY])
+    customers = platform_site.only_customer([platform_site.KEY])
+    value = platform_site.configuration(2, customers)
     site.store.put(documents.CONFIGURATION_KEY, value)
     await asyncio.sleep(_IN_FORCE_S)
     answers = [
--- a/chicorydoor/standins/platform_site.py
+++ b/chicorydoor/standins/platform_site.py
@@ -25,7 +25,7 @@
 
 KEY = "loopback-key"
 CUSTOMER = "kivuli"
-_HOST = "shop.example"
+HOST = "shop.example"
 _SERVICE = "shop"
 _DOMAIN = "nairobi-a"
 _REGION = "nairobi"
@@ -33,10 +33,23 @@
 _POLL_S = 0.05
 
 
-def configuration(version: int, keys: list[str]) -> bytes:
-    """The operator's document: reads, and orders that may run once."""
+_Document = dict[str, typing.Any]
+
+
+def only_customer(keys: list[str]) -> list[_Document]:
+    """The operator's entry for a single customer with some keys."""
+    return [{"name": CUSTOMER, "apiKeys": keys}]
+
+
+def configuration(version: int, tenants: list[_Document]) -> bytes:
+    """The operator's document: reads, and orders that may run once.
+
+    Args:
+        version (int): Its version.
+        tenants (list): Entries for the customers.
+    """
     route = {
-        "host": _HOST,
+        "host": HOST,
         "timeout": "1500ms",
         "targetLatency": "300ms",
         "maxAttempts": 2,
@@ -54,11 +67,11 @@
             "services": [
                 {
                     "name": _SERVICE,
-                    "healthPath": "/health",
+                    "healthPath": platform_target.HEALTH_PATH,
                     "maxConnections": 50,
                 }
             ],
-            "tenants": [{"name": CUSTOMER, "apiKeys": keys}],
+            "tenants": tenants,
         }
     )
 
@@ -70,10 +83,23 @@
         name (str): Its id.
         folder (Path): Where its settings and its log go.
         store (str): ``ip:port`` of the store.
+        domain (str): Its failure domain. Defaults to the only one.
+        region_by_domain (dict): All domains. Defaults to the only one.
     """
 
-    def __init__(self, name: str, folder: pathlib.Path, store: str) -> None:
+    def __init__(
+        self,
+        name: str,
+        folder: pathlib.Path,
+        store: str,
+        domain: str = _DOMAIN,
+        region_by_domain: dict[str, str] | None = None,
+    ) -> None:
         self.name = name
+        self._domain = domain
+        self._region_by_domain = region_by_domain or {_DOMAIN: _REGION}
+        self.starts = 0
+        self.is_taken = False
         numbers = ports.free_ports(4)
         self._address_by_use = {
             use: f"127.0.0.1:{number}"
@@ -94,20 +120,41 @@
         return {
             "self": {
                 "nodeName": self.name,
-                "zone": _DOMAIN,
-                "region": _REGION,
+                "zone": self._domain,
+                "region": self._region_by_domain[self._domain],
             },
             "network": {
                 "listen": self._address_by_use,
                 "internalPortRange": [metrics, metrics],
-                "zones": {_DOMAIN: _REGION},
+                "zones": self._region_by_domain,
             },
             "platform": {"platform": {"address": store}},
-            "terms": {"bounds": {"grace": "4s"}},
+            "terms": {
+                "bounds": {
+                    "grace": "4s",
+                    "quotaOverage": 0.1,
+                    "quotaSlack": 20,
+                }
+            },
         }
 
-    async def start(self) -> None:
-        """Start the process and wait until it is ready."""
+    @contextlib.contextmanager
+    def taken(self) -> typing.Iterator[None]:
+        """Keep it for one user that stops and starts it."""
+        self.is_taken = True
+        try:
+            yield
+        finally:
+            self.is_taken = False
+
+    async def start(self, is_awaited: bool = True) -> None:
+        """Start the process.
+
+        Args:
+            is_awaited (bool): Whether to wait until it is ready. Defaults
+                to True.
+        """
+        self.starts += 1
         variables = os.environ | {
             settings_module.PATH_VARIABLE: str(self._path)
         }
@@ -120,9 +167,11 @@
                 stderr=log,
                 env=variables,
             )
-        await self._until_ready()
+        if is_awaited:
+            await self.until_ready()
 
-    async def _until_ready(self) -> None:
+    async def until_ready(self) -> None:
+        """Wait until it takes requests."""
         url = f"http://{self._address_by_use['ready']}{wire.READINESS_PATH}"
         async with (
             asyncio.timeout(_READY_TIMEOUT_S),
@@ -172,7 +221,8 @@
         """Start all, the entries last."""
         await self.store.start()
         self.store.put(
-            documents.CONFIGURATION_KEY, configuration(1, [KEY, "other-key"])
+            documents.CONFIGURATION_KEY,
+            configuration(1, only_customer([KEY, "other-key"])),
         )
         for target in self.targets:
             await target.start()
@@ -189,7 +239,7 @@
     ) -> httpx.Response:
         """Send one request as a caller."""
         headers = {
-            "host": _HOST,
+            "host": HOST,
             wire.HEADERS.request_id.decode(): request_id,
             wire.HEADERS.affinity.decode(): path.rpartition("/")[2],
             wire.HEADERS.deadline.decode(): "1500",
@@ -203,7 +253,7 @@
         """How often each request ran, over all targets."""
         runs: dict[str, int] = {}
         for target in self.targets:
-            for request_id, count in target.runs_by_request.items():
+            for request_id, count in target.runs_by_request().items():
                 runs[request_id] = runs.get(request_id, 0) + count
         return runs
 
