--- a/bench/fleet_control.py
+++ b/bench/fleet_control.py
@@ -1,13 +1,15 @@
 """Cost of control on the platform path, by members, customers and targets.
 
 Encodes and takes in the real messages of ``coordination/peer_exchange.py``
-and rates targets with the real selection; one process, no network.
+and rates targets with the real selection; one process, no network. Members
+are the entries of a region.
 """
 
 import json
 import random
 import time
 
+from chicorydoor.coordination import peer_exchange
 from chicorydoor.coordination import target_selection
 from chicorydoor.protocol import fleet_messages
 from chicorydoor.protocol import ids
@@ -17,7 +19,6 @@
 from chicorydoor.state import target_book
 
 _REPEATS = 300
-_BEATS_PER_S = 2.5
 _REGIONS = 3
 
 
@@ -45,7 +46,7 @@
 
 
 def heartbeats(members: int, customers: int) -> dict[str, float]:
-    """Size of a heartbeat and the time to write and read one."""
+    """Size of a whole heartbeat and the time to write and read one."""
     beat = _heartbeat(members, customers)
     data = fleet_messages.encode(beat)
     started = time.process_time()
@@ -56,7 +57,9 @@
         "members": members,
         "customers": customers,
         "heartbeat_bytes": len(data),
-        "sent_bytes_per_s": len(data) * (members - 1) * _BEATS_PER_S,
+        "sent_bytes_per_s": round(
+            len(data) * (members - 1) / peer_exchange.heartbeat_s(members - 1)
+        ),
         "write_and_read_us": round(spent_s * 1e6, 1),
     }
 
--- a/chicorydoor/coordination/peer_exchange.py
+++ b/chicorydoor/coordination/peer_exchange.py
@@ -52,6 +52,12 @@
 _LOG = logging.getLogger(__name__)
 
 
+def heartbeat_s(mates: int) -> float:
+    """Seconds between two heartbeats with some other entries around."""
+    crowd = max(1.0, mates / _FULL_PACE_MATES)
+    return min(_SLOWEST_HEARTBEAT_S, HEARTBEAT_S * crowd)
+
+
 class Link(typing.Protocol):
     """Unreliable delivery of messages to addresses."""
 
@@ -245,11 +251,7 @@
             self.send_heartbeats()
             self._note_membership()
             self._redial_silent()
-            await asyncio.sleep(self._heartbeat_s())
-
-    def _heartbeat_s(self) -> float:
-        crowd = len(self._fleet.mates()) / _FULL_PACE_MATES
-        return min(_SLOWEST_HEARTBEAT_S, HEARTBEAT_S * max(1.0, crowd))
+            await asyncio.sleep(heartbeat_s(len(self._fleet.mates())))
 
     async def _tell_regions(self) -> None:
         # Before it has heard its region an entry would tell guesses.
