--- a/chicorydoor/demo/platform_session.py
+++ b/chicorydoor/demo/platform_session.py
@@ -157,8 +157,10 @@
 
 
 async def _withdraw(site: platform_site.PlatformSite) -> set[int]:
-    customers = platform_site.only_customer([platform_site.KEY])
-    value = platform_site.configuration(2, customers)
+    customer = platform_site.customer(
+        platform_site.CUSTOMER, [platform_site.KEY]
+    )
+    value = platform_site.configuration(2, [customer])
     site.store.put(documents.CONFIGURATION_KEY, value)
     await asyncio.sleep(_IN_FORCE_S)
     answers = [
--- a/chicorydoor/platform/__main__.py
+++ b/chicorydoor/platform/__main__.py
@@ -9,8 +9,8 @@
 
 import uvloop
 
-from chicorydoor import compose_fleet
 from chicorydoor import errors
+from chicorydoor import fleet_entry
 from chicorydoor.platform import settings as settings_module
 from chicorydoor.transport import logs
 
@@ -25,7 +25,7 @@
 async def _serve() -> None:
     checked = settings_module.read(_path())
     logs.configure("INFO", checked.instance)
-    entry = compose_fleet.FleetEntry(checked)
+    entry = fleet_entry.FleetEntry(checked)
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, entry.stop)
--- a/chicorydoor/soak/soak_site.py
+++ b/chicorydoor/soak/soak_site.py
@@ -104,16 +104,15 @@
     def apply(self) -> None:
         """Put a new version of the configuration in force."""
         self.version += 1
-        tenants = [
-            {
-                "name": customer.name,
-                "apiKeys": self.keys_by_customer[customer.name],
-                "ratePerS": customer.rate_per_s,
-                "burst": customer.rate_per_s,
-            }
+        customers = [
+            platform_site.customer(
+                customer.name,
+                self.keys_by_customer[customer.name],
+                customer.rate_per_s,
+            )
             for customer in CUSTOMERS
         ]
-        document = platform_site.configuration(self.version, tenants)
+        document = platform_site.configuration(self.version, customers)
         self.store.put(documents.CONFIGURATION_KEY, document)
 
     def withdraw_key(self, customer: str) -> None:
--- a/chicorydoor/standins/platform_site.py
+++ b/chicorydoor/standins/platform_site.py
@@ -36,17 +36,22 @@
 _Document = dict[str, typing.Any]
 
 
-def only_customer(keys: list[str]) -> list[_Document]:
-    """The operator's entry for a single customer with some keys."""
-    return [{"name": CUSTOMER, "apiKeys": keys}]
+def customer(name: str, keys: list[str], rate_per_s: float = 0.0) -> _Document:
+    """The operator's entry for a customer, with a burst of one second."""
+    return {
+        "name": name,
+        "apiKeys": keys,
+        "ratePerS": rate_per_s,
+        "burst": rate_per_s,
+    }
 
 
-def configuration(version: int, tenants: list[_Document]) -> bytes:
+def configuration(version: int, customers: list[_Document]) -> bytes:
     """The operator's document: reads, and orders that may run once.
 
     Args:
         version (int): Its version.
-        tenants (list): Entries for the customers.
+        customers (list): Entries for the customers.
     """
     route = {
         "host": HOST,
@@ -71,7 +76,7 @@
                     "maxConnections": 50,
                 }
             ],
-            "tenants": tenants,
+            "tenants": customers,
         }
     )
 
@@ -222,7 +227,7 @@
         await self.store.start()
         self.store.put(
             documents.CONFIGURATION_KEY,
-            configuration(1, only_customer([KEY, "other-key"])),
+            configuration(1, [customer(CUSTOMER, [KEY, "other-key"])]),
         )
         for target in self.targets:
             await target.start()
--- a/chicorydoor/state/fleet_view.py
+++ b/chicorydoor/state/fleet_view.py
@@ -11,7 +11,7 @@
 from chicorydoor.protocol import ids
 from chicorydoor.state import object_memory
 from chicorydoor.state import rate_shares
-from chicorydoor.state import target_book
+from chicorydoor.state import target_report
 
 
 class Standing(enum.Enum):
@@ -79,7 +79,7 @@
     reads_store: bool = True
     unheard: list[ids.InstanceId] = []
     sightings: list[object_memory.Sighting] = []
-    target_reports: list[target_book.TargetReport] = []
+    target_reports: list[target_report.TargetReport] = []
     trusted_idle_s: float | None = None
 
 
--- a/chicorydoor/state/target_book.py
+++ b/chicorydoor/state/target_book.py
@@ -8,10 +8,9 @@
 import enum
 import math
 
-import msgspec
-
 from chicorydoor.protocol import ids
 from chicorydoor.protocol import serving
+from chicorydoor.state import target_report
 
 # Weight of the newest observation in the moving averages.
 _OBSERVATION_WEIGHT = 0.15
@@ -37,51 +36,6 @@
     REPLACED = "replaced"
 
 
-class TargetReport(msgspec.Struct, frozen=True, array_like=True):
-    """What an entry has lately seen of a target, for its region.
-
-    Pattern: each of many entries sends a target few requests, and knows its
-    load and its failures only from these; together they know it well.
-
-    Args:
-        started_ms (int): Start of the target's incarnation.
-        running (int): Its running and waiting requests as it told last; -1
-            if it told none.
-        answers (int): Requests that have ended.
-        failures (int): Those among them that failed.
-        pace_percent (int): Mean time of the others over the expected time.
-    """
-
-    target_id: ids.TargetId
-    started_ms: int
-    running: int
-    answers: int
-    failures: int
-    pace_percent: int
-
-
-class _Untold:
-    """What is to be reported of a target."""
-
-    def __init__(self) -> None:
-        self.running = -1
-        self.answers = 0
-        self.failures = 0
-        self.timed = 0
-        self.ratios = 0.0
-
-    def report(self, target_id: ids.TargetId, started_ms: int) -> TargetReport:
-        pace = self.ratios / self.timed if self.timed else 1.0
-        return TargetReport(
-            target_id,
-            started_ms,
-            self.running,
-            self.answers,
-            self.failures,
-            round(100 * pace),
-        )
-
-
 class TargetView:
     """One target as one entry sees it.
 
@@ -114,7 +68,7 @@
         self._observed_at = now
         self._unanswered = 0
         self._answered_at = float("-inf")
-        self._untold: _Untold | None = None
+        self._untold: target_report.Untold | None = None
 
     @property
     def is_leaving(self) -> bool:
@@ -150,19 +104,19 @@
         self._others_running = max(0.0, running - self.own_running)
         self._reported_at = now
 
-    def _to_tell(self) -> _Untold:
+    def _to_tell(self) -> target_report.Untold:
         if self._untold is None:
-            self._untold = _Untold()
+            self._untold = target_report.Untold()
         return self._untold
 
-    def take_report(self) -> TargetReport | None:
+    def take_report(self) -> target_report.TargetReport | None:
         """What has been seen since the last report; None for nothing."""
         untold, self._untold = self._untold, None
         if untold is None:
             return None
         return untold.report(self.target_id, self.record.started_ms)
 
-    def hear(self, report: TargetReport, now: float) -> None:
+    def hear(self, report: target_report.TargetReport, now: float) -> None:
         """Take in what another entry of the region has seen."""
         if report.started_ms != self.record.started_ms:
             return
@@ -308,12 +262,14 @@
         self.evacuated_domains = now_evacuated
         self.reindex()
 
-    def take_reports(self) -> list[TargetReport]:
+    def take_reports(self) -> list[target_report.TargetReport]:
         """What this entry has seen of targets since the last call."""
         reports = [view.take_report() for view in self.target_by_id.values()]
         return [report for report in reports if report is not None]
 
-    def hear(self, reports: abc.Iterable[TargetReport], now: float) -> None:
+    def hear(
+        self, reports: abc.Iterable[target_report.TargetReport], now: float
+    ) -> None:
         """Take in what another entry of the region has seen."""
         for report in reports:
             view = self.target_by_id.get(report.target_id)
--- a/tests/test_platform_entry.py
+++ b/tests/test_platform_entry.py
@@ -11,6 +11,7 @@
 import pytest
 
 from chicorydoor import compose_fleet
+from chicorydoor import fleet_entry
 from chicorydoor.protocol import fleet_settings
 from chicorydoor.standins import platform_store
 from chicorydoor.standins import ports
@@ -119,7 +120,7 @@
 
     async def add_entry(self, name, store=None, seeds=()):
         settings = _settings(name, store or self.store.endpoint, seeds)
-        entry = compose_fleet.FleetEntry(settings)
+        entry = fleet_entry.FleetEntry(settings)
         entry.settings = settings
         self.entries.append(entry)
         self.tasks.append(asyncio.create_task(entry.run()))
