--- a/chicorydoor/cli/soak.py
+++ b/chicorydoor/cli/soak.py
@@ -65,9 +65,13 @@
     asyncio.get_running_loop().add_signal_handler(
         signal.SIGTERM, playing.cancel
     )
-    return await soak_run.play(
-        seed, arguments.seconds, arguments.entries, arguments.folder
-    )
+    try:
+        return await soak_run.play(
+            seed, arguments.seconds, arguments.entries, arguments.folder
+        )
+    except (TimeoutError, OSError) as error:
+        reason = f"{type(error).__name__} {error}"
+        return soak_run.unfinished(seed, arguments.entries, reason)
 
 
 async def _play_all(
@@ -95,7 +99,7 @@
             )
             await process.wait()
         if not path.exists():
-            return soak_run.unfinished(seed, arguments.entries)
+            return soak_run.unfinished(seed, arguments.entries, "no report")
         return msgspec.json.decode(
             path.read_bytes(), type=list[soak_run.SoakReport]
         )[0]
--- a/chicorydoor/soak/loopback_proxy.py
+++ b/chicorydoor/soak/loopback_proxy.py
@@ -7,6 +7,8 @@
 from chicorydoor.standins import ports
 
 _CHUNK_BYTES = 64 * 1024
+# Some requests pass between two cuts, others are cut at work.
+_CUT_INTERVAL_S = 0.05
 
 
 class Way(enum.Enum):
@@ -23,7 +25,8 @@
     """Passes connections on to an endpoint.
 
     Connections that were open when a way begins are treated like new ones,
-    and stay silent for good once they have lost bytes.
+    and stay silent for good once they have lost bytes. Where connections are
+    reset, all open ones are cut time and again.
 
     Args:
         endpoint (str): ``ip:port`` to pass on to.
@@ -39,6 +42,7 @@
         self._way = Way.OPEN
         self._writers: set[asyncio.StreamWriter] = set()
         self._server: asyncio.Server | None = None
+        self._cutter: asyncio.Task | None = None
 
     async def start(self) -> None:
         """Begin to accept connections."""
@@ -50,13 +54,20 @@
         """Cut everything."""
         if self._server is not None:
             self._server.close()
+        if self._cutter is not None:
+            self._cutter.cancel()
         self._cut()
 
     def set_way(self, way: Way) -> None:
         """Change what becomes of bytes from now on."""
         self._way = way
-        if way is Way.RESET:
+        if way is Way.RESET and (self._cutter is None or self._cutter.done()):
+            self._cutter = asyncio.create_task(self._cut_repeatedly())
+
+    async def _cut_repeatedly(self) -> None:
+        while self._way is Way.RESET:
             self._cut()
+            await asyncio.sleep(_CUT_INTERVAL_S)
 
     def _cut(self) -> None:
         for writer in list(self._writers):
@@ -65,9 +76,6 @@
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        if self._way is Way.RESET:
-            writer.transport.abort()
-            return
         try:
             onward = await asyncio.open_connection(self._host, self._port)
         except OSError:
--- a/chicorydoor/soak/soak_run.py
+++ b/chicorydoor/soak/soak_run.py
@@ -41,9 +41,9 @@
     broken_by_promise: dict[str, list[str]]
 
 
-def unfinished(seed: int, entries: int) -> SoakReport:
-    """The report of a seed whose process ended without one."""
-    broken = {"the soak itself ends": ["no report"]}
+def unfinished(seed: int, entries: int, reason: str) -> SoakReport:
+    """The report of a seed that did not come to its end."""
+    broken = {"all entries start and the run ends": [reason]}
     return SoakReport(seed, entries, [], 0, {}, broken)
 
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -129,7 +129,10 @@
         try:
             writer.write(b"hello")
             async with asyncio.timeout(0.3):
-                return await reader.read(100)
+                first = await reader.read(100)
+                if way is loopback_proxy.Way.RESET:
+                    return await reader.read(100)
+                return first
         except TimeoutError:
             return None
         except ConnectionError:
