--- a/chicorydoor/coordination/rate_desk.py
+++ b/chicorydoor/coordination/rate_desk.py
@@ -96,7 +96,9 @@
         self._clock = clock
         self._rng = rng
         self._numbers = itertools.count(1)
-        self._answer_by_number: dict[int, asyncio.Future[float | None]] = {}
+        self._answer_by_number: dict[
+            int, asyncio.Future[fleet_messages.RateAnswer]
+        ] = {}
         self._answering: set[asyncio.Task] = set()
         self._doubted_until_by_address: dict[str, float] = {}
         self._started_at = clock.now()
