--- a/tests/test_call_runner.py
+++ b/tests/test_call_runner.py
@@ -126,7 +126,7 @@
         self._seconds = seconds
         self.kept = []
 
-    async def take(self, limit_s):
+    async def take(self, limit_s, most_idle_s):
         self._clock.at += self._seconds
         return _Channel()
 
