A refused entry tries the store again after five seconds

Cause: an entry whose call failed once left the reading to others for as long as these told it news; after a short outage a region kept a single reader, which nothing but patience stands in for.

Change: it tries again 5 s after its last failure.

--- a/chicorydoor/coordination/store_follower.py
+++ b/chicorydoor/coordination/store_follower.py
@@ -27,6 +27,9 @@
 # ask more rarely: this many entries retry as often as one alone would.
 _RETRYING_ENTRIES = 8
 _RETRY_LONGEST_S = 4.0
+# An entry whose calls fail tries again after this long though peers tell it
+# all, so that a region does not stay with the one reader that it has left.
+_REFUSED_RECHECK_S = 5.0
 # Least time between two requests for a peer's copy.
 _COPY_INTERVAL_S = 0.5
 # Heartbeats of other entries overtake the news that they tell of.
@@ -133,6 +136,7 @@
         self._is_listed = False
         self.news_at = float("-inf")
         self.is_lost = False
+        self._refused_at = float("-inf")
         self._copy_asked_at = float("-inf")
         # A change that a peer has, and since when that is known.
         self._missed = 0
@@ -164,6 +168,7 @@
         return min(_RETRY_LONGEST_S, _RETRY_MOST_S * crowd)
 
     def _note_loss(self, state: tenacity.RetryCallState) -> None:
+        self._refused_at = self._clock.now()
         if self.is_lost:
             return
         self.is_lost = True
@@ -216,7 +221,10 @@
         """Wait while peers read often enough."""
         while True:
             patience_s = self.part.patience(self._place())
-            left_s = self.news_at + patience_s - self._clock.now()
+            due_at = self.news_at + patience_s
+            if self.is_lost:
+                due_at = min(due_at, self._refused_at + _REFUSED_RECHECK_S)
+            left_s = due_at - self._clock.now()
             if left_s <= 0 or self._is_behind.is_set():
                 self._is_behind.clear()
                 return
