--- a/chicorydoor/state/rate_shares.py
+++ b/chicorydoor/state/rate_shares.py
@@ -29,8 +29,8 @@
 # Part of the tolerated overage that is planned with; the rest covers shares
 # that move.
 _PLANNED_OVERAGE = 0.7
-
-
+# Whole numbers that announcements use for a whole rate, and for one request a
+# second: finer than any decision needs.
 _SHARE_UNITS = 1_000_000
 _DEMAND_UNITS = 100
 # Smaller moves are told with the next full report: a part of the last told
