One rendezvous ranking, one header look-up, one link, one count of windows

Read again, the change had written some things more than once:

- ranking by rendezvous hashing stood in the choice of targets, the cold limits and the desks; state/rendezvous.py serves all three, with the same digests, so the orders are the same
- a header's value was looked up by three equal loops; now protocol/headers.py
- two protocols for a link repeated transport/nng_link.PeerLink
- the most events of a window were counted by the soak and by three tests; now soak/windows.py
- the rates that the soak judges by were written beside those that it sets

FleetView.size replaces lists that were built only to be counted, some for each request of a pooled rate. An unused import is gone.

No bound, check or assertion is changed; the soak's message on a broken rate names the window instead of its time.

--- a/chicorydoor/cli/soak.py
+++ b/chicorydoor/cli/soak.py
@@ -11,7 +11,6 @@
 
 import msgspec
 import rich.console
-import rich.progress
 
 from chicorydoor.cli import exit_codes
 from chicorydoor.soak import soak_run
--- a/chicorydoor/compose_fleet.py
+++ b/chicorydoor/compose_fleet.py
@@ -194,7 +194,7 @@
                 promises.retry_slack,
                 promises.retry_window_s,
             ),
-            entries=lambda: len(self.fleet.possible_instances()),
+            entries=lambda: self.fleet.size,
             clock=self.clock,
         )
         self.prober = target_prober.TargetProber(
--- a/chicorydoor/coordination/peer_exchange.py
+++ b/chicorydoor/coordination/peer_exchange.py
@@ -24,6 +24,7 @@
 from chicorydoor.state import rate_shares
 from chicorydoor.state import target_book
 from chicorydoor.transport import clock as clock_module
+from chicorydoor.transport import nng_link
 
 # Shares of rates and news that were lost move with heartbeats: several fit
 # into the shortest bound, a withdrawn key's few seconds.
@@ -58,14 +59,8 @@
     return min(_SLOWEST_HEARTBEAT_S, HEARTBEAT_S * crowd)
 
 
-class Link(typing.Protocol):
-    """Unreliable delivery of messages to addresses."""
-
-    def send(self, address: str, data: bytes) -> None:
-        """Queue a message; it may be lost."""
-
-    async def receive(self) -> bytes:
-        """The next message for this entry."""
+class Link(nng_link.PeerLink, typing.Protocol):
+    """A link whose connections can be opened anew."""
 
     def redial(self, address: str) -> None:
         """Open the connection to an address anew."""
@@ -380,7 +375,9 @@
 
 
 def _send_to_all(
-    link: Link, members: abc.Iterable[fleet_view.Member], data: bytes
+    link: nng_link.PeerLink,
+    members: abc.Iterable[fleet_view.Member],
+    data: bytes,
 ) -> None:
     for member in members:
         link.send(member.registration.peer_address, data)
--- a/chicorydoor/coordination/rate_desk.py
+++ b/chicorydoor/coordination/rate_desk.py
@@ -11,10 +11,8 @@
 from collections import abc
 import itertools
 import random
-import typing
 
 import msgspec
-import xxhash
 
 from chicorydoor.coordination import plan_keeper
 from chicorydoor.protocol import fleet_messages
@@ -22,8 +20,10 @@
 from chicorydoor.protocol import serving
 from chicorydoor.state import fleet_view
 from chicorydoor.state import rate_shares
+from chicorydoor.state import rendezvous
 from chicorydoor.transport import clock as clock_module
 from chicorydoor.transport import metrics
+from chicorydoor.transport import nng_link
 
 # Right after the start nobody has been heard; all registered entries of the
 # region may be desks until they had time for a heartbeat or two.
@@ -60,13 +60,6 @@
     share_by_instance: dict[ids.InstanceId, float] = {}
 
 
-class Link(typing.Protocol):
-    """Unreliable delivery of messages to addresses."""
-
-    def send(self, address: str, data: bytes) -> None:
-        """Queue a message; it may be lost."""
-
-
 class RateDesk:
     """The rates that one entry holds for its region, and those it asks for.
 
@@ -74,7 +67,7 @@
         fleet (FleetView): The entries.
         rates (RateShares): The own shares of the customers' rates.
         plans (PlanKeeper): The configuration.
-        link (Link): Moves messages between entries.
+        link (PeerLink): Moves messages between entries.
         clock (Clock): Time.
         rng (Random): Randomness.
     """
@@ -85,7 +78,7 @@
         fleet: fleet_view.FleetView,
         rates: rate_shares.RateShares,
         plans: plan_keeper.PlanKeeper,
-        link: Link,
+        link: nng_link.PeerLink,
         clock: clock_module.Clock,
         rng: random.Random,
     ) -> None:
@@ -124,8 +117,7 @@
 
     def is_pooled(self, customer: serving.CustomerRule) -> bool:
         """Whether the rate is too small to be divided over all entries."""
-        entries = len(self._fleet.possible_instances())
-        return customer.rate_per_s / entries < _LEAST_OWN_PER_S
+        return customer.rate_per_s / self._fleet.size < _LEAST_OWN_PER_S
 
     def own(self, customer: serving.CustomerRule) -> float:
         """The own part of a rate, as long as nobody has any demand."""
@@ -141,13 +133,13 @@
             return self._fair_part(customer, others.instance)
         if self.is_pooled(customer):
             return 1.0 / self._regions()
-        return others.members / len(self._fleet.possible_instances())
+        return others.members / self._fleet.size
 
     def _fair_part(
         self, customer: serving.CustomerRule, instance: ids.InstanceId
     ) -> float:
         if not self.is_pooled(customer):
-            return 1.0 / len(self._fleet.possible_instances())
+            return 1.0 / self._fleet.size
         desks = self._desks(customer.customer_id)
         if instance not in [desk.instance for desk in desks]:
             return 0.0
@@ -326,12 +318,8 @@
     candidates: abc.Iterable[fleet_view.Registration],
 ) -> list[fleet_view.Registration]:
     """The first by rendezvous hashing, and the first of another domain."""
-    ranked = sorted(
-        candidates,
-        key=lambda entry: xxhash.xxh3_64_intdigest(
-            f"{customer_id}\0{entry.instance}".encode()
-        ),
-        reverse=True,
+    ranked = rendezvous.ranked(
+        customer_id.encode(), candidates, lambda entry: entry.instance
     )
     first = ranked[0]
     elsewhere = [each for each in ranked if each.domain != first.domain]
--- a/chicorydoor/coordination/target_selection.py
+++ b/chicorydoor/coordination/target_selection.py
@@ -18,6 +18,7 @@
 from chicorydoor.protocol import serving
 from chicorydoor.state import object_memory
 from chicorydoor.state import object_shedding
+from chicorydoor.state import rendezvous
 from chicorydoor.state import target_book
 from chicorydoor.state import work_times
 
@@ -289,18 +290,14 @@
         first: ids.TargetId | None = None
         share = _draw(seed)
         for region, members in by_region.items():
-            members.sort(
-                key=lambda view: _weight(seed, view.target_id), reverse=True
-            )
+            ranked = rendezvous.ranked(seed, members, _name)
             slots = sum(view.record.slots for view in members)
             part = _HOME_SLACK * len(by_region) * slots / max(1, total)
             if share < part:
-                homes.add(members[0].target_id)
+                homes.add(ranked[0].target_id)
             is_near = region == self._region
-            first = members[0].target_id if is_near else first
-            views += members[
-                : _CANDIDATES_NEAR if is_near else _CANDIDATES_FAR
-            ]
+            first = ranked[0].target_id if is_near else first
+            views += ranked[: _CANDIDATES_NEAR if is_near else _CANDIDATES_FAR]
         return _Ranking(views, frozenset(homes), first)
 
 
@@ -308,8 +305,8 @@
     return b"%s\0%s" % (subject.route.prefix.encode(), subject.affinity)
 
 
-def _weight(seed: bytes, target_id: ids.TargetId) -> int:
-    return xxhash.xxh3_64_intdigest(seed + b"\0" + target_id.encode())
+def _name(view: target_book.TargetView) -> str:
+    return view.target_id
 
 
 def _draw(seed: bytes) -> float:
--- a/chicorydoor/protocol/headers.py
+++ b/chicorydoor/protocol/headers.py
@@ -44,6 +44,21 @@
 Headers = list[tuple[bytes, bytes]]
 
 
+def find(
+    headers: abc.Iterable[tuple[bytes, bytes]], name: bytes
+) -> bytes | None:
+    """A header's first value, or None.
+
+    Args:
+        headers (Iterable): Names in lower case, and values.
+        name (bytes): In lower case.
+    """
+    for known, value in headers:
+        if known == name:
+            return value
+    return None
+
+
 def for_target(headers: abc.Iterable[tuple[bytes, bytes]]) -> Headers:
     """A caller's headers without those that stay at the entry.
 
--- a/chicorydoor/soak/soak_checks.py
+++ b/chicorydoor/soak/soak_checks.py
@@ -1,6 +1,5 @@
 """Promises that a soak judges, from what callers and targets saw."""
 
-import bisect
 import collections
 from collections import abc
 
@@ -9,13 +8,12 @@
 from chicorydoor.policies import registry
 from chicorydoor.soak import soak_site
 from chicorydoor.soak import soak_traffic
+from chicorydoor.soak import windows
+from chicorydoor.standins import platform_site
 from chicorydoor.standins import platform_target
 
 _PROMISES_NOT_RUN = frozenset({408, 421, 429, 503})
 _WINDOW_S = 5.0
-# What the settings of the soak's entries promise for rates.
-RATE_OVERAGE = 0.1
-RATE_SLACK = 20.0
 
 
 class Seen(msgspec.Struct):
@@ -111,15 +109,18 @@
     for customer in soak_site.CUSTOMERS:
         if customer.rate_per_s <= 0:
             continue
-        times = sorted(
-            each.at for each in seen.arrivals if each.customer == customer.name
+        most = windows.busiest(
+            (
+                each.at
+                for each in seen.arrivals
+                if each.customer == customer.name
+            ),
+            _WINDOW_S,
         )
         limit = customer.rate_per_s * (_WINDOW_S + 1.0)
-        limit = limit * (1 + RATE_OVERAGE) + RATE_SLACK
-        for end, at in enumerate(times):
-            start = bisect.bisect_right(times, at - _WINDOW_S)
-            if end - start + 1 > limit:
-                broken.append(f"{customer.name}: {end - start + 1} at {at}")
+        limit *= 1 + platform_site.RATE_OVERAGE
+        if most > limit + platform_site.RATE_SLACK:
+            broken.append(f"{customer.name}: {most} in {_WINDOW_S:g} s")
     return broken
 
 
--- a/chicorydoor/standins/platform_site.py
+++ b/chicorydoor/standins/platform_site.py
@@ -26,6 +26,9 @@
 KEY = "loopback-key"
 CUSTOMER = "kivuli"
 HOST = "shop.example"
+# What the entries' settings promise for rates, as on the deployments.
+RATE_OVERAGE = 0.1
+RATE_SLACK = 20.0
 _SERVICE = "shop"
 _DOMAIN = "nairobi-a"
 _REGION = "nairobi"
@@ -137,8 +140,8 @@
             "terms": {
                 "bounds": {
                     "grace": "4s",
-                    "quotaOverage": 0.1,
-                    "quotaSlack": 20,
+                    "quotaOverage": RATE_OVERAGE,
+                    "quotaSlack": RATE_SLACK,
                 }
             },
         }
--- a/chicorydoor/state/cold_limits.py
+++ b/chicorydoor/state/cold_limits.py
@@ -7,9 +7,8 @@
 
 from collections import abc
 
-import xxhash
-
 from chicorydoor.protocol import ids
+from chicorydoor.state import rendezvous
 
 # Entries that may send to one cold target: more than one, so that the loss
 # of an entry or of a link does not leave the target without any request.
@@ -36,11 +35,7 @@
 
     def is_designated(self, target_id: ids.TargetId) -> bool:
         """Whether the entry is one of those that send to a cold target."""
-        ranked = sorted(
-            self._members(),
-            key=lambda member: _weight(target_id, member),
-            reverse=True,
-        )
+        ranked = rendezvous.ranked(target_id.encode(), self._members(), str)
         return self._instance in ranked[:_DESIGNATED]
 
     def may_send(self, target_id: ids.TargetId, now: float) -> bool:
@@ -68,7 +63,3 @@
                 if at > now
             }
         self._next_at_by_target[target_id] = now + _DESIGNATED / rate_per_s
-
-
-def _weight(target_id: ids.TargetId, member: ids.InstanceId) -> int:
-    return xxhash.xxh3_64_intdigest(f"{target_id}\0{member}".encode())
--- a/chicorydoor/state/fleet_view.py
+++ b/chicorydoor/state/fleet_view.py
@@ -288,6 +288,11 @@
             ]
         return ready
 
+    @property
+    def size(self) -> int:
+        """Number of entries that may be alive, the own included."""
+        return 1 + len(self.member_by_instance)
+
     def possible_instances(self) -> list[ids.InstanceId]:
         """All entries that may be alive, the own included."""
         return [self.me.instance, *self.member_by_instance]
--- a/chicorydoor/transport/target_channel.py
+++ b/chicorydoor/transport/target_channel.py
@@ -16,6 +16,7 @@
 import msgspec
 
 from chicorydoor import errors
+from chicorydoor.protocol import headers as header_names
 from chicorydoor.transport import clock as clock_module
 
 Headers = list[tuple[bytes, bytes]]
@@ -49,10 +50,7 @@
 
     def header(self, name: bytes) -> bytes | None:
         """A header's value, or None."""
-        for known, value in self.headers:
-            if known == name:
-                return value
-        return None
+        return header_names.find(self.headers, name)
 
 
 class _Message:
@@ -66,10 +64,7 @@
         self.is_complete = False
 
     def header(self, name: bytes) -> bytes | None:
-        for known, value in self.headers:
-            if known == name:
-                return value
-        return None
+        return header_names.find(self.headers, name)
 
     @property
     def ends_with_connection(self) -> bool:
--- a/chicorydoor/transport/target_connection.py
+++ b/chicorydoor/transport/target_connection.py
@@ -13,6 +13,7 @@
 import httpcore
 
 from chicorydoor import errors
+from chicorydoor.protocol import headers as header_names
 from chicorydoor.transport import clock as clock_module
 
 _CONNECT_TIMEOUT_S = 0.5
@@ -55,10 +56,7 @@
 
     def header(self, name: bytes) -> bytes | None:
         """A header's value, or None."""
-        for known, value in self.headers:
-            if known == name:
-                return value
-        return None
+        return header_names.find(self.headers, name)
 
     async def close(self) -> None:
         """End the answer; the connection is free after a whole body."""
--- a/tests/test_bounds.py
+++ b/tests/test_bounds.py
@@ -10,6 +10,7 @@
 from hypothesis import settings
 from hypothesis import strategies as st
 
+from chicorydoor.soak import windows
 from chicorydoor.state import cold_limits
 from chicorydoor.state import retry_budget
 
@@ -26,17 +27,6 @@
 )
 
 
-def _busiest(times, window_s):
-    """Most of some sorted times within a window."""
-    return max(
-        (
-            end - bisect.bisect_right(times, at - window_s) + 1
-            for end, at in enumerate(times)
-        ),
-        default=0,
-    )
-
-
 class _ColdFleet:
     """Entries that all want to send to one cold target all the time."""
 
@@ -92,7 +82,7 @@
             for _ in range(_STEPS_A_TURN):
                 now += _STEP_S
                 fleet.step(now)
-        assert _busiest(fleet.sent, 1.0) <= 1.5 * fleet.rate_per_s + 5
+        assert windows.busiest(fleet.sent, 1.0) <= 1.5 * fleet.rate_per_s + 5
 
 
 class _RetryFleet:
--- a/tests/test_rate_desk.py
+++ b/tests/test_rate_desk.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 
+from chicorydoor.soak import windows
 from tests.support import peer_fleet
 from tests.support import serving as make
 
@@ -51,13 +52,7 @@
         return self.offered - len(self.granted_at)
 
     def most_in_a_window(self):
-        granted = sorted(self.granted_at)
-        most, start = 0, 0
-        for end, at in enumerate(granted):
-            while granted[start] <= at - _WINDOW_S:
-                start += 1
-            most = max(most, end - start + 1)
-        return most
+        return windows.busiest(self.granted_at, _WINDOW_S)
 
 
 def _bound():
--- a/tests/test_rate_shares.py
+++ b/tests/test_rate_shares.py
@@ -6,6 +6,7 @@
 from hypothesis import settings
 from hypothesis import strategies as st
 
+from chicorydoor.soak import windows
 from chicorydoor.state import rate_shares
 from tests.support import serving as make
 
@@ -68,12 +69,7 @@
         self.heard[index] = [None] * len(self.shares)
 
     def most_in_a_window(self):
-        most, start = 0, 0
-        for end, at in enumerate(self.admitted):
-            while self.admitted[start] <= at - _WINDOW_S:
-                start += 1
-            most = max(most, end - start + 1)
-        return most
+        return windows.busiest(self.admitted, _WINDOW_S)
 
     def bound(self):
         customer = self.customer
