Log and count the region of each chosen target and why it was chosen

Change: SelectedTarget has a reason (first-request, cached, home, load); the request line has target_region and chosen_as; the new counter chicorydoor_sends_total has both as labels. Decisions are the same: only the conditions of the score are named.

--- a/chicorydoor/coordination/call_app.py
+++ b/chicorydoor/coordination/call_app.py
@@ -257,6 +257,8 @@
                 ).decode("latin-1"),
                 "service": trace.service_id,
                 "sends": trace.attempts,
+                "target_region": trace.region,
+                "chosen_as": trace.reason,
                 "expected_ms": round(trace.expected_latency_s * 1000),
                 "object_known": trace.is_cached,
                 "target_load": round(trace.target_load, 1),
--- a/chicorydoor/coordination/call_runner.py
+++ b/chicorydoor/coordination/call_runner.py
@@ -42,6 +42,9 @@
         service_id (str): The service that was chosen. Defaults to empty.
         attempts (list): ``target:outcome:reason`` of each attempt, sent or
             not. Defaults to none.
+        region (str): Region of the last chosen target. Defaults to empty.
+        reason (str): Why that target was chosen, a value of
+            ``SelectionReason``. Defaults to empty.
         expected_latency_s (float): Expected response time of the last choice,
             in seconds. Defaults to 0.
         is_cached (bool): Whether the object is believed to be in that target's
@@ -54,6 +57,8 @@
 
     service_id: str = ""
     attempts: list[str] = []
+    region: str = ""
+    reason: str = ""
     expected_latency_s: float = 0.0
     is_cached: bool = False
     target_load: float = 0.0
@@ -166,6 +171,7 @@
         return self._conclude()
 
     def _record_attempt(self, sent: target_sender.SendResult) -> None:
+        metrics.SENDS.labels(self._trace.region, self._trace.reason).inc()
         self._tried_targets.append(sent.target_id)
         self._trace.attempts.append(
             f"{sent.target_id}:{sent.outcome.value}:{sent.reason}"
@@ -194,6 +200,8 @@
             )
             return None
         trace = self._trace
+        trace.region = choice.target.region
+        trace.reason = choice.reason.value
         trace.expected_latency_s = choice.expected_latency_s
         trace.is_cached = choice.is_cached
         trace.target_load = choice.target.estimated_requests(now)
--- a/chicorydoor/coordination/target_selection.py
+++ b/chicorydoor/coordination/target_selection.py
@@ -12,6 +12,7 @@
 """
 
 from collections import abc
+import enum
 import random
 import typing
 
@@ -45,6 +46,21 @@
 _MAX_CACHED_CANDIDATE_SETS = 50_000
 
 
+class SelectionReason(enum.Enum):
+    """Why a target was chosen.
+
+    ``FIRST_REQUEST``: no request was sent to this new target before.
+    ``CACHED``: the object is believed to be in the target's cache. ``HOME``:
+    the target is a home of the object. ``LOAD``: its score was the lowest
+    though it is neither.
+    """
+
+    FIRST_REQUEST = "first-request"
+    CACHED = "cached"
+    HOME = "home"
+    LOAD = "load"
+
+
 class SelectedTarget(msgspec.Struct):
     """The target chosen for a request, with the estimates behind it.
 
@@ -57,6 +73,7 @@
         is_cached (bool): Whether the object is believed to be in the target's
             cache.
         is_cold (bool): Whether the target is still warming up.
+        reason (SelectionReason): Why it was chosen. Defaults to ``LOAD``.
     """
 
     target: target_views.TargetView
@@ -65,6 +82,7 @@
     processing_s: float
     is_cached: bool
     is_cold: bool
+    reason: SelectionReason = SelectionReason.LOAD
 
 
 class TargetConstraints(msgspec.Struct):
@@ -208,11 +226,9 @@
                 continue
             is_cached = view.incarnation_key in caching_targets
             choice = self._estimate(constraints.route, view, is_cached, now)
+            choice.reason = _selection_reason(candidate_set, view, is_cached)
             score = choice.expected_latency_s
-            if (
-                view.target_id == candidate_set.first_in_own_region
-                and not view.has_received_requests
-            ):
+            if choice.reason is SelectionReason.FIRST_REQUEST:
                 # No other score is lower.
                 score = 0.0
             elif (
@@ -221,7 +237,7 @@
             ):
                 # Leaves capacity to requests that may not go elsewhere.
                 score += constraints.route.latency_objective_s
-            elif not is_cached and view.target_id not in candidate_set.homes:
+            elif choice.reason is SelectionReason.LOAD:
                 score += _HOME_PREFERENCE * choice.processing_s
             if best is not None and score >= best_score:
                 continue
@@ -380,6 +396,24 @@
         return _CandidateSet(views, frozenset(homes), first)
 
 
+def _selection_reason(
+    candidate_set: _CandidateSet,
+    view: target_views.TargetView,
+    is_cached: bool,
+) -> SelectionReason:
+    """Return why a candidate would be chosen."""
+    if (
+        view.target_id == candidate_set.first_in_own_region
+        and not view.has_received_requests
+    ):
+        return SelectionReason.FIRST_REQUEST
+    if is_cached:
+        return SelectionReason.CACHED
+    if view.target_id in candidate_set.homes:
+        return SelectionReason.HOME
+    return SelectionReason.LOAD
+
+
 def _hash_seed(constraints: TargetConstraints) -> bytes:
     return b"%s\0%s" % (
         constraints.route.prefix.encode(),
--- a/chicorydoor/transport/metrics.py
+++ b/chicorydoor/transport/metrics.py
@@ -23,6 +23,12 @@
 RETRIES = prometheus_client.Counter(
     "chicorydoor_retries", "Requests sent to a second target."
 )
+SENDS = prometheus_client.Counter(
+    "chicorydoor_sends",
+    "Attempts to send a request, by region of the target and why it was "
+    "chosen.",
+    ["region", "reason"],
+)
 RATE_OWNER_TIMEOUTS = prometheus_client.Counter(
     "chicorydoor_rate_desks_silent",
     "Questions about a customer's rate that a desk did not answer in time.",
--- a/tests/test_platform_process.py
+++ b/tests/test_platform_process.py
@@ -59,6 +59,8 @@
         assert request_line["status"] == 200
         assert request_line["configuration"] == 1
         assert request_line["sends"][0].endswith("answered:200")
+        assert request_line["target_region"]
+        assert request_line["chosen_as"] == "first-request"
         assert {line["instance"] for line in lines} == {"entry-0"}
 
     @pytest.mark.parametrize("text", [None, "self: [", "self: {}"])
--- a/tests/test_target_selection.py
+++ b/tests/test_target_selection.py
@@ -7,6 +7,7 @@
 from chicorydoor.state import target_views
 from tests.support import config_builders as make
 
+_Reason = target_selection.SelectionReason
 _ROUND_TRIP_S_BY_REGION = {"n": 0.001, "m": 0.11, "k": 0.11}
 
 
@@ -183,6 +184,31 @@
         assert fixture.choose().target.target_id == "t4"
 
 
+class TestReasons:
+    """A log reader can tell which kinds of choices moved to a region."""
+
+    def test_first_request_to_a_new_target(self):
+        fixture = _SelectionFixture(_records())
+        for view in fixture.targets.target_by_id.values():
+            view.has_received_requests = False
+        assert fixture.choose().reason is _Reason.FIRST_REQUEST
+
+    def test_home_then_cached(self):
+        fixture = _SelectionFixture(_records())
+        home = fixture.choose()
+        assert home.reason is _Reason.HOME
+        fixture.record_cached(home.target.target_id)
+        assert fixture.choose().reason is _Reason.CACHED
+
+    def test_load_keeps_requests_away_from_homes(self):
+        fixture = _SelectionFixture(_records())
+        for _ in range(3):  # the homes in the three regions
+            choice = fixture.choose()
+            assert choice.reason is _Reason.HOME
+            choice.target.own_requests_in_flight = 40
+        assert fixture.choose().reason is _Reason.LOAD
+
+
 class TestObservations:
     def test_failing_target_is_avoided(self):
         fixture = _SelectionFixture(_records())
