Simulate the start of a large fleet; list its shift as a failing test

Change: the model gets the number of entries as a part of the scenario, the heartbeat interval of the real exchange, reports of targets, and cached objects shared inside a region only, as decision 0008 has it. RegionMix records where requests run; the experiment prints the largest shift. The scenario fleet-start has 87 entries, empty caches and callers that move to the region with few targets.

--- a/chicorydoor/cli/experiment.py
+++ b/chicorydoor/cli/experiment.py
@@ -6,6 +6,7 @@
 
 import argparse
 import pathlib
+import typing
 
 import rich.console
 import rich.table
@@ -14,6 +15,9 @@
 from chicorydoor.model import model_fleet
 from chicorydoor.model import scenario as scenario_module
 
+# The window of the region shift: users state its limit for two seconds.
+_SHIFT_WINDOW_S = 2.0
+
 
 def add_parser(commands: argparse._SubParsersAction) -> None:
     """Add this sub-command to the command line."""
@@ -31,11 +35,7 @@
 def _run(arguments: argparse.Namespace) -> int:
     names = arguments.scenarios or scenario_module.SCENARIOS.names()
     rows = [
-        (
-            name,
-            shares_cached_objects,
-            _run_seeds(name, shares_cached_objects, arguments.seeds),
-        )
+        _run_seeds(name, shares_cached_objects, arguments.seeds)
         for name in names
         for shares_cached_objects in (False, True)
     ]
@@ -45,24 +45,30 @@
     return exit_codes.ExitCode.OK
 
 
-_ResultRow = tuple[str, bool, model_fleet.RequestCounts]
+class _ResultRow(typing.NamedTuple):
+    """Results of a scenario: counts of all seeds, largest shift of any."""
+
+    scenario_name: str
+    shares_cached_objects: bool
+    counts: model_fleet.RequestCounts
+    max_shift: float
 
 
 def _run_seeds(
     name: str, shares_cached_objects: bool, seed_count: int
-) -> model_fleet.RequestCounts:
-    """Return the request counts of a scenario, summed over all seeds."""
+) -> _ResultRow:
     summed_counts = model_fleet.RequestCounts()
+    max_shift = 0.0
     scenario = scenario_module.SCENARIOS.get(name)()
     for seed in range(seed_count):
-        counts = model_fleet.ModelFleet(
-            scenario, seed, shares_cached_objects
-        ).run()
+        fleet = model_fleet.ModelFleet(scenario, seed, shares_cached_objects)
+        counts = fleet.run()
         summed_counts.in_time += counts.in_time
         summed_counts.late += counts.late
         summed_counts.refused += counts.refused
         summed_counts.from_other_region += counts.from_other_region
-    return summed_counts
+        max_shift = max(max_shift, fleet.region_mix.max_shift(_SHIFT_WINDOW_S))
+    return _ResultRow(name, shares_cached_objects, summed_counts, max_shift)
 
 
 def _sharing_label(shares_cached_objects: bool) -> str:
@@ -71,11 +77,20 @@
 
 def _result_table(rows: list[_ResultRow]) -> rich.table.Table:
     table = rich.table.Table(title="Share of requests")
-    # The last column is the part of in time and late that a target in another
-    # region served.
-    for column in ("load", "knowledge", "in time", "late", "refused", "far"):
+    # "far" is the part of in time and late that a target in another region
+    # served, "shift" the largest part of a region's requests that change the
+    # region in which they run from one window to the next.
+    for column in (
+        "load",
+        "knowledge",
+        "in time",
+        "late",
+        "refused",
+        "far",
+        "shift",
+    ):
         table.add_column(column)
-    for name, shares_cached_objects, counts in rows:
+    for name, shares_cached_objects, counts, max_shift in rows:
         values = (
             counts.in_time,
             counts.late,
@@ -85,7 +100,12 @@
         ratios = [
             f"{count / max(1, counts.request_count):.3f}" for count in values
         ]
-        table.add_row(name, _sharing_label(shares_cached_objects), *ratios)
+        table.add_row(
+            name,
+            _sharing_label(shares_cached_objects),
+            *ratios,
+            f"{max_shift:.3f}",
+        )
     return table
 
 
@@ -98,14 +118,14 @@
 
     figure, axes = pyplot.subplots(figsize=(8, 4))
     labels = [
-        f"{name}\n{_sharing_label(shares_cached_objects)}"
-        for name, shares_cached_objects, _ in rows
+        f"{row.scenario_name}\n{_sharing_label(row.shares_cached_objects)}"
+        for row in rows
     ]
     bottoms = [0.0] * len(rows)
     for result in ("in_time", "late", "refused"):
         heights = [
-            getattr(counts, result) / max(1, counts.request_count)
-            for _, _, counts in rows
+            getattr(row.counts, result) / max(1, row.counts.request_count)
+            for row in rows
         ]
         axes.bar(
             labels, heights, bottom=bottoms, label=result.replace("_", " ")
--- a/chicorydoor/model/model_fleet.py
+++ b/chicorydoor/model/model_fleet.py
@@ -7,17 +7,16 @@
 
 import msgspec
 
+from chicorydoor.coordination import peer_exchange
 from chicorydoor.coordination import target_selection
 from chicorydoor.model import model_target
+from chicorydoor.model import region_mix
 from chicorydoor.model import scenario as scenario_module
 from chicorydoor.protocol import ids
 from chicorydoor.protocol import serving_config
 from chicorydoor.state import target_views
 
-# The interval of the real heartbeats between entries.
-_HEARTBEAT_INTERVAL_S = 0.4
 _SAME_REGION_RTT_S = 0.002
-_ENTRY_COUNT_PER_REGION = 2
 # Requests sent before are not counted: the targets' caches still fill.
 _WARM_UP_S = 8.0
 _SERVICE = ids.ServiceId("service")
@@ -121,8 +120,8 @@
     Args:
         scenario (Scenario): Targets, demand and delays.
         seed (int): Seed of all random numbers; the same seed repeats a run.
-        shares_cached_objects (bool): Whether entries publish to each other
-            which target handled which object. Defaults to True.
+        shares_cached_objects (bool): Whether the entries of a region publish
+            to each other which target handled which object. Defaults to True.
         sheds_objects (bool): Whether an overloaded target sheds requests for
             some objects, if only some regions may serve them. Defaults to
             True.
@@ -159,7 +158,7 @@
                     scenario.inter_region_rtt_s,
                     self._rng,
                 )
-                for _ in range(_ENTRY_COUNT_PER_REGION)
+                for _ in range(scenario.entry_count_per_region)
             ]
             for region in scenario.target_count_by_region
         }
@@ -175,9 +174,13 @@
             1,  # priority
             uses_affinity=True,
         )
+        self._heartbeat_interval_s = peer_exchange.heartbeat_interval_s(
+            scenario.entry_count_per_region - 1
+        )
         self._events: list[tuple[float, int, typing.Any]] = []
         self._event_numbers = itertools.count()
         self.counts = RequestCounts()
+        self.region_mix = region_mix.RegionMix()
 
     def run(self) -> RequestCounts:
         """Simulate the whole scenario and return its request counts."""
@@ -185,7 +188,7 @@
             self._schedule(
                 demand.starts_at_s + self._next_interval_s(demand), demand
             )
-        self._schedule(_HEARTBEAT_INTERVAL_S, None)
+        self._schedule(self._heartbeat_interval_s, None)
         while self._events:
             now, _, event = heapq.heappop(self._events)
             if now >= self._scenario.duration_s:
@@ -206,21 +209,24 @@
         return self._rng.expovariate(demand.rate_per_s)
 
     def _handle_heartbeat(self, now: float) -> None:
-        self._schedule(now + _HEARTBEAT_INTERVAL_S, None)
-        entries = [
-            entry
-            for entries in self._entries_by_region.values()
-            for entry in entries
-        ]
-        for entry in entries:
-            published_objects = entry.selection.cache_index.pop_unpublished(
-                now
-            )
-            for peer in entries if self._shares_cached_objects else ():
-                if peer is not entry:
-                    peer.selection.cache_index.apply_published(
-                        published_objects, now
-                    )
+        self._schedule(now + self._heartbeat_interval_s, None)
+        for entries in self._entries_by_region.values():
+            for entry in entries:
+                self._publish_to_region(entry, entries, now)
+
+    def _publish_to_region(
+        self, entry: ModelEntry, region_entries: list[ModelEntry], now: float
+    ) -> None:
+        published_objects = entry.selection.cache_index.pop_unpublished(now)
+        reports = entry.targets.pop_reports()
+        for peer in region_entries:
+            if peer is entry:
+                continue
+            peer.targets.apply_reports(reports, now)
+            if self._shares_cached_objects:
+                peer.selection.cache_index.apply_published(
+                    published_objects, now
+                )
 
     def _handle_request(
         self, demand: scenario_module.Demand, now: float
@@ -253,6 +259,7 @@
         now: float,
     ) -> None:
         view = choice.target
+        self.region_mix.record(entry.region, view.region, now)
         one_way_s = entry.round_trip_s(view.region) / 2
         target = self._target_by_id[view.target_id]
         ends_at = target.admit_request(
--- a/chicorydoor/model/scenario.py
+++ b/chicorydoor/model/scenario.py
@@ -47,6 +47,7 @@
         inter_region_rtt_s (float): Round-trip time between two regions.
         duration_s (float): Virtual length of the run in seconds. Defaults
             to 30.
+        entry_count_per_region (int): Entries of each region. Defaults to 2.
         target_parameters (TargetParameters): Of every target. Defaults to
             the defaults of ``TargetParameters``.
     """
@@ -58,6 +59,7 @@
     timeout_s: float
     inter_region_rtt_s: float
     duration_s: float = 30.0
+    entry_count_per_region: int = 2
     target_parameters: model_target.TargetParameters = (
         model_target.TargetParameters()
     )
@@ -156,3 +158,28 @@
         for region in _TARGET_COUNT_BY_REGION
     )
     return _three_region_scenario(base_demands + restricted_demands)
+
+
+@SCENARIOS.register("fleet-start")
+def fleet_start() -> Scenario:
+    """Many entries and targets start, and callers move between regions.
+
+    All caches are empty. The callers move to the region with few targets.
+    """
+    object_count = 500
+    return Scenario(
+        target_count_by_region={_NAIROBI: 17, _MOMBASA: 70, _KISUMU: 84},
+        demands=(
+            Demand(_NAIROBI, 180.0, object_count),
+            Demand(_MOMBASA, 320.0, object_count),
+            Demand(_KISUMU, 120.0, object_count),
+            Demand(_KISUMU, 120.0, object_count, ends_at_s=0.5),
+            Demand(_NAIROBI, 120.0, object_count, starts_at_s=0.5),
+        ),
+        median_service_time_s=2.1,
+        latency_objective_s=1.5,
+        timeout_s=3.0,
+        inter_region_rtt_s=0.11,
+        duration_s=12.0,
+        entry_count_per_region=29,
+    )
--- a/tests/test_model.py
+++ b/tests/test_model.py
@@ -7,8 +7,14 @@
 from chicorydoor.cli import main
 from chicorydoor.model import model_fleet
 from chicorydoor.model import model_target
+from chicorydoor.model import region_mix
 from chicorydoor.model import scenario
 
+# The users' limit (maxShift): the part of a region's requests that may change
+# the region in which they run from one window to the next.
+_MAX_SHIFT = 0.15
+_SHIFT_WINDOW_S = 2.0
+
 
 def _model_target(**parameters):
     return model_target.ModelTarget(
@@ -87,9 +93,36 @@
         assert first == second
 
 
+class TestRegionMix:
+    def _mix(self, regions):
+        mix = region_mix.RegionMix()
+        for index, region in enumerate(regions):
+            mix.record("n", region, 0.1 * index)
+        return mix
+
+    def test_moved_requests_are_a_shift(self):
+        # 2 s, then 2 s and the end of the last window.
+        mix = self._mix(["n"] * 20 + ["n", "m"] * 11)
+        assert mix.max_shift(2.0) == pytest.approx(0.5)
+
+    def test_constant_shares_are_no_shift(self):
+        assert self._mix(["n", "m"] * 30).max_shift(2.0) == pytest.approx(0.0)
+
+
+class TestRegionShift:
+    # Guards against every entry of a region sending its first requests to all
+    # of the region's targets at once when a fleet starts.
+    def test_start_of_a_large_fleet_stays_under_the_shift_limit(self):
+        for seed in range(1, 4):
+            fleet = model_fleet.ModelFleet(scenario.fleet_start(), seed)
+            fleet.run()
+            assert fleet.region_mix.max_shift(_SHIFT_WINDOW_S) <= _MAX_SHIFT
+
+
 class TestExperimentCommand:
     def test_prints_a_table(self, capsys):
         assert main.main(["experiment", "calm", "--seeds", "1"]) == 0
         printed = capsys.readouterr().out
         assert "calm" in printed
         assert "own only" in printed
+        assert "shift" in printed
