Let two entries of a region send a new target its first request

Cause: a target without any request yet gets the next request of an object that it ranks first for, whatever the score, so that targets that join get a part of the load. Each entry does that for itself until reports of answers arrive: one request each of 29 entries for each of 19 targets of nairobi, and at the start of a fleet all targets are new. An action meant once for a region ran once for each entry.

Evidence: 206 of the 298 requests that stayed in nairobi in the first 2 s were first requests.

Change: the entries designated for a target by rendezvous hashing, two of the region, send it the first request; the others score it like any other target. ColdStartLimits had the same designation; both use DesignatedEntries now. Its test moved with it and checks the same.

Why it works: the sum over a region no longer grows with its entries. It is at most two requests a target, 38 of the 480 in nairobi's first 2 s.

The new test of first requests fails with 30 of 30 entries designated.

--- a/bench/fleet_control.py
+++ b/bench/fleet_control.py
@@ -138,6 +138,7 @@
         region=ids.RegionId("r0"),
         round_trip_s=lambda region: 0.001 if region == "r0" else 0.1,
         may_send_cold=lambda view: True,
+        may_send_first=lambda view: True,
         rng=random.Random(1),
     )
     route = serving_config.RouteConfig(
--- a/chicorydoor/compose_fleet.py
+++ b/chicorydoor/compose_fleet.py
@@ -36,6 +36,7 @@
 from chicorydoor.protocol import ids
 from chicorydoor.protocol import serving_config
 from chicorydoor.state import cold_start_limits
+from chicorydoor.state import designated_entries
 from chicorydoor.state import fleet_view
 from chicorydoor.state import rate_shares
 from chicorydoor.state import service_retry_budget
@@ -175,6 +176,9 @@
         self.cold_limits = cold_start_limits.ColdStartLimits(
             self.settings.instance, self.fleet.instances
         )
+        first_senders = designated_entries.DesignatedEntries(
+            self.settings.instance, self.fleet.region_instances
+        )
         self.round_trip_times = round_trip_times.RoundTripTimes(
             self.settings.region
         )
@@ -185,6 +189,9 @@
             may_send_cold=lambda view: self.cold_limits.may_send(
                 view.target_id, self.clock.now()
             ),
+            may_send_first=lambda view: first_senders.includes_this_entry(
+                view.target_id
+            ),
             rng=self.rng,
         )
         self.sender = target_sender.TargetSender(
--- a/chicorydoor/coordination/target_selection.py
+++ b/chicorydoor/coordination/target_selection.py
@@ -109,9 +109,10 @@
         views (list): The candidates.
         homes (frozenset): The candidates that are homes of the object.
         first_in_own_region (str): The first one of the own region's
-            ranking. If it has had no request from this entry yet, it gets
-            the request even if another target has the object cached, so that
-            new targets get a part of the load. Defaults to None.
+            ranking. If it has had no request from this region yet, a few
+            designated entries send it one even if another target has the
+            object cached, so that new targets get a part of the load.
+            Defaults to None.
     """
 
     views: list[target_views.TargetView]
@@ -129,6 +130,8 @@
             seconds.
         may_send_cold (callable): Returns whether this entry may send one
             more request to a cold target now.
+        may_send_first (callable): Returns whether this entry may send a new
+            target its first request ahead of better targets.
         rng (Random): Source of random numbers.
     """
 
@@ -139,12 +142,14 @@
         region: ids.RegionId,
         round_trip_s: abc.Callable[[ids.RegionId], float],
         may_send_cold: abc.Callable[[target_views.TargetView], bool],
+        may_send_first: abc.Callable[[target_views.TargetView], bool],
         rng: random.Random,
     ) -> None:
         self._targets = targets
         self._region = region
         self.round_trip_s = round_trip_s
         self._may_send_cold = may_send_cold
+        self._may_send_first = may_send_first
         self._rng = rng
         self.cache_index = object_cache_index.ObjectCacheIndex()
         self.processing_times = processing_times.ProcessingTimes()
@@ -226,7 +231,9 @@
                 continue
             is_cached = view.incarnation_key in caching_targets
             choice = self._estimate(constraints.route, view, is_cached, now)
-            choice.reason = _selection_reason(candidate_set, view, is_cached)
+            choice.reason = self._selection_reason(
+                candidate_set, view, is_cached
+            )
             score = choice.expected_latency_s
             if choice.reason is SelectionReason.FIRST_REQUEST:
                 # No other score is lower.
@@ -246,6 +253,25 @@
             best, best_score = choice, score
         return best
 
+    def _selection_reason(
+        self,
+        candidate_set: _CandidateSet,
+        view: target_views.TargetView,
+        is_cached: bool,
+    ) -> SelectionReason:
+        """Return why a candidate would be chosen."""
+        if (
+            view.target_id == candidate_set.first_in_own_region
+            and not view.has_received_requests
+            and self._may_send_first(view)
+        ):
+            return SelectionReason.FIRST_REQUEST
+        if is_cached:
+            return SelectionReason.CACHED
+        if view.target_id in candidate_set.homes:
+            return SelectionReason.HOME
+        return SelectionReason.LOAD
+
     def _candidates(
         self,
         constraints: TargetConstraints,
@@ -396,24 +422,6 @@
         return _CandidateSet(views, frozenset(homes), first)
 
 
-def _selection_reason(
-    candidate_set: _CandidateSet,
-    view: target_views.TargetView,
-    is_cached: bool,
-) -> SelectionReason:
-    """Return why a candidate would be chosen."""
-    if (
-        view.target_id == candidate_set.first_in_own_region
-        and not view.has_received_requests
-    ):
-        return SelectionReason.FIRST_REQUEST
-    if is_cached:
-        return SelectionReason.CACHED
-    if view.target_id in candidate_set.homes:
-        return SelectionReason.HOME
-    return SelectionReason.LOAD
-
-
 def _hash_seed(constraints: TargetConstraints) -> bytes:
     return b"%s\0%s" % (
         constraints.route.prefix.encode(),
--- a/chicorydoor/model/model_fleet.py
+++ b/chicorydoor/model/model_fleet.py
@@ -14,6 +14,7 @@
 from chicorydoor.model import scenario as scenario_module
 from chicorydoor.protocol import ids
 from chicorydoor.protocol import serving_config
+from chicorydoor.state import designated_entries
 from chicorydoor.state import target_views
 
 _SAME_REGION_RTT_S = 0.002
@@ -48,7 +49,9 @@
     """An entry with its own view of the targets and its own selection.
 
     Args:
+        instance (str): Its instance id.
         region (str): Region that it runs in.
+        region_instances (list): Instance ids of all entries of the region.
         targets (list): All targets of the run.
         inter_region_rtt_s (float): Round-trip time between two regions.
         rng (Random): Random numbers of the selection.
@@ -56,7 +59,9 @@
 
     def __init__(
         self,
+        instance: ids.InstanceId,
         region: ids.RegionId,
+        region_instances: list[ids.InstanceId],
         targets: list[model_target.ModelTarget],
         inter_region_rtt_s: float,
         rng: random.Random,
@@ -69,11 +74,17 @@
         self.targets = target_views.TargetViews(region_by_domain)
         for target in targets:
             self.targets.add_or_update(_target_registration(target), 0.0)
+        designated = designated_entries.DesignatedEntries(
+            instance, lambda: region_instances
+        )
         self.selection = target_selection.TargetSelection(
             targets=self.targets,
             region=region,
             round_trip_s=self.round_trip_s,
             may_send_cold=lambda view: True,
+            may_send_first=lambda view: designated.includes_this_entry(
+                view.target_id
+            ),
             rng=rng,
         )
 
@@ -151,15 +162,7 @@
             target.target_id: target for target in self._targets
         }
         self._entries_by_region = {
-            region: [
-                ModelEntry(
-                    region,
-                    self._targets,
-                    scenario.inter_region_rtt_s,
-                    self._rng,
-                )
-                for _ in range(scenario.entry_count_per_region)
-            ]
+            region: self._build_entries(region)
             for region in scenario.target_count_by_region
         }
         self._route = serving_config.RouteConfig(
@@ -182,6 +185,23 @@
         self.counts = RequestCounts()
         self.region_mix = region_mix.RegionMix()
 
+    def _build_entries(self, region: ids.RegionId) -> list[ModelEntry]:
+        instances = [
+            ids.InstanceId(f"entry-{region}-{index}")
+            for index in range(self._scenario.entry_count_per_region)
+        ]
+        return [
+            ModelEntry(
+                instance,
+                region,
+                instances,
+                self._targets,
+                self._scenario.inter_region_rtt_s,
+                self._rng,
+            )
+            for instance in instances
+        ]
+
     def run(self) -> RequestCounts:
         """Simulate the whole scenario and return its request counts."""
         for demand in self._scenario.demands:
--- a/chicorydoor/state/cold_start_limits.py
+++ b/chicorydoor/state/cold_start_limits.py
@@ -1,8 +1,7 @@
 """Rate limits for requests to targets in their cold start.
 
 A cold target, one that still warms up, crashes when all entries send to it at
-once. For each cold target a few entries are designated by rendezvous hashing,
-so that all entries designate the same. They divide the target's rate
+once. Only its designated entries send to it. They divide the target's rate
 (``ServiceConfig.warm_up_rate_per_s``) equally, and no one uses the part of an
 entry that is gone; the other entries send nothing until it is warm.
 """
@@ -10,11 +9,8 @@
 from collections import abc
 
 from chicorydoor.protocol import ids
-from chicorydoor.state import rendezvous
+from chicorydoor.state import designated_entries
 
-# Entries that may send to one cold target. More than one, so that the loss
-# of an entry or of a link does not leave the target without any request.
-_DESIGNATED_ENTRIES = 2
 # Number of targets above which records of past sends are removed.
 _MAX_TARGETS = 1000
 
@@ -33,21 +29,17 @@
         instance: ids.InstanceId,
         get_instances: abc.Callable[[], abc.Iterable[ids.InstanceId]],
     ) -> None:
-        self._instance = instance
-        self._get_instances = get_instances
-        self._next_at_by_target: dict[ids.TargetId, float] = {}
-
-    def is_designated(self, target_id: ids.TargetId) -> bool:
-        """Whether this entry is designated to send to a cold target."""
-        ranked = rendezvous.rank(
-            target_id.encode(), self._get_instances(), str
+        self._designated = designated_entries.DesignatedEntries(
+            instance, get_instances
         )
-        return self._instance in ranked[:_DESIGNATED_ENTRIES]
+        self._next_at_by_target: dict[ids.TargetId, float] = {}
 
     def may_send(self, target_id: ids.TargetId, now: float) -> bool:
         """Whether a request may be sent now; does not record it."""
         next_at = self._next_at_by_target.get(target_id, 0.0)
-        return now >= next_at and self.is_designated(target_id)
+        return now >= next_at and self._designated.includes_this_entry(
+            target_id
+        )
 
     def record_sent(
         self, target_id: ids.TargetId, rate_per_s: float, now: float
@@ -69,5 +61,5 @@
                 if at > now
             }
         self._next_at_by_target[target_id] = (
-            now + _DESIGNATED_ENTRIES / rate_per_s
+            now + designated_entries.ENTRIES_PER_TARGET / rate_per_s
         )
--- a/chicorydoor/state/fleet_view.py
+++ b/chicorydoor/state/fleet_view.py
@@ -330,6 +330,13 @@
         """Instance ids of entries that may be alive, including this one."""
         return [self.own_registration.instance, *self.peer_by_instance]
 
+    def region_instances(self) -> list[ids.InstanceId]:
+        """Instance ids of the own region, as ``instances``."""
+        return [
+            self.own_registration.instance,
+            *(peer.registration.instance for peer in self.region_peers()),
+        ]
+
     def announced_rates_of_region(self) -> list[rate_shares.AnnouncedRates]:
         """Announced rate shares, one item for each region peer."""
         return [
--- a/tests/test_serving_limits.py
+++ b/tests/test_serving_limits.py
@@ -6,6 +6,7 @@
 from chicorydoor.coordination import entry_selection
 from chicorydoor.protocol import serving_config
 from chicorydoor.state import cold_start_limits
+from chicorydoor.state import designated_entries
 from chicorydoor.state import fleet_view
 from chicorydoor.state import service_retry_budget
 from chicorydoor.state import service_split
@@ -46,6 +47,21 @@
         assert budget.try_acquire(0.0, 8)
 
 
+class TestDesignatedEntries:
+    def test_two_entries_are_designated_for_a_target(self):
+        # All entries rank the same instance ids, so both sides of a partition
+        # designate the same two and do not add to what the target gets.
+        names = [f"e{i}" for i in range(8)]
+        designated = [
+            name
+            for name in names
+            if designated_entries.DesignatedEntries(
+                name, lambda: names
+            ).includes_this_entry("t")
+        ]
+        assert len(designated) == 2
+
+
 class TestColdStartLimits:
     def test_all_entries_together_stay_below_the_rate(self):
         names = [f"e{i}" for i in range(8)]
@@ -65,19 +81,6 @@
         )
         assert 0 < busiest <= 15 + 2
 
-    def test_two_entries_are_designated_for_a_cold_target(self):
-        # All entries rank the same instance ids, so both sides of a partition
-        # designate the same two and do not add to the target's rate.
-        names = [f"e{i}" for i in range(8)]
-        designated = [
-            name
-            for name in names
-            if cold_start_limits.ColdStartLimits(
-                name, lambda: names
-            ).is_designated("t")
-        ]
-        assert len(designated) == 2
-
     def test_service_without_a_rate_is_not_limited(self):
         limits = cold_start_limits.ColdStartLimits("e", lambda: ["e"])
         limits.record_sent("t", 0.0, 1.0)
@@ -167,6 +170,13 @@
         )
         assert view.ready_peers(1.1) == []
 
+    def test_region_instances_leave_out_other_regions(self):
+        view = self._fleet_view()
+        view.record_registration(_registration("same", "nb", "n"))
+        view.record_registration(_registration("other", "ma", "m"))
+        assert view.region_instances() == ["me", "same"]
+        assert view.instances() == ["me", "same", "other"]
+
     def test_earlier_incarnation_is_ignored(self):
         view = self._fleet_view()
         new = fleet_view.Registration("o", 5, "na", "n", "o:1", "o:2")
--- a/tests/test_target_selection.py
+++ b/tests/test_target_selection.py
@@ -4,6 +4,7 @@
 import random
 
 from chicorydoor.coordination import target_selection
+from chicorydoor.state import designated_entries
 from chicorydoor.state import target_views
 from tests.support import config_builders as make
 
@@ -14,16 +15,22 @@
 class _SelectionFixture:
     """The selection of an entry whose targets have all had requests."""
 
-    def __init__(self, records, region="n"):
+    def __init__(self, records, region="n", instance="e", instances=("e",)):
         self.targets = target_views.TargetViews(make.REGION_BY_DOMAIN)
         for record in records:
             self.targets.add_or_update(record, 0.0)
         self.cold_allowed = True
+        designated = designated_entries.DesignatedEntries(
+            instance, lambda: instances
+        )
         self.selection = target_selection.TargetSelection(
             targets=self.targets,
             region=region,
             round_trip_s=_ROUND_TRIP_S_BY_REGION.__getitem__,
             may_send_cold=lambda view: self.cold_allowed,
+            may_send_first=lambda view: designated.includes_this_entry(
+                view.target_id
+            ),
             rng=random.Random(1),
         )
         for view in self.targets.target_by_id.values():
@@ -183,6 +190,26 @@
         first.has_received_requests = True
         assert fixture.choose().target.target_id == "t4"
 
+    # Guards against a new target that gets a first request from every entry,
+    # which moves traffic into the region of many entries and few targets.
+    def test_first_requests_do_not_grow_with_the_number_of_entries(self):
+        instances = [f"e{i}" for i in range(30)]
+        fixtures = [
+            _SelectionFixture(_records(), instance=name, instances=instances)
+            for name in instances
+        ]
+        first_requests = collections.Counter()
+        for fixture in fixtures:
+            for view in fixture.targets.target_by_id.values():
+                view.has_received_requests = False
+            for number in range(200):
+                choice = fixture.choose(b"%d" % number)
+                choice.target.has_received_requests = True
+                if choice.reason is _Reason.FIRST_REQUEST:
+                    first_requests[choice.target.target_id] += 1
+        # The eight targets of region n, from two entries each.
+        assert sorted(first_requests.values()) == [2] * 8
+
 
 class TestReasons:
     """A log reader can tell which kinds of choices moved to a region."""
