Choose the home outside a region by rank, not by chance of the distance

In the model a fifth of a region's requests moved between the two other regions.

Cause: if the own region has no home for an object, each other region has one, and the expected latencies of equally distant regions differ by microseconds. So an entry prefers one region for all of these objects, by chance; the entries of a region load it together, and leave it together when its queues are reported. Objects are also cached in both regions.

In the model, where the distances are equal, all entries chose the same one.

Change: the home that ranks first for the object is preferred; another one in a third region is chosen only where that saves a tenth of the expected service time, so a clearly nearer region still wins.

Why it works: all entries of a region send an object to the same region, and equally distant regions share the objects by their numbers of targets, before anything is known of their load.

The new test fails before (231 objects to one region, 0 to the other).

--- a/chicorydoor/coordination/target_selection.py
+++ b/chicorydoor/coordination/target_selection.py
@@ -4,6 +4,8 @@
 for an object is several times cheaper at a target that has the object in its
 cache. Rendezvous hashing ranks the targets of each region for an object; the
 first one is the object's home there if the region has homes for this object.
+Among the homes in other regions the one that ranks first is preferred, so that
+regions at equal distance share the objects by their numbers of targets.
 The candidates are the first few targets of each region's ranking and the
 targets that have the object cached. The score of each is its expected
 response time, adjusted so that objects stay at few targets and new targets
@@ -37,6 +39,10 @@
 # A request goes to a target that is neither a home of its object nor has it
 # cached only where that saves this fraction of the expected service time.
 _HOME_PREFERENCE = 0.5
+# Of the homes in other regions, one that the object ranks behind another is
+# chosen only where that saves this fraction of the expected service time: more
+# than the estimates of equally distant regions differ by chance.
+_SECONDARY_HOME_PREFERENCE = 0.1
 # A cold target takes this many times as long for a request.
 _COLD_SLOWDOWN = 2.0
 # A region has homes for a fraction of the objects: this factor times its slots
@@ -108,6 +114,8 @@
     Args:
         views (list): The candidates.
         homes (frozenset): The candidates that are homes of the object.
+        secondary_homes (frozenset): Those outside the entry's own region,
+            but for the one that ranks first among them.
         first_in_own_region (str): The first one of the own region's
             ranking. If it has had no request from this region yet, a few
             designated entries send it one even if another target has the
@@ -117,6 +125,7 @@
 
     views: list[target_views.TargetView]
     homes: frozenset[ids.TargetId]
+    secondary_homes: frozenset[ids.TargetId]
     first_in_own_region: ids.TargetId | None = None
 
 
@@ -182,7 +191,7 @@
             return best
         # No candidate can take the request: score all allowed targets.
         all_allowed = _CandidateSet(
-            self._allowed_views(constraints), frozenset()
+            self._allowed_views(constraints), frozenset(), frozenset()
         )
         return self._best_choice(constraints, all_allowed, now, excluded)
 
@@ -234,18 +243,7 @@
             choice.reason = self._selection_reason(
                 candidate_set, view, is_cached
             )
-            score = choice.expected_latency_s
-            if choice.reason is SelectionReason.FIRST_REQUEST:
-                # No other score is lower.
-                score = 0.0
-            elif (
-                not constraints.allowed_region_ids
-                and self.load_shedding.is_shedding(view.target_id)
-            ):
-                # Leaves capacity to requests that may not go elsewhere.
-                score += constraints.route.latency_objective_s
-            elif choice.reason is SelectionReason.LOAD:
-                score += _HOME_PREFERENCE * choice.processing_s
+            score = self._score(constraints, candidate_set, choice)
             if best is not None and score >= best_score:
                 continue
             if choice.is_cold and not self._may_send_cold(view):
@@ -253,6 +251,33 @@
             best, best_score = choice, score
         return best
 
+    def _score(
+        self,
+        constraints: TargetConstraints,
+        candidate_set: _CandidateSet,
+        choice: SelectedTarget,
+    ) -> float:
+        """Return the expected latency in seconds with all preferences."""
+        target_id = choice.target.target_id
+        if choice.reason is SelectionReason.FIRST_REQUEST:
+            # No other score is lower.
+            return 0.0
+        preference_s = 0.0
+        if (
+            not constraints.allowed_region_ids
+            and self.load_shedding.is_shedding(target_id)
+        ):
+            # Leaves capacity to requests that may not go elsewhere.
+            preference_s = constraints.route.latency_objective_s
+        elif choice.reason is SelectionReason.LOAD:
+            preference_s = _HOME_PREFERENCE * choice.processing_s
+        elif (
+            choice.reason is SelectionReason.HOME
+            and target_id in candidate_set.secondary_homes
+        ):
+            preference_s = _SECONDARY_HOME_PREFERENCE * choice.processing_s
+        return choice.expected_latency_s + preference_s
+
     def _selection_reason(
         self,
         candidate_set: _CandidateSet,
@@ -355,7 +380,9 @@
             self._candidate_set_by_constraints.clear()
         if not constraints.affinity_key or not constraints.route.uses_affinity:
             return _CandidateSet(
-                self._random_candidates(constraints), frozenset()
+                self._random_candidates(constraints),
+                frozenset(),
+                frozenset(),
             )
         cache_key = (
             constraints.route.route_id,
@@ -399,6 +426,7 @@
         )
         views: list[target_views.TargetView] = []
         homes: set[ids.TargetId] = set()
+        remote_homes: list[target_views.TargetView] = []
         first: ids.TargetId | None = None
         position = _hash_fraction(seed)
         for region, region_views in views_by_region.items():
@@ -410,16 +438,22 @@
                 * slots
                 / max(1, total_slots)
             )
+            is_own_region = region == self._region
             if position < home_fraction:
                 homes.add(ranked[0].target_id)
-            is_own_region = region == self._region
+                if not is_own_region:
+                    remote_homes.append(ranked[0])
             first = ranked[0].target_id if is_own_region else first
             views += ranked[
                 : _OWN_REGION_CANDIDATES
                 if is_own_region
                 else _OTHER_REGION_CANDIDATES
             ]
-        return _CandidateSet(views, frozenset(homes), first)
+        secondary_homes = frozenset(
+            view.target_id
+            for view in rendezvous.rank(seed, remote_homes, _target_id)[1:]
+        )
+        return _CandidateSet(views, frozenset(homes), secondary_homes, first)
 
 
 def _hash_seed(constraints: TargetConstraints) -> bytes:
--- a/tests/test_target_selection.py
+++ b/tests/test_target_selection.py
@@ -15,7 +15,14 @@
 class _SelectionFixture:
     """The selection of an entry whose targets have all had requests."""
 
-    def __init__(self, records, region="n", instance="e", instances=("e",)):
+    def __init__(
+        self,
+        records,
+        region="n",
+        instance="e",
+        instances=("e",),
+        round_trip_s_by_region=_ROUND_TRIP_S_BY_REGION,
+    ):
         self.targets = target_views.TargetViews(make.REGION_BY_DOMAIN)
         for record in records:
             self.targets.add_or_update(record, 0.0)
@@ -26,7 +33,7 @@
         self.selection = target_selection.TargetSelection(
             targets=self.targets,
             region=region,
-            round_trip_s=_ROUND_TRIP_S_BY_REGION.__getitem__,
+            round_trip_s=round_trip_s_by_region.__getitem__,
             may_send_cold=lambda view: self.cold_allowed,
             may_send_first=lambda view: designated.includes_this_entry(
                 view.target_id
@@ -117,6 +124,44 @@
         assert fixture.choose().target.target_id == "t0"
 
 
+class TestRemoteHomes:
+    # Guards against all requests of a region without homes for them moving
+    # together between two regions whose distances differ by chance.
+    def test_equally_distant_regions_share_the_objects(self):
+        records = [
+            make.build_target_registration(f"t{i}", domain)
+            for i, domain in enumerate(["na", "nb"] + ["ma", "ka"] * 9)
+        ]
+        choices_by_round_trip = []
+        for round_trips in ({"m": 0.110, "k": 0.111}, {"m": 0.111, "k": 0.11}):
+            fixture = _SelectionFixture(
+                records, round_trip_s_by_region={"n": 0.001, **round_trips}
+            )
+            choices = [
+                fixture.choose(b"%d" % number).target for number in range(400)
+            ]
+            counts = collections.Counter(view.region for view in choices)
+            # As many targets each; hashing alone makes the counts differ by
+            # 4% of the objects (standard deviation).
+            assert abs(counts["m"] - counts["k"]) < 0.2 * len(choices)
+            choices_by_round_trip.append([view.target_id for view in choices])
+        assert choices_by_round_trip[0] == choices_by_round_trip[1]
+
+    def test_nearer_region_is_preferred(self):
+        records = [
+            make.build_target_registration(f"t{i}", domain)
+            for i, domain in enumerate(["na", "nb"] + ["ma", "ka"] * 9)
+        ]
+        fixture = _SelectionFixture(
+            records, round_trip_s_by_region={"n": 0.001, "m": 0.03, "k": 0.2}
+        )
+        regions = {
+            fixture.choose(b"%d" % number).target.region
+            for number in range(100)
+        }
+        assert regions == {"n", "m"}
+
+
 class TestEligibility:
     def test_target_of_another_service_is_never_chosen(self):
         records = [
