Report the load of simulated targets with the response

Cause: the model's targets reported the load at the arrival of a request; real ones send it with the response, seconds later on a slow route. Change: the load is taken when the response arrives.

--- a/chicorydoor/model/model_fleet.py
+++ b/chicorydoor/model/model_fleet.py
@@ -112,17 +112,13 @@
 
 
 class _Response(typing.NamedTuple):
-    """A target's response or refusal on its way to the entry.
-
-    ``reported_request_count`` counts those that run or wait at the target.
-    """
+    """A target's response or refusal on its way to the entry."""
 
     entry: ModelEntry
     view: target_views.TargetView
     choice: target_selection.SelectedTarget
     constraints: target_selection.TargetConstraints
     sent_at: float
-    reported_request_count: int
     is_refusal: bool
 
 
@@ -288,14 +284,12 @@
         )
         view.own_requests_in_flight += 1
         view.has_received_requests = True
-        reported_request_count = target.outstanding_requests(now + one_way_s)
         response = _Response(
             entry,
             view,
             choice,
             constraints,
             now,
-            reported_request_count,
             ends_at is None,
         )
         self._schedule((ends_at or now + one_way_s) + one_way_s, response)
@@ -304,7 +298,9 @@
         entry, view, choice = response.entry, response.view, response.choice
         elapsed_s = now - response.sent_at
         view.own_requests_in_flight -= 1
-        view.record_load(response.reported_request_count, now)
+        # The target reports its load with the response.
+        target = self._target_by_id[view.target_id]
+        view.record_load(target.outstanding_requests(now), now)
         is_from_other_region = view.region != entry.region
         if response.is_refusal or elapsed_s > self._scenario.timeout_s:
             self._record_result(response.sent_at, None, is_from_other_region)
