--- a/chicorydoor/coordination/target_selection.py
+++ b/chicorydoor/coordination/target_selection.py
@@ -39,9 +39,9 @@
 # A request goes to a target that is neither a home of its object nor has it
 # cached only where that saves this fraction of the expected service time.
 _HOME_PREFERENCE = 0.5
-# Of the homes in other regions, one that the object ranks behind another is
-# chosen only where that saves this fraction of the expected service time: more
-# than the estimates of equally distant regions differ by chance.
+# Of the homes in other regions, one that ranks behind another is chosen only
+# where that saves this fraction of the expected service time. The estimated
+# distances of equally distant regions differ by less.
 _SECONDARY_HOME_PREFERENCE = 0.1
 # A cold target takes this many times as long for a request.
 _COLD_SLOWDOWN = 2.0
@@ -55,10 +55,10 @@
 class SelectionReason(enum.Enum):
     """Why a target was chosen.
 
-    ``FIRST_REQUEST``: no request was sent to this new target before.
-    ``CACHED``: the object is believed to be in the target's cache. ``HOME``:
-    the target is a home of the object. ``LOAD``: its score was the lowest
-    though it is neither.
+    ``FIRST_REQUEST``: the target is new, and this entry is one of those that
+    send it a first request. ``CACHED``: the object is believed to be in the
+    target's cache. ``HOME``: the target is a home of the object. ``LOAD``: its
+    score was the lowest though it is neither.
     """
 
     FIRST_REQUEST = "first-request"
@@ -114,8 +114,10 @@
     Args:
         views (list): The candidates.
         homes (frozenset): The candidates that are homes of the object.
-        secondary_homes (frozenset): Those outside the entry's own region,
-            but for the one that ranks first among them.
+            Defaults to none.
+        secondary_homes (frozenset): The homes outside the entry's own
+            region, except for the one that ranks first among them. Defaults
+            to none.
         first_in_own_region (str): The first one of the own region's
             ranking. If it has had no request from this region yet, a few
             designated entries send it one even if another target has the
@@ -124,8 +126,8 @@
     """
 
     views: list[target_views.TargetView]
-    homes: frozenset[ids.TargetId]
-    secondary_homes: frozenset[ids.TargetId]
+    homes: frozenset[ids.TargetId] = frozenset()
+    secondary_homes: frozenset[ids.TargetId] = frozenset()
     first_in_own_region: ids.TargetId | None = None
 
 
@@ -190,9 +192,7 @@
         if best is not None:
             return best
         # No candidate can take the request: score all allowed targets.
-        all_allowed = _CandidateSet(
-            self._allowed_views(constraints), frozenset(), frozenset()
-        )
+        all_allowed = _CandidateSet(self._allowed_views(constraints))
         return self._best_choice(constraints, all_allowed, now, excluded)
 
     def should_shed(
@@ -379,11 +379,7 @@
             self._targets_generation = self._targets.generation
             self._candidate_set_by_constraints.clear()
         if not constraints.affinity_key or not constraints.route.uses_affinity:
-            return _CandidateSet(
-                self._random_candidates(constraints),
-                frozenset(),
-                frozenset(),
-            )
+            return _CandidateSet(self._random_candidates(constraints))
         cache_key = (
             constraints.route.route_id,
             constraints.service_id,
@@ -416,44 +412,50 @@
 
     def _rank_by_region(self, constraints: TargetConstraints) -> _CandidateSet:
         seed = _hash_seed(constraints)
+        position = _hash_fraction(seed)
         views_by_region: dict[ids.RegionId, list[target_views.TargetView]] = {}
         for view in self._allowed_views(constraints):
             views_by_region.setdefault(view.region, []).append(view)
-        total_slots = sum(
-            view.record.slots
-            for region_views in views_by_region.values()
-            for view in region_views
-        )
+        home_fraction_by_region = _home_fraction_by_region(views_by_region)
         views: list[target_views.TargetView] = []
-        homes: set[ids.TargetId] = set()
-        remote_homes: list[target_views.TargetView] = []
+        homes: list[target_views.TargetView] = []
         first: ids.TargetId | None = None
-        position = _hash_fraction(seed)
         for region, region_views in views_by_region.items():
             ranked = rendezvous.rank(seed, region_views, _target_id)
-            slots = sum(view.record.slots for view in region_views)
-            home_fraction = (
-                _HOME_CAPACITY_FACTOR
-                * len(views_by_region)
-                * slots
-                / max(1, total_slots)
-            )
+            if position < home_fraction_by_region[region]:
+                homes.append(ranked[0])
             is_own_region = region == self._region
-            if position < home_fraction:
-                homes.add(ranked[0].target_id)
-                if not is_own_region:
-                    remote_homes.append(ranked[0])
             first = ranked[0].target_id if is_own_region else first
             views += ranked[
                 : _OWN_REGION_CANDIDATES
                 if is_own_region
                 else _OTHER_REGION_CANDIDATES
             ]
-        secondary_homes = frozenset(
-            view.target_id
-            for view in rendezvous.rank(seed, remote_homes, _target_id)[1:]
+        remote_homes = [view for view in homes if view.region != self._region]
+        secondary_homes = rendezvous.rank(seed, remote_homes, _target_id)[1:]
+        return _CandidateSet(
+            views,
+            frozenset(view.target_id for view in homes),
+            frozenset(view.target_id for view in secondary_homes),
+            first,
         )
-        return _CandidateSet(views, frozenset(homes), secondary_homes, first)
+
+
+def _home_fraction_by_region(
+    views_by_region: abc.Mapping[
+        ids.RegionId, abc.Sequence[target_views.TargetView]
+    ],
+) -> dict[ids.RegionId, float]:
+    """Return the fraction of the objects that each region has homes for."""
+    slots_by_region = {
+        region: sum(view.record.slots for view in views)
+        for region, views in views_by_region.items()
+    }
+    total_slots = max(1, sum(slots_by_region.values()))
+    factor = _HOME_CAPACITY_FACTOR * len(slots_by_region) / total_slots
+    return {
+        region: factor * slots for region, slots in slots_by_region.items()
+    }
 
 
 def _hash_seed(constraints: TargetConstraints) -> bytes:
--- a/chicorydoor/state/designated_entries.py
+++ b/chicorydoor/state/designated_entries.py
@@ -1,8 +1,7 @@
-"""Entries that act on a target on behalf of many.
+"""Designation of the entries that do something to a target for all others.
 
-Where every entry would do the same to a target, the target gets it as many
-times as there are entries. Instead all entries designate the same few of them
-by rendezvous hashing.
+If every entry did it, the target would get it as many times as there are
+entries. All entries designate the same few by rendezvous hashing.
 """
 
 from collections import abc
@@ -10,8 +9,8 @@
 from chicorydoor.protocol import ids
 from chicorydoor.state import rendezvous
 
-# More than one, so that the loss of an entry or of a link does not leave a
-# target without any.
+# More than one, so that a target is not left without any when an entry or a
+# link is lost.
 ENTRIES_PER_TARGET = 2
 
 
--- a/chicorydoor/state/fleet_view.py
+++ b/chicorydoor/state/fleet_view.py
@@ -331,7 +331,10 @@
         return [self.own_registration.instance, *self.peer_by_instance]
 
     def region_instances(self) -> list[ids.InstanceId]:
-        """Instance ids of the own region, as ``instances``."""
+        """Instance ids of the region's entries that may be alive.
+
+        This entry is included.
+        """
         return [
             self.own_registration.instance,
             *(peer.registration.instance for peer in self.region_peers()),
