Read and log the rate limits that targets name

Entries now read it, log each change, show the limit that was known when a target was chosen in the log line of the request, and count limited targets and unreadable values. No request is limited by it yet.

--- a/bench/fleet_control.py
+++ b/bench/fleet_control.py
@@ -17,6 +17,7 @@
 from chicorydoor.protocol import serving_config
 from chicorydoor.state import fleet_view
 from chicorydoor.state import rate_shares
+from chicorydoor.state import target_rate_limits
 from chicorydoor.state import target_views
 
 _REPETITION_COUNT = 300
@@ -139,6 +140,7 @@
         round_trip_s=lambda region: 0.001 if region == "r0" else 0.1,
         may_send_cold=lambda view: True,
         may_send_first=lambda view: True,
+        rate_limits=target_rate_limits.TargetRateLimits(),
         rng=random.Random(1),
     )
     route = serving_config.RouteConfig(
--- a/chicorydoor/compose_fleet.py
+++ b/chicorydoor/compose_fleet.py
@@ -41,6 +41,7 @@
 from chicorydoor.state import rate_shares
 from chicorydoor.state import service_retry_budget
 from chicorydoor.state import store_mirror
+from chicorydoor.state import target_rate_limits
 from chicorydoor.state import target_views
 from chicorydoor.transport import clock as clock_module
 
@@ -182,6 +183,7 @@
         self.round_trip_times = round_trip_times.RoundTripTimes(
             self.settings.region
         )
+        self.rate_limits = target_rate_limits.TargetRateLimits()
         self.selection = target_selection.TargetSelection(
             targets=self.targets,
             region=self.settings.region,
@@ -192,12 +194,14 @@
             may_send_first=lambda view: first_senders.includes_this_entry(
                 view.target_id
             ),
+            rate_limits=self.rate_limits,
             rng=self.rng,
         )
         self.sender = target_sender.TargetSender(
             targets=self.targets,
             selection=self.selection,
             cold_limits=self.cold_limits,
+            rate_limits=self.rate_limits,
             warm_up_rate_per_s=self._warm_up_rate_per_s,
             names=http_names.HEADER_NAMES,
             clock=self.clock,
--- a/chicorydoor/coordination/call_app.py
+++ b/chicorydoor/coordination/call_app.py
@@ -262,6 +262,7 @@
                 "expected_ms": round(trace.expected_latency_s * 1000),
                 "object_known": trace.is_cached,
                 "target_load": round(trace.target_load, 1),
+                "target_rate_limit": trace.target_rate_limit_per_s,
                 "load_age_ms": _milliseconds(trace.target_load_age_s),
                 "elapsed_ms": round(elapsed_s * 1000),
                 "configuration": self._app._active_config.current.version,
--- a/chicorydoor/coordination/call_runner.py
+++ b/chicorydoor/coordination/call_runner.py
@@ -51,6 +51,8 @@
             cache. Defaults to False.
         target_load (float): Requests running or waiting at that target.
             Defaults to 0.
+        target_rate_limit_per_s (float): Rate limit that the target was known
+            to name; None without one. Defaults to None.
         target_load_age_s (float): Age of the target's load report in seconds;
             None without a report. Defaults to None.
     """
@@ -62,6 +64,7 @@
     expected_latency_s: float = 0.0
     is_cached: bool = False
     target_load: float = 0.0
+    target_rate_limit_per_s: float | None = None
     target_load_age_s: float | None = None
 
 
@@ -205,6 +208,7 @@
         trace.expected_latency_s = choice.expected_latency_s
         trace.is_cached = choice.is_cached
         trace.target_load = choice.target.estimated_requests(now)
+        trace.target_rate_limit_per_s = choice.rate_limit_per_s
         trace.target_load_age_s = choice.target.load_age_s(now)
         if now + choice.expected_latency_s > call.deadline:
             self._refusal = request_types.RefusedError(
--- a/chicorydoor/coordination/target_selection.py
+++ b/chicorydoor/coordination/target_selection.py
@@ -27,6 +27,7 @@
 from chicorydoor.state import object_load_shedding
 from chicorydoor.state import processing_times
 from chicorydoor.state import rendezvous
+from chicorydoor.state import target_rate_limits
 from chicorydoor.state import target_views
 
 # Targets that are scored from the object's ranking in the entry's own region,
@@ -79,6 +80,8 @@
         is_cached (bool): Whether the object is believed to be in the target's
             cache.
         is_cold (bool): Whether the target is still warming up.
+        rate_limit_per_s (float): Rate limit that the target names; None
+            without one. Defaults to None.
         reason (SelectionReason): Why it was chosen. Defaults to ``LOAD``.
     """
 
@@ -88,6 +91,7 @@
     processing_s: float
     is_cached: bool
     is_cold: bool
+    rate_limit_per_s: float | None = None
     reason: SelectionReason = SelectionReason.LOAD
 
 
@@ -143,6 +147,7 @@
             more request to a cold target now.
         may_send_first (callable): Returns whether this entry may send a new
             target its first request ahead of better targets.
+        rate_limits (TargetRateLimits): The limits that targets name.
         rng (Random): Source of random numbers.
     """
 
@@ -154,6 +159,7 @@
         round_trip_s: abc.Callable[[ids.RegionId], float],
         may_send_cold: abc.Callable[[target_views.TargetView], bool],
         may_send_first: abc.Callable[[target_views.TargetView], bool],
+        rate_limits: target_rate_limits.TargetRateLimits,
         rng: random.Random,
     ) -> None:
         self._targets = targets
@@ -161,6 +167,7 @@
         self.round_trip_s = round_trip_s
         self._may_send_cold = may_send_cold
         self._may_send_first = may_send_first
+        self._rate_limits = rate_limits
         self._rng = rng
         self.cache_index = object_cache_index.ObjectCacheIndex()
         self.processing_times = processing_times.ProcessingTimes()
@@ -360,6 +367,7 @@
             processing_s,
             is_cached,
             is_cold,
+            self._rate_limits.rate_per_s(view.incarnation_key),
         )
 
     def _allowed_views(
--- a/chicorydoor/coordination/target_sender.py
+++ b/chicorydoor/coordination/target_sender.py
@@ -18,6 +18,7 @@
 from chicorydoor.protocol import ids
 from chicorydoor.state import cold_start_limits
 from chicorydoor.state import idle_limit
+from chicorydoor.state import target_rate_limits
 from chicorydoor.state import target_views
 from chicorydoor.transport import buffered_connection
 from chicorydoor.transport import clock as clock_module
@@ -83,6 +84,7 @@
         selection (TargetSelection): Records cached objects and service
             times for later choices.
         cold_limits (ColdStartLimits): Counts requests to cold targets.
+        rate_limits (TargetRateLimits): Learns the limits that targets name.
         warm_up_rate_per_s (callable): Returns the requests per second that a
             cold target of a service can take.
         names (HeaderNames): Header names.
@@ -99,6 +101,7 @@
         targets: target_views.TargetViews,
         selection: target_selection.TargetSelection,
         cold_limits: cold_start_limits.ColdStartLimits,
+        rate_limits: target_rate_limits.TargetRateLimits,
         warm_up_rate_per_s: abc.Callable[[ids.ServiceId], float],
         names: header_names.HeaderNames,
         clock: clock_module.Clock,
@@ -108,6 +111,7 @@
         self._targets = targets
         self._selection = selection
         self._cold_limits = cold_limits
+        self.rate_limits = rate_limits
         self._warm_up_rate_per_s = warm_up_rate_per_s
         self._header_names = names
         self._clock = clock
@@ -251,7 +255,9 @@
     ) -> SendResult:
         view = choice.target
         now = self._clock.now()
-        self._record_load(view, answer, now)
+        if answer.status != _MISDIRECTED:
+            self._record_load(view, answer, now)
+            self._record_rate_limit(view, answer, started_at, now)
         if answer.status == _MISDIRECTED:
             self._targets.set_reach(view, target_views.Reach.REPLACED)
             _LOG.warning(
@@ -303,6 +309,22 @@
             return
         view.record_load(running + waiting, now)
 
+    def _record_rate_limit(
+        self,
+        view: target_views.TargetView,
+        answer: buffered_connection.BufferedResponse,
+        sent_at: float,
+        now: float,
+    ) -> None:
+        value = answer.find_header(self._header_names.target_rate_limit)
+        signature = answer.find_header(self._header_names.response_signature)
+        # Only a signed response is sure to come from the target itself.
+        if value is None and signature is None:
+            return
+        self.rate_limits.record_response(
+            view.incarnation_key, value, sent_at, now
+        )
+
     def _record_response_time(
         self,
         call: admitted_request.AdmittedRequest,
@@ -340,7 +362,8 @@
     def close_unused(self) -> None:
         """Close connections to targets that get no more requests.
 
-        Also removes the load shedding state of unknown targets.
+        Also removes the load shedding state and the rate limits of unknown
+        targets.
         """
         in_use = {
             view.incarnation_key
@@ -352,6 +375,12 @@
         self._selection.load_shedding.remove_unknown(
             set(self._targets.target_by_id)
         )
+        self.rate_limits.remove_unknown(
+            {
+                view.incarnation_key
+                for view in self._targets.target_by_id.values()
+            }
+        )
 
     def close(self) -> None:
         """Close all idle connections."""
--- a/chicorydoor/model/model_fleet.py
+++ b/chicorydoor/model/model_fleet.py
@@ -15,6 +15,7 @@
 from chicorydoor.protocol import ids
 from chicorydoor.protocol import serving_config
 from chicorydoor.state import designated_entries
+from chicorydoor.state import target_rate_limits
 from chicorydoor.state import target_views
 
 _SAME_REGION_RTT_S = 0.002
@@ -78,6 +79,7 @@
         designated = designated_entries.DesignatedEntries(
             instance, lambda: region_instances
         )
+        self.rate_limits = target_rate_limits.TargetRateLimits()
         self.selection = target_selection.TargetSelection(
             targets=self.targets,
             region=region,
@@ -86,6 +88,7 @@
             may_send_first=lambda view: designated.includes_this_entry(
                 view.target_id
             ),
+            rate_limits=self.rate_limits,
             rng=rng,
         )
 
--- a/chicorydoor/platform/http_names.py
+++ b/chicorydoor/platform/http_names.py
@@ -15,6 +15,7 @@
     not_run=b"not-executed",
     response_signature=b"response-seal",
     target_load=b"server-load",
+    target_rate_limit=b"server-limit",
     warm_up_remaining_ms=b"cold-ms",
     target_id=b"instance-id",
 )
--- a/chicorydoor/protocol/header_names.py
+++ b/chicorydoor/protocol/header_names.py
@@ -20,6 +20,8 @@
         response_signature (bytes): A target's signature of its response.
         target_load (bytes): Running requests, queued requests and slots of a
             target, as decimal numbers separated by commas.
+        target_rate_limit (bytes): Requests per second, a decimal number, that
+            a target accepts from all entries together while it names them.
         warm_up_remaining_ms (bytes): Remaining warm-up time of a target, in
             milliseconds.
         target_id (bytes): Id of the responding target.
@@ -34,5 +36,6 @@
     not_run: bytes = b"x-not-processed"
     response_signature: bytes = b"x-seal"
     target_load: bytes = b"x-load"
+    target_rate_limit: bytes = b"x-rate-limit"
     warm_up_remaining_ms: bytes = b"x-cold-ms"
     target_id: bytes = b"x-target"
--- a/chicorydoor/transport/metrics.py
+++ b/chicorydoor/transport/metrics.py
@@ -87,6 +87,14 @@
     "chicorydoor_target_load_unreadable",
     "Answers whose load header could not be read.",
 )
+TARGET_RATE_LIMIT_PARSE_ERRORS = prometheus_client.Counter(
+    "chicorydoor_target_rate_limit_unreadable",
+    "Answers whose named rate limit could not be read.",
+)
+RATE_LIMITED_TARGETS = prometheus_client.Gauge(
+    "chicorydoor_rate_limited_targets",
+    "Targets that name a rate limit in their answers.",
+)
 LOG_LINES_DROPPED = prometheus_client.Counter(
     "chicorydoor_log_lines_dropped",
     "Log lines left out to bound their volume.",
--- a/tests/support/scripted_target.py
+++ b/tests/support/scripted_target.py
@@ -31,6 +31,8 @@
     requests are served. ``abandoned_requests`` counts requests whose caller
     disconnected before the answer. ``received_headers`` holds the headers of
     each request by name, and its request line under the empty name.
+    ``rate_limit`` is the value of the header that names a limit, None for no
+    such header.
 
     Args:
         name (str): Body of its answers. Defaults to "t".
@@ -44,6 +46,7 @@
         self.connection_count = 0
         self.abandoned_requests = 0
         self.work_s = 0.0
+        self.rate_limit = None
         self.health_answer = b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n"
         self._writers = set()
 
@@ -111,11 +114,14 @@
             return False
         if behaviour is TargetBehaviour.MISMATCHED_FIRST:
             writer.write(_answer(b"somebody", b"wrong"))
-        writer.write(
-            _ANSWER_BUILDER_BY_BEHAVIOUR.get(behaviour, _answer)(
-                request_id, self.name.encode()
-            )
+        answer = _ANSWER_BUILDER_BY_BEHAVIOUR.get(behaviour, _answer)(
+            request_id, self.name.encode()
         )
+        if self.rate_limit is not None:
+            status_line, rest = answer.split(b"\r\n", 1)
+            limit = b"server-limit: " + self.rate_limit
+            answer = b"\r\n".join((status_line, limit, rest))
+        writer.write(answer)
         await writer.drain()
         return True
 
--- a/tests/test_call_runner.py
+++ b/tests/test_call_runner.py
@@ -169,6 +169,7 @@
             targets=None,
             selection=None,
             cold_limits=None,
+            rate_limits=None,
             warm_up_rate_per_s=lambda service_id: 0.0,
             names=_HEADER_NAMES,
             clock=clock,
--- a/tests/test_target_selection.py
+++ b/tests/test_target_selection.py
@@ -5,6 +5,7 @@
 
 from chicorydoor.coordination import target_selection
 from chicorydoor.state import designated_entries
+from chicorydoor.state import target_rate_limits
 from chicorydoor.state import target_views
 from tests.support import config_builders as make
 
@@ -30,6 +31,7 @@
         designated = designated_entries.DesignatedEntries(
             instance, lambda: instances
         )
+        self.rate_limits = target_rate_limits.TargetRateLimits()
         self.selection = target_selection.TargetSelection(
             targets=self.targets,
             region=region,
@@ -38,6 +40,7 @@
             may_send_first=lambda view: designated.includes_this_entry(
                 view.target_id
             ),
+            rate_limits=self.rate_limits,
             rng=random.Random(1),
         )
         for view in self.targets.target_by_id.values():
