--- a/chicorydoor/model/model_fleet.py
+++ b/chicorydoor/model/model_fleet.py
@@ -1,5 +1,6 @@
 """Discrete-event simulation of entries that run the real target selection."""
 
+from collections import abc
 import heapq
 import itertools
 import random
@@ -9,6 +10,7 @@
 
 from chicorydoor.coordination import peer_exchange
 from chicorydoor.coordination import target_selection
+from chicorydoor.model import limited_arrivals
 from chicorydoor.model import model_target
 from chicorydoor.model import region_mix
 from chicorydoor.model import scenario as scenario_module
@@ -114,6 +116,19 @@
     )
 
 
+def _rate_limit_schedule(
+    limit: scenario_module.NamedLimit | None, index: int
+) -> abc.Callable[[float], float | None]:
+    """Return which limit a region's target of this index names at a time."""
+    if limit is None or index >= limit.targets_per_region:
+        return lambda now: None
+    return lambda now: (
+        limit.rate_per_s
+        if limit.starts_at_s <= now < limit.ends_at_s
+        else None
+    )
+
+
 class _Response(typing.NamedTuple):
     """A target's response or refusal on its way to the entry."""
 
@@ -154,6 +169,7 @@
                 ids.TargetId(f"{region}-{index}"),
                 region,
                 scenario.target_parameters,
+                _rate_limit_schedule(scenario.named_limit, index),
             )
             for region, count in scenario.target_count_by_region.items()
             for index in range(count)
@@ -184,6 +200,7 @@
         self._event_numbers = itertools.count()
         self.counts = RequestCounts()
         self.region_mix = region_mix.RegionMix()
+        self.limited_arrivals = limited_arrivals.LimitedArrivals()
 
     def _build_entries(self, region: ids.RegionId) -> list[ModelEntry]:
         instances = [
@@ -285,6 +302,9 @@
             now + one_way_s,
             self._rng,
         )
+        self.limited_arrivals.record_arrival(
+            entry.instance, view.target_id, now + one_way_s
+        )
         view.own_requests_in_flight += 1
         view.has_received_requests = True
         response = _Response(
@@ -304,6 +324,7 @@
         # The target reports its load with the response.
         target = self._target_by_id[view.target_id]
         view.record_load(target.outstanding_requests(now), now)
+        self._record_rate_limit(response, target, now)
         is_from_other_region = view.region != entry.region
         if response.is_refusal or elapsed_s > self._scenario.timeout_s:
             self._record_result(response.sent_at, None, is_from_other_region)
@@ -323,6 +344,26 @@
             )
         self._record_result(response.sent_at, elapsed_s, is_from_other_region)
 
+    def _record_rate_limit(
+        self,
+        response: _Response,
+        target: model_target.ModelTarget,
+        now: float,
+    ) -> None:
+        entry, view = response.entry, response.view
+        answered_at = now - entry.round_trip_s(view.region) / 2
+        rate_per_s = target.rate_limit_per_s(answered_at)
+        entry.rate_limits.record_response(
+            view.incarnation_key,
+            None if rate_per_s is None else b"%f" % rate_per_s,
+            response.sent_at,
+            now,
+        )
+        if rate_per_s is not None:
+            self.limited_arrivals.record_limit(
+                entry.instance, target.target_id, rate_per_s, answered_at, now
+            )
+
     def _record_result(
         self,
         sent_at: float,
--- a/chicorydoor/model/model_target.py
+++ b/chicorydoor/model/model_target.py
@@ -1,6 +1,7 @@
 """Simulated target in virtual time: slots, a queue and an object cache."""
 
 import collections
+from collections import abc
 import heapq
 import random
 
@@ -38,6 +39,8 @@
         target_id (str): Id of the target.
         region (str): Region that it runs in.
         parameters (TargetParameters): Capacity and service times.
+        rate_limit_per_s (callable): Returns the rate limit that it names in a
+            response at a virtual time, None for none. Defaults to none.
     """
 
     def __init__(
@@ -45,10 +48,14 @@
         target_id: ids.TargetId,
         region: ids.RegionId,
         parameters: TargetParameters,
+        rate_limit_per_s: abc.Callable[[float], float | None] = (
+            lambda now: None
+        ),
     ) -> None:
         self.target_id = target_id
         self.region = region
         self.parameters = parameters
+        self.rate_limit_per_s = rate_limit_per_s
         self._cached_objects: collections.OrderedDict[object, None] = (
             collections.OrderedDict()
         )
--- a/chicorydoor/model/scenario.py
+++ b/chicorydoor/model/scenario.py
@@ -32,6 +32,24 @@
     ends_at_s: float = float("inf")
 
 
+class NamedLimit(msgspec.Struct, frozen=True):
+    """Rate limit that some targets name for a time.
+
+    Args:
+        rate_per_s (float): Requests per second that each accepts from all
+            entries together.
+        targets_per_region (int): Number of targets of each region that name
+            it.
+        starts_at_s (float): Virtual time of the start in seconds.
+        ends_at_s (float): Virtual time of the end in seconds.
+    """
+
+    rate_per_s: float
+    targets_per_region: int
+    starts_at_s: float
+    ends_at_s: float
+
+
 class Scenario(msgspec.Struct, frozen=True):
     """Targets, demand and network delays of one simulated run.
 
@@ -50,6 +68,8 @@
         entry_count_per_region (int): Entries of each region. Defaults to 2.
         target_parameters (TargetParameters): Of every target. Defaults to
             the defaults of ``TargetParameters``.
+        named_limit (NamedLimit): Limit that some targets name. Defaults to
+            none.
     """
 
     target_count_by_region: dict[ids.RegionId, int]
@@ -63,6 +83,7 @@
     target_parameters: model_target.TargetParameters = (
         model_target.TargetParameters()
     )
+    named_limit: NamedLimit | None = None
 
 
 SCENARIOS: registry.Registry[abc.Callable[[], Scenario]] = registry.Registry(
@@ -160,6 +181,21 @@
     return _three_region_scenario(base_demands + restricted_demands)
 
 
+@SCENARIOS.register("limited-targets")
+def limited_targets() -> Scenario:
+    """Two targets of each region accept only few requests for 15 seconds."""
+    return msgspec.structs.replace(
+        calm(),
+        entry_count_per_region=4,
+        named_limit=NamedLimit(
+            rate_per_s=8.0,
+            targets_per_region=2,
+            starts_at_s=5.0,
+            ends_at_s=20.0,
+        ),
+    )
+
+
 @SCENARIOS.register("fleet-start")
 def fleet_start() -> Scenario:
     """Many entries and targets start, and callers move between regions.
--- a/tests/test_model.py
+++ b/tests/test_model.py
@@ -1,7 +1,9 @@
 """Simulated targets, and target selection in simulation."""
 
+import itertools
 import random
 
+import msgspec
 import pytest
 
 from chicorydoor.cli import main
@@ -127,6 +129,39 @@
         self._check_shift(scenario.overloaded_start())
 
 
+class TestNamedRateLimits:
+    def _run(self, entries_per_region, seed, **changes):
+        load = msgspec.structs.replace(
+            scenario.limited_targets(),
+            entry_count_per_region=entries_per_region,
+            **changes,
+        )
+        fleet = model_fleet.ModelFleet(load, seed)
+        counts = fleet.run()
+        return fleet.limited_arrivals, counts
+
+    def _max_over_limit(self, arrivals):
+        return arrivals.max_over_limit(
+            window_s=4.0,
+            settling_s=4.0,
+            told_before_s=0.5,
+            factor=1.5,
+            slack=5.0,
+        )
+
+    # Guards against entries that each take a target's whole limit, or ignore
+    # it, so that the sum of all exceeds what the target accepts.
+    def test_sum_of_all_entries_stays_under_the_limit(self):
+        cases = itertools.product((1, 4, 29), (0.5, 8.0), (1, 2))
+        for entries_per_region, rate_per_s, seed in cases:
+            limit = scenario.NamedLimit(rate_per_s, 2, 5.0, 20.0)
+            arrivals, _ = self._run(
+                entries_per_region, seed, named_limit=limit
+            )
+            assert len(arrivals.limited_targets) == 6
+            assert self._max_over_limit(arrivals) <= 0
+
+
 class TestExperimentCommand:
     def test_prints_a_table(self, capsys):
         assert main.main(["experiment", "calm", "--seeds", "1"]) == 0
