Log a fingerprint of each request

It now has a digest of customer, host, method, path and body. Nothing acts on it.

New tests: the id and deadline do not matter, each of the parts does.

--- a/chicorydoor/coordination/call_app.py
+++ b/chicorydoor/coordination/call_app.py
@@ -255,6 +255,7 @@
                 "object": self._header_value(
                     self._app._header_names.affinity_key
                 ).decode("latin-1"),
+                "fingerprint": trace.fingerprint.hex(),
                 "service": trace.service_id,
                 "sends": trace.attempts,
                 "target_region": trace.region,
--- a/chicorydoor/coordination/call_runner.py
+++ b/chicorydoor/coordination/call_runner.py
@@ -39,6 +39,8 @@
     """What happened to a request, for its log line.
 
     Args:
+        fingerprint (bytes): Digest of what repetitions of the request have in
+            common. Defaults to empty.
         service_id (str): The service that was chosen. Defaults to empty.
         attempts (list): ``target:outcome:reason`` of each attempt, sent or
             not. Defaults to none.
@@ -57,6 +59,7 @@
             None without a report. Defaults to None.
     """
 
+    fingerprint: bytes = b""
     service_id: str = ""
     attempts: list[str] = []
     region: str = ""
@@ -114,6 +117,7 @@
         """
         service_id = self._service_split.choose_service(call.route)
         trace.service_id = service_id
+        trace.fingerprint = call.fingerprint
         self._budget_by_service[service_id].record_request(self.clock.now())
         constraints = target_selection.TargetConstraints(
             call.route, service_id, call.affinity_key, call.allowed_region_ids
--- a/chicorydoor/protocol/admitted_request.py
+++ b/chicorydoor/protocol/admitted_request.py
@@ -1,5 +1,8 @@
 """An admitted request, its encoding for a target, and header filtering."""
 
+import functools
+import hashlib
+
 import msgspec
 
 from chicorydoor.protocol import header_names
@@ -15,7 +18,11 @@
 )
 
 
-class AdmittedRequest(msgspec.Struct):
+# Bytes of a fingerprint. Callers cannot make two requests with the same one.
+_FINGERPRINT_BYTES = 16
+
+
+class AdmittedRequest(msgspec.Struct, dict=True):
     """An admitted request.
 
     Args:
@@ -48,6 +55,26 @@
     arrived_at: float
     deadline: float
 
+    @functools.cached_property
+    def fingerprint(self) -> bytes:
+        """Digest of what stays the same when a caller repeats a request.
+
+        That is the customer, host, method, path with query, and body, but
+        not the request id.
+        """
+        digest = hashlib.blake2b(digest_size=_FINGERPRINT_BYTES)
+        customer = self.customer.customer_id if self.customer else ""
+        for part in (
+            customer.encode(),
+            self.route.host.encode(),
+            self.method,
+            self.request_target,
+            self.body,
+        ):
+            digest.update(b"%d:" % len(part))
+            digest.update(part)
+        return digest.digest()
+
     @property
     def priority(self) -> int:
         """Effective priority; 0 is the most urgent."""
--- a/tests/test_call_runner.py
+++ b/tests/test_call_runner.py
@@ -188,3 +188,23 @@
         )
         assert sent.outcome is _SendOutcome.NOT_SENT
         assert len(pool.released) == 1
+
+
+class TestFingerprint:
+    """Repetitions of a request have new ids but the same fingerprint."""
+
+    def test_request_id_and_deadline_do_not_matter(self):
+        first, second = _build_request(2.0), _build_request(3.0)
+        second.request_id = b"r2"
+        assert first.fingerprint == second.fingerprint
+
+    def test_customer_method_path_and_body_matter(self):
+        requests = [_build_request() for _ in range(6)]
+        requests[1].customer = make.build_customer_config()
+        requests[2].method = b"POST"
+        requests[3].request_target = b"/read/2"
+        requests[4].body = b"x"
+        # The parts are delimited.
+        requests[5].request_target = b"/read/"
+        requests[5].body = b"1"
+        assert len({each.fingerprint for each in requests}) == 6
