--- a/tests/support/scripted_target.py
+++ b/tests/support/scripted_target.py
@@ -24,6 +24,10 @@
     MISMATCHED_FIRST = "foreign-first"
 
 
+# Other requests arrive in the meantime and are lost too.
+_CRASH_AFTER_S = 0.05
+
+
 class ScriptedTarget:
     """Serves HTTP/1.1 and records requests.
 
@@ -32,7 +36,8 @@
     disconnected before the answer. ``received_headers`` holds the headers of
     each request by name, and its request line under the empty name.
     ``rate_limit`` is the value of the header that names a limit, None for no
-    such header.
+    such header. A request whose path contains ``crashes_on`` ends the target
+    shortly after it arrived; ``start`` brings it back at its address.
 
     Args:
         name (str): Body of its answers. Defaults to "t".
@@ -47,15 +52,30 @@
         self.abandoned_requests = 0
         self.work_s = 0.0
         self.rate_limit = None
+        self.crashes_on = b"/crash"
+        self.crash_times = []
+        self.on_crash = lambda target: None
         self.health_answer = b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n"
+        self.address = ""
         self._writers = set()
 
     async def start(self):
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        port = 0 if not self.address else int(self.address.split(":")[1])
+        self._server = await asyncio.start_server(
+            self._serve, "127.0.0.1", port
+        )
         port = self._server.sockets[0].getsockname()[1]
         self.address = f"127.0.0.1:{port}"
         return self
 
+    def crash(self):
+        """End as a process does that is killed: all sockets close."""
+        self.crash_times.append(asyncio.get_running_loop().time())
+        self._server.close()
+        for writer in list(self._writers):
+            writer.transport.abort()
+        self.on_crash(self)
+
     async def stop(self):
         self._server.close()
         for writer in list(self._writers):
@@ -93,6 +113,10 @@
             return True
         self.received_headers.append(head)
         self.received_bodies.append(body)
+        if self.crashes_on in head_lines[0]:
+            await asyncio.sleep(_CRASH_AFTER_S)
+            self.crash()
+            return False
         behaviour = (
             self.behaviours.pop(0)
             if self.behaviours
--- a/tests/test_platform_entry.py
+++ b/tests/test_platform_entry.py
@@ -622,6 +622,57 @@
         _run(scenario)
 
 
+class TestCrashingRequests:
+    """A request that ends each target that runs it."""
+
+    # A target registers again this long after it ended, in seconds.
+    _RESTART_S = 1.0
+    # The users' limit (stableWindow) for the time after the third crash.
+    _STABLE_WINDOW_S = 4.0
+    _MAX_LATER_SENDS = 3
+
+    def _restart_crashed(self, cluster):
+        async def restart(target):
+            await asyncio.sleep(self._RESTART_S)
+            await target.start()
+            record = json.loads(_registration(target))
+            record["born"] = 1 + len(target.crash_times)
+            cluster.store.put(
+                f"servers/{target.name}", json.dumps(record).encode()
+            )
+
+        for target in cluster.targets:
+            target.on_crash = lambda each: cluster.tasks.append(
+                asyncio.create_task(restart(each))
+            )
+
+    async def _call_both_entries(self, cluster, path, seconds):
+        answers = []
+        for number in range(int(seconds / 0.2)):
+            answers.append(await cluster.call(path=path, entry=number % 2))
+            await asyncio.sleep(0.2)
+        return answers
+
+    # Guards against a request that ends its targets being sent again whenever
+    # a caller repeats it, at any entry.
+    def test_request_that_ended_three_targets_is_not_sent_on(self):
+        async def scenario(cluster):
+            self._restart_crashed(cluster)
+            await self._call_both_entries(cluster, "/read/crash", 9.0)
+            crash_times = sorted(
+                at for target in cluster.targets for at in target.crash_times
+            )
+            assert len(crash_times) >= 3
+            later = [
+                at
+                for at in crash_times
+                if at > crash_times[2] + self._STABLE_WINDOW_S
+            ]
+            assert len(later) <= self._MAX_LATER_SENDS
+
+        _run(scenario, targets=6, entries=2)
+
+
 class TestStoreFailures:
     def test_lost_store_history_is_followed_by_a_new_listing(self):
         async def scenario(cluster):
