Block requests that end the targets that run them

Cause: an entry forgot a request when it had ended, and each repetition has a new id and may come to any entry, so nothing recognised it.

A request is now known by customer, host, method, path and body. If its connection breaks and its target then refuses connections, it is suspected; under three ended targets, added up over all entries, it is blocked and refused at once as not run. An answer clears it, so that requests lost with the same targets are not blocked.

Tests of the entry, runner, peers, adapter and pages pass.

--- a/chicorydoor/compose_fleet.py
+++ b/chicorydoor/compose_fleet.py
@@ -39,6 +39,7 @@
 from chicorydoor.state import designated_entries
 from chicorydoor.state import fleet_view
 from chicorydoor.state import rate_shares
+from chicorydoor.state import request_crashes
 from chicorydoor.state import service_retry_budget
 from chicorydoor.state import store_mirror
 from chicorydoor.state import target_rate_limits
@@ -160,6 +161,7 @@
             limiter=self.rate_limiter,
             cache_index=self.selection.cache_index,
             rate_limits=self.rate_limits,
+            crashes=self.crashes,
             targets=self.targets,
             connection_idle_limit=self.sender.idle_limit,
             rng=self.rng,
@@ -202,6 +204,9 @@
             rate_limits=self.rate_limits,
             rng=self.rng,
         )
+        self.crashes = request_crashes.RequestCrashes(
+            self.settings.instance, self.fleet.instances
+        )
         self.sender = target_sender.TargetSender(
             targets=self.targets,
             selection=self.selection,
@@ -210,6 +215,8 @@
             warm_up_rate_per_s=self._warm_up_rate_per_s,
             names=http_names.HEADER_NAMES,
             clock=self.clock,
+            crashes=self.crashes,
+            on_connection_lost=lambda view: self.prober.check_listening(view),
             on_unreachable=lambda view, reason: self.prober.eject(
                 view, reason
             ),
@@ -223,6 +230,7 @@
                 limits.retry_slack,
                 limits.retry_window_s,
             ),
+            crashes=self.crashes,
             count_entries=lambda: self.fleet.entry_count,
             clock=self.clock,
         )
@@ -231,6 +239,7 @@
             self.sender,
             self.active_config,
             http_names.HEADER_NAMES,
+            self.crashes,
             self.clock,
         )
         self.admission = request_admission.RequestAdmission(
@@ -353,6 +362,7 @@
             self._set_ready_once_configured()
             self._rebalance_rates()
             self.sender.close_unused()
+            self.crashes.remove_expired(self.clock.now())
             await asyncio.sleep(_MAINTENANCE_INTERVAL_S)
 
     def _set_ready_once_configured(self) -> None:
--- a/chicorydoor/coordination/call_runner.py
+++ b/chicorydoor/coordination/call_runner.py
@@ -15,6 +15,7 @@
 from chicorydoor.protocol import admitted_request
 from chicorydoor.protocol import ids
 from chicorydoor.protocol import result_codes
+from chicorydoor.state import request_crashes
 from chicorydoor.state import service_retry_budget
 from chicorydoor.state import service_split
 from chicorydoor.transport import buffered_connection
@@ -29,6 +30,8 @@
 _NO_TARGET_RETRY_AFTER_S = 0.5
 # A fully loaded target has a free slot after about one request's time.
 _BUSY_RETRY_AFTER_S = 0.25
+# Only a change of the targets' software lets such a request run again.
+_BLOCKED_RETRY_AFTER_S = 60.0
 # Longer, because a lasting overload does not end at once.
 _OVERLOAD_RETRY_AFTER_S = 1.0
 
@@ -78,6 +81,7 @@
         selection (TargetSelection): Chooses targets.
         sender (TargetSender): Sends requests to targets.
         make_retry_budget (callable): Creates the retry budget of a service.
+        crashes (RequestCrashes): Knows the requests that end their targets.
         count_entries (callable): Returns the number of entries that may be
             alive.
         clock (Clock): Source of time.
@@ -91,11 +95,13 @@
         make_retry_budget: abc.Callable[
             [], service_retry_budget.ServiceRetryBudget
         ],
+        crashes: request_crashes.RequestCrashes,
         count_entries: abc.Callable[[], int],
         clock: clock_module.Clock,
     ) -> None:
         self.selection = selection
         self.sender = sender
+        self.crashes = crashes
         self.clock = clock
         self._count_entries = count_entries
         self._service_split = service_split.ServiceSplit()
@@ -198,6 +204,11 @@
     def _choose_target(self) -> target_selection.SelectedTarget | None:
         runner, call = self._runner, self._call
         now = runner.clock.now()
+        if not runner.crashes.may_send(call.fingerprint, now):
+            self._refusal = request_types.RefusedError(
+                _CODES.REQUEST_BLOCKED, retry_after_s=_BLOCKED_RETRY_AFTER_S
+            )
+            return None
         choice = runner.selection.choose(
             self._constraints, now, self._tried_targets
         )
--- a/chicorydoor/coordination/peer_exchange.py
+++ b/chicorydoor/coordination/peer_exchange.py
@@ -23,6 +23,7 @@
 from chicorydoor.state import idle_limit
 from chicorydoor.state import object_cache_index
 from chicorydoor.state import rate_shares
+from chicorydoor.state import request_crashes
 from chicorydoor.state import target_rate_limits
 from chicorydoor.state import target_views
 from chicorydoor.transport import clock as clock_module
@@ -91,6 +92,7 @@
         cache_index (ObjectCacheIndex): Index of the objects that targets have
             cached.
         rate_limits (TargetRateLimits): The limits that targets name.
+        crashes (RequestCrashes): The requests that end their targets.
         targets (TargetViews): The known targets and observations of them.
         connection_idle_limit (IdleLimit): How long idle connections to targets
             are trusted.
@@ -109,6 +111,7 @@
         limiter: rate_limiter.RateLimiter,
         cache_index: object_cache_index.ObjectCacheIndex,
         rate_limits: target_rate_limits.TargetRateLimits,
+        crashes: request_crashes.RequestCrashes,
         targets: target_views.TargetViews,
         connection_idle_limit: idle_limit.IdleLimit,
         rng: random.Random,
@@ -116,6 +119,7 @@
         self._fleet = fleet
         self._cache_index = cache_index
         self._rate_limits = rate_limits
+        self._crashes = crashes
         self._targets = targets
         self._idle_limit = connection_idle_limit
         self._rng = rng
@@ -243,6 +247,7 @@
                 sightings=self._cache_index.pop_unpublished(now),
                 target_reports=self._targets.pop_reports(),
                 limit_reports=self._rate_limits.pop_reports(now),
+                crash_reports=self._crashes.recent_reports(now),
                 trusted_idle_s=self._idle_limit.own_limit_s(now),
             )
         )
@@ -257,6 +262,7 @@
             self.state,
             self._extent_by_prefix(),
             self._rate_limits.recent_reports(now),
+            self._crashes.recent_reports(now),
             now,
         )
         relay = gossip_messages.RelayedMessage(
@@ -393,6 +399,7 @@
         self._cache_index.apply_published(heartbeat.sightings, now)
         self._targets.apply_reports(heartbeat.target_reports, now)
         self._rate_limits.apply_reports(heartbeat.limit_reports, now)
+        self._crashes.apply_reports(heartbeat.crash_reports, now)
         self._idle_limit.apply_limit(heartbeat.trusted_idle_s, now)
         address = heartbeat.registration.peer_address
         for prefix, extent in heartbeat.extent_by_prefix.items():
@@ -404,6 +411,7 @@
         now = self._clock.now()
         self._fleet.record_digest(digest, now)
         self._rate_limits.apply_reports(digest.limit_reports, now)
+        self._crashes.apply_reports(digest.crash_reports, now)
         for prefix, extent in digest.extent_by_prefix.items():
             follower = self.follower_by_prefix.get(prefix)
             if follower is not None and follower.should_request_copy(
--- a/chicorydoor/coordination/region_digests.py
+++ b/chicorydoor/coordination/region_digests.py
@@ -10,6 +10,7 @@
 
 from chicorydoor.state import fleet_view
 from chicorydoor.state import rate_shares
+from chicorydoor.state import request_crashes
 from chicorydoor.state import target_rate_limits
 
 # Maximum number of ready entries in a digest. Callers of another region are
@@ -44,6 +45,7 @@
         state: fleet_view.EntryState,
         extent_by_prefix: dict[str, fleet_view.Extent],
         limit_reports: list[target_rate_limits.LimitReport],
+        crash_reports: list[request_crashes.CrashReport],
         now: float,
     ) -> fleet_view.RegionDigest:
         """Build a digest of the region.
@@ -54,6 +56,8 @@
                 store are, by key prefix.
             limit_reports (list): What targets have lately responded to the
                 region about their rate limits.
+            crash_reports (list): What this entry knows of requests that end
+                their targets.
             now (float): Current time in seconds.
         """
         fleet = self._fleet
@@ -78,6 +82,7 @@
                 fleet.announced_rates_of_region()
             ),
             limit_reports=limit_reports,
+            crash_reports=crash_reports,
         )
 
     def choose_receivers(self, now: float) -> list[str]:
--- a/chicorydoor/coordination/target_prober.py
+++ b/chicorydoor/coordination/target_prober.py
@@ -8,6 +8,7 @@
 from chicorydoor.coordination import target_sender
 from chicorydoor.protocol import header_names
 from chicorydoor.protocol import ids
+from chicorydoor.state import request_crashes
 from chicorydoor.state import target_views
 from chicorydoor.transport import buffered_connection
 from chicorydoor.transport import clock as clock_module
@@ -39,6 +40,7 @@
         sender (TargetSender): Holds the connections to targets.
         active_config (ActiveServingConfig): Holds the active configuration.
         names (HeaderNames): Header names.
+        crashes (RequestCrashes): Learns which targets have ended.
         clock (Clock): Source of time.
     """
 
@@ -48,6 +50,7 @@
         sender: target_sender.TargetSender,
         active_config: active_serving_config.ActiveServingConfig,
         names: header_names.HeaderNames,
+        crashes: request_crashes.RequestCrashes,
         clock: clock_module.Clock,
     ) -> None:
         self._targets = targets
@@ -55,6 +58,8 @@
         self._active_config = active_config
         self._header_names = names
         self._clock = clock
+        self._crashes = crashes
+        self._check_by_target: dict[ids.TargetId, asyncio.Task] = {}
         self._task_by_target: dict[ids.TargetId, asyncio.Task] = {}
 
     def eject(self, view: target_views.TargetView, reason: str) -> None:
@@ -87,6 +92,36 @@
                 self._probe_until_reachable(view)
             )
 
+    def check_listening(self, view: target_views.TargetView) -> None:
+        """Check whether a target still accepts connections; eject it if not.
+
+        Only one check of a target runs at a time.
+        """
+        running = self._check_by_target.get(view.target_id)
+        if running is not None and not running.done():
+            return
+        self._check_by_target[view.target_id] = asyncio.create_task(
+            self._check_listening(view)
+        )
+
+    async def _check_listening(self, view: target_views.TargetView) -> None:
+        pool = self._sender.connection_pool(view)
+        try:
+            connection = await pool.open_connection(_CONNECT_TIMEOUT_S)
+        except errors.TargetError as error:
+            if error.is_refused:
+                self._crashes.record_ended(
+                    view.incarnation_key, self._clock.now()
+                )
+                self.eject(view, f"{error}")
+            return
+        finally:
+            if self._check_by_target.get(view.target_id) is (
+                asyncio.current_task()
+            ):
+                del self._check_by_target[view.target_id]
+        pool.release(connection, view.record.slots)
+
     async def _probe_until_reachable(
         self, view: target_views.TargetView
     ) -> None:
@@ -200,5 +235,8 @@
 
     def close(self) -> None:
         """Stop probing."""
-        for task in self._task_by_target.values():
+        for task in (
+            *self._task_by_target.values(),
+            *self._check_by_target.values(),
+        ):
             task.cancel()
--- a/chicorydoor/coordination/target_sender.py
+++ b/chicorydoor/coordination/target_sender.py
@@ -18,6 +18,7 @@
 from chicorydoor.protocol import ids
 from chicorydoor.state import cold_start_limits
 from chicorydoor.state import idle_limit
+from chicorydoor.state import request_crashes
 from chicorydoor.state import target_rate_limits
 from chicorydoor.state import target_views
 from chicorydoor.transport import buffered_connection
@@ -89,8 +90,12 @@
             cold target of a service can take.
         names (HeaderNames): Header names.
         clock (Clock): Source of time.
+        crashes (RequestCrashes): Learns which requests were lost with their
+            targets.
         on_unreachable (callable): Called with a target that does not
             answer, and the reason.
+        on_connection_lost (callable): Called with a target that broke a
+            connection before it had responded.
         on_round_trip (callable): Called with a region and the seconds that
             opening a connection to it took.
     """
@@ -105,7 +110,9 @@
         warm_up_rate_per_s: abc.Callable[[ids.ServiceId], float],
         names: header_names.HeaderNames,
         clock: clock_module.Clock,
+        crashes: request_crashes.RequestCrashes,
         on_unreachable: abc.Callable[[target_views.TargetView, str], None],
+        on_connection_lost: abc.Callable[[target_views.TargetView], None],
         on_round_trip: abc.Callable[[ids.RegionId, float], None],
     ) -> None:
         self._targets = targets
@@ -115,7 +122,9 @@
         self._warm_up_rate_per_s = warm_up_rate_per_s
         self._header_names = names
         self._clock = clock
+        self._crashes = crashes
         self._on_unreachable = on_unreachable
+        self._on_connection_lost = on_connection_lost
         self._on_round_trip = on_round_trip
         self.idle_limit = idle_limit.IdleLimit()
         self._pool_by_incarnation: dict[
@@ -167,6 +176,10 @@
                 limit_s, self.idle_limit.limit_s(self._clock.now())
             )
         except errors.TargetError as error:
+            if error.is_refused:
+                self._crashes.record_ended(
+                    view.incarnation_key, self._clock.now()
+                )
             self._on_unreachable(view, f"{error}")
             return SendResult(
                 SendOutcome.NOT_SENT, view.target_id, reason=f"{error}"
@@ -190,7 +203,7 @@
             return self._record_timeout(view, started_at)
         except errors.TargetError as error:
             self._record_idle_loss(view, connection, error, started_at)
-            return self._record_broken_connection(view, error)
+            return self._record_broken_connection(call, view, error)
         pool.release(connection, view.record.slots)
         return self._evaluate_answer(call, choice, answer, started_at)
 
@@ -204,13 +217,22 @@
         return SendResult(SendOutcome.UNKNOWN, view.target_id, reason=reason)
 
     def _record_broken_connection(
-        self, view: target_views.TargetView, error: errors.TargetError
+        self,
+        call: admitted_request.AdmittedRequest,
+        view: target_views.TargetView,
+        error: errors.TargetError,
     ) -> SendResult:
         """Record that the connection ended.
 
         A target that resets a connection is still reachable.
         """
-        view.record_broken_connection(self._clock.now())
+        now = self._clock.now()
+        view.record_broken_connection(now)
+        if error.may_have_been_sent:
+            self._crashes.record_lost(
+                call.fingerprint, view.incarnation_key, now
+            )
+            self._on_connection_lost(view)
         if error.is_tcp_timeout:
             self._on_unreachable(view, f"{error}")
         outcome = (
@@ -286,6 +308,8 @@
                 SendOutcome.UNKNOWN, view.target_id, reason="answer not sealed"
             )
         is_failure = answer.status in _SERVER_ERRORS
+        if not is_failure:
+            self._crashes.record_answered(call.fingerprint, now)
         self._record_response_time(
             call, choice, now - started_at, is_failure, now
         )
--- a/chicorydoor/errors.py
+++ b/chicorydoor/errors.py
@@ -46,6 +46,8 @@
         is_tcp_timeout (bool): Whether the operating system timed out the
             connection because the target acknowledged nothing. Defaults to
             False.
+        is_refused (bool): Whether no process listens at the address. Defaults
+            to False.
     """
 
     def __init__(
@@ -53,10 +55,12 @@
         reason: str,
         may_have_been_sent: bool,
         is_tcp_timeout: bool = False,
+        is_refused: bool = False,
     ) -> None:
         super().__init__(reason)
         self.may_have_been_sent = may_have_been_sent
         self.is_tcp_timeout = is_tcp_timeout
+        self.is_refused = is_refused
 
 
 class UnreachableError(ChicorydoorError):
--- a/chicorydoor/protocol/result_codes.py
+++ b/chicorydoor/protocol/result_codes.py
@@ -96,6 +96,12 @@
         Outcome.NOT_RUN,
         "the target refused the request unprocessed",
     )
+    REQUEST_BLOCKED = (
+        144,
+        503,
+        Outcome.NOT_RUN,
+        "targets ended whenever they ran the same request",
+    )
     PEER_FAILED = (
         150,
         502,
--- a/chicorydoor/state/fleet_view.py
+++ b/chicorydoor/state/fleet_view.py
@@ -13,6 +13,7 @@
 from chicorydoor.protocol import ids
 from chicorydoor.state import object_cache_index
 from chicorydoor.state import rate_shares
+from chicorydoor.state import request_crashes
 from chicorydoor.state import target_rate_limits
 from chicorydoor.state import target_report
 
@@ -83,6 +84,8 @@
             Defaults to none.
         limit_reports (list): What targets have responded to the sender about
             their rate limits. Defaults to none.
+        crash_reports (list): What the sender knows of requests that end
+            their targets. Defaults to none.
         trusted_idle_s (float): Longest idle time, in seconds, after which the
             sender reuses a connection to a target, from requests that it
             lost itself on idle connections; None without any. Defaults to
@@ -100,6 +103,7 @@
     sightings: list[object_cache_index.CachedObject] = []
     target_reports: list[target_report.TargetReport] = []
     limit_reports: list[target_rate_limits.LimitReport] = []
+    crash_reports: list[request_crashes.CrashReport] = []
     trusted_idle_s: float | None = None
 
 
@@ -116,6 +120,8 @@
         rate_by_customer (dict): Rate shares and demand of the whole region.
         limit_reports (list): What targets have lately responded to the region
             about their rate limits. Defaults to none.
+        crash_reports (list): What the sender knows of requests that end
+            their targets. Defaults to none.
     """
 
     region: ids.RegionId
@@ -125,6 +131,7 @@
     extent_by_prefix: dict[str, Extent]
     rate_by_customer: rate_shares.RateTable
     limit_reports: list[target_rate_limits.LimitReport] = []
+    crash_reports: list[request_crashes.CrashReport] = []
 
 
 class PeerState:
--- a/chicorydoor/transport/buffered_connection.py
+++ b/chicorydoor/transport/buffered_connection.py
@@ -379,11 +379,22 @@
                 connection.idle_s = idle_s
                 return connection
             connection.abort()
-        return await self._open_connection(connect_timeout_s)
+        return await self.open_connection(connect_timeout_s)
 
-    async def _open_connection(
+    async def open_connection(
         self, connect_timeout_s: float
     ) -> BufferedConnection:
+        """Open a new connection for exclusive use.
+
+        Args:
+            connect_timeout_s (float): Maximum time to open it.
+
+        Returns:
+            BufferedConnection: The connection.
+
+        Raises:
+            TargetError: If it could not be opened.
+        """
         host, _, port = self._address.rpartition(":")
         loop = asyncio.get_running_loop()
         started_at = self._clock.now()
@@ -400,6 +411,7 @@
             raise errors.TargetError(
                 f"no connection: {type(error).__name__} {error}",
                 may_have_been_sent=False,
+                is_refused=isinstance(error, ConnectionRefusedError),
             ) from error
         if self._on_connected is not None:
             self._on_connected(self._clock.now() - started_at)
--- a/chicorydoor/transport/metrics.py
+++ b/chicorydoor/transport/metrics.py
@@ -95,6 +95,14 @@
     "chicorydoor_rate_limited_targets",
     "Targets that name a rate limit in their answers.",
 )
+REQUESTS_BLOCKED = prometheus_client.Counter(
+    "chicorydoor_requests_blocked",
+    "Times that a request was blocked because targets ended under it.",
+)
+BLOCKED_REQUESTS = prometheus_client.Gauge(
+    "chicorydoor_blocked_requests",
+    "Requests, by fingerprint, that are not sent to any target.",
+)
 LOG_LINES_DROPPED = prometheus_client.Counter(
     "chicorydoor_log_lines_dropped",
     "Log lines left out to bound their volume.",
--- a/tests/support/simulated_peers.py
+++ b/tests/support/simulated_peers.py
@@ -13,6 +13,7 @@
 from chicorydoor.state import idle_limit
 from chicorydoor.state import object_cache_index
 from chicorydoor.state import rate_shares
+from chicorydoor.state import request_crashes
 from chicorydoor.state import store_mirror
 from chicorydoor.state import target_rate_limits
 from chicorydoor.state import target_views
@@ -100,6 +101,9 @@
             clock=clock,
             rng=random.Random(name),
         )
+        self.crashes = request_crashes.RequestCrashes(
+            name, self.fleet.instances
+        )
         self.rate_limits = target_rate_limits.TargetRateLimits(
             name, self.fleet.instances, self.fleet.region_instances
         )
@@ -115,6 +119,7 @@
             limiter=self.rate_limiter,
             cache_index=self.cache_index,
             rate_limits=self.rate_limits,
+            crashes=self.crashes,
             targets=self.targets,
             connection_idle_limit=idle_limit.IdleLimit(),
             rng=random.Random(name),
--- a/tests/test_call_runner.py
+++ b/tests/test_call_runner.py
@@ -11,6 +11,7 @@
 from chicorydoor.coordination import target_sender
 from chicorydoor.protocol import admitted_request
 from chicorydoor.protocol import header_names
+from chicorydoor.state import request_crashes
 from chicorydoor.state import target_rate_limits
 from chicorydoor.state import target_views
 from tests.support import clocks
@@ -98,6 +99,7 @@
         selection=_Selection(names),
         sender=sender,
         make_retry_budget=lambda: budget,
+        crashes=request_crashes.RequestCrashes("e", lambda: ["e"]),
         count_entries=lambda: 1,
         clock=clocks.ManualClock(),
     )
@@ -179,7 +181,9 @@
             warm_up_rate_per_s=lambda service_id: 0.0,
             names=_HEADER_NAMES,
             clock=clock,
+            crashes=None,
             on_unreachable=lambda view, reason: None,
+            on_connection_lost=lambda view: None,
             on_round_trip=lambda region, seconds: None,
         )
         sender.connection_pool = lambda view: pool
--- a/tests/test_platform_entry.py
+++ b/tests/test_platform_entry.py
@@ -672,6 +672,35 @@
 
         _run(scenario, targets=6, entries=2)
 
+    def test_blocked_request_is_refused_as_not_run_and_others_are_served(self):
+        async def scenario(cluster):
+            self._restart_crashed(cluster)
+            answers = await self._call_both_entries(
+                cluster, "/read/crash", 4.0
+            )
+            for answer in answers[-4:]:
+                assert answer.status_code == 503
+                assert answer.headers["x-chicorydoor-code"] == "144"
+                assert answer.headers["x-chicorydoor-outcome"] == "not-run"
+            for entry in (0, 1):
+                other = await cluster.call(path="/read/other", entry=entry)
+                assert other.status_code == 200
+
+        _run(scenario, targets=6, entries=2)
+
+    def test_lost_connections_of_a_running_target_block_nothing(self):
+        async def scenario(cluster):
+            for target in cluster.targets:
+                target.behaviours = [Behaviour.RESET] * 6
+            for _ in range(6):
+                await cluster.call("POST", "/order/1", content=b"x")
+            cluster.targets[0].behaviours.clear()
+            cluster.targets[1].behaviours.clear()
+            answer = await cluster.call("POST", "/order/1", content=b"x")
+            assert answer.status_code == 200
+
+        _run(scenario)
+
 
 class TestStoreFailures:
     def test_lost_store_history_is_followed_by_a_new_listing(self):
