Take no part of a target's limit before the other entries are known

An entry that had just started took the whole limit of a target that names one, on top of the parts of the others: it looked for senders in the target's region even while it had not read which entries exist. Found by a new test of the composed entry, which failed. Only known entries are designated now.

--- a/chicorydoor/state/target_rate_limits.py
+++ b/chicorydoor/state/target_rate_limits.py
@@ -165,10 +165,11 @@
         from, have at least half of the limit. The others are anywhere, so
         that a region with few targets is served when all targets name limits.
         """
-        region_instances = set(self._get_region_instances(region))
+        instances = set(self._get_instances())
+        region_instances = instances & set(self._get_region_instances(region))
         senders = designated_entries.designate(
             target_id,
-            self._get_instances(),
+            instances,
             _MIN_SENDERS + math.floor(rate_per_s),
             preferred=region_instances,
         )
--- a/tests/test_platform_entry.py
+++ b/tests/test_platform_entry.py
@@ -16,7 +16,9 @@
 
 from chicorydoor import compose_fleet
 from chicorydoor import fleet_entry
+from chicorydoor.platform import documents
 from chicorydoor.protocol import fleet_entry_settings
+from chicorydoor.protocol import store_items
 from chicorydoor.standins import platform_store
 from chicorydoor.standins import port_allocation
 from chicorydoor.state import fleet_view
@@ -883,3 +885,25 @@
         components = _components(clock_module.SystemClock())
         encoded = msgspec.json.encode(components.fleet.own_registration)
         assert msgspec.json.decode(encoded)["incarnation"] == 3
+
+    # Guards against an entry that has just started sending cold or limited
+    # targets the part of all entries, since it knows no others.
+    def test_entry_that_has_not_read_the_others_takes_no_part_of_a_rate(self):
+        components = _components(clocks.ManualClock())
+        incarnation = ("t0", 1)
+        components.rate_limits.record_response(incarnation, b"8", 0.0, 0.0)
+
+        def may_send():
+            return (
+                components.cold_limits.may_send("t0", 1.0),
+                components.rate_limits.may_send(incarnation, "n", 1.0),
+            )
+
+        assert may_send() == (False, False)
+        mirror = components.peer_exchange.follower_by_prefix[
+            documents.ENTRY_PREFIX
+        ].mirror
+        mirror.replace(store_items.StoreItemBatch([], 5))
+        components.clock.now_s += 1.0
+        components.rate_limits.record_response(incarnation, b"9", 0.0, 0.0)
+        assert may_send() == (True, True)
