Send nothing to cold targets before the other entries are known

Same cause as before, for cold targets: an entry that has not yet read which entries exist regarded itself as the only one and sent cold targets the part of all. The test of the composed entry failed before and passes.

--- a/chicorydoor/compose_fleet.py
+++ b/chicorydoor/compose_fleet.py
@@ -178,7 +178,7 @@
     def _compose_request_path(self) -> None:
         limits = self._fleet_limits
         self.cold_limits = cold_start_limits.ColdStartLimits(
-            self.settings.instance, self.fleet.instances
+            self.settings.instance, self._known_instances
         )
         first_senders = designated_entries.DesignatedEntries(
             self.settings.instance, self.fleet.region_instances
