--- a/tests/test_target_prober.py
+++ b/tests/test_target_prober.py
@@ -1,8 +1,15 @@
-"""Back-off before the first probe of an unreachable target."""
+"""Probes of unreachable targets: back-off and rate limits."""
+
+import asyncio
+import types
 
 import pytest
 
+from chicorydoor.coordination import active_serving_config
 from chicorydoor.coordination import target_prober
+from chicorydoor.protocol import header_names
+from chicorydoor.protocol import serving_config
+from chicorydoor.state import target_rate_limits
 from chicorydoor.state import target_views
 from tests.support import clocks
 from tests.support import config_builders as make
@@ -15,7 +22,7 @@
 
 @pytest.fixture
 def prober(clock):
-    return target_prober.TargetProber(None, None, None, None, clock)
+    return target_prober.TargetProber(None, None, None, None, None, clock)
 
 
 class TestRelapses:
@@ -44,3 +51,44 @@
         prober._first_backoff_s(view)
         clock.now_s += 60.0
         assert prober._first_backoff_s(view) == first
+
+
+class TestRateLimits:
+    # Guards against the probes of all entries exceeding a target's limit.
+    def test_probe_waits_for_this_entry_s_part_of_the_limit(self, clock):
+        view = target_views.TargetView(
+            make.build_target_registration("t"), "n", 0.0
+        )
+        limits = target_rate_limits.TargetRateLimits(
+            "e", lambda: ["e"], lambda region: ["e"]
+        )
+        limits.record_response(view.incarnation_key, b"0.5", 0.0, 0.0)
+        active_config = active_serving_config.ActiveServingConfig()
+        active_config.activate_if_newer(
+            serving_config.ServingConfig(
+                version=1, services=(make.build_service_config(),)
+            )
+        )
+
+        def count_probe(view):
+            probed_at.append(clock.now_s)
+            raise asyncio.CancelledError
+
+        probed_at = []
+        prober = target_prober.TargetProber(
+            None,
+            types.SimpleNamespace(
+                rate_limits=limits, connection_pool=count_probe
+            ),
+            active_config,
+            header_names.HeaderNames(),
+            None,
+            clock,
+        )
+        for second in range(1, 9):
+            clock.now_s = float(second)
+            try:
+                asyncio.run(prober._probe(view))
+            except asyncio.CancelledError:
+                pass
+        assert probed_at == [1.0, 3.0, 5.0, 7.0]
