Keep blocked requests in the store

When all entries ended at the same time, as after a loss of power, the entries that started had forgotten which requests end their targets, and callers lost targets to them again: found by a new test, in which such a request was sent on by an entry that started after all others had ended (code 141 instead of 144).

Running entries go on telling each other directly.

--- a/chicorydoor/compose_fleet.py
+++ b/chicorydoor/compose_fleet.py
@@ -14,6 +14,7 @@
 import msgspec
 
 from chicorydoor.coordination import active_serving_config
+from chicorydoor.coordination import blocked_request_records
 from chicorydoor.coordination import call_app
 from chicorydoor.coordination import call_runner
 from chicorydoor.coordination import entry_registration
@@ -173,6 +174,12 @@
             clock,
             self.target_registrations.record_store_contact,
         )
+        self.blocked_requests = blocked_request_records.BlockedRequestRecords(
+            store,
+            documents.BLOCKED_REQUEST_PREFIX,
+            self.crashes,
+            clock,
+        )
         self._compose_store_followers(store)
 
     def _compose_request_path(self) -> None:
@@ -354,6 +361,7 @@
             for follower in self.followers:
                 group.create_task(follower.run())
             group.create_task(self.registration.run())
+            group.create_task(self.blocked_requests.run())
             group.create_task(self.peer_exchange.run())
             group.create_task(self._run_maintenance())
 
--- a/chicorydoor/platform/documents.py
+++ b/chicorydoor/platform/documents.py
@@ -21,6 +21,7 @@
 OPERATOR_PREFIX = "op/"
 TARGET_PREFIX = "servers/"
 ENTRY_PREFIX = "chicorydoor/entries/"
+BLOCKED_REQUEST_PREFIX = "chicorydoor/blocked-requests/"
 CONFIGURATION_KEY = "op/config"
 EVACUATION_PREFIX = "op/evacuate/"
 
--- a/chicorydoor/state/request_crashes.py
+++ b/chicorydoor/state/request_crashes.py
@@ -141,6 +141,10 @@
         if now < suspect.next_trial_at:
             return False
         suspect.next_trial_at = now + _TRIAL_INTERVAL_S
+        return self.is_designated(fingerprint)
+
+    def is_designated(self, fingerprint: Fingerprint) -> bool:
+        """Whether this entry acts for all entries on a blocked request."""
         return self._instance in designated_entries.designate(
             fingerprint.hex(), self._get_instances(), 1
         )
@@ -231,6 +235,14 @@
             least = min(self._suspect_by_fingerprint.items(), key=_suspicion)
             del self._suspect_by_fingerprint[least[0]]
 
+    def blocked_reports(self, now: float) -> list[CrashReport]:
+        """Return reports on the blocked requests."""
+        return [
+            _build_report(fingerprint, suspect, now)
+            for fingerprint, suspect in self._suspect_by_fingerprint.items()
+            if suspect.is_blocked
+        ]
+
     def recent_reports(self, now: float) -> list[CrashReport]:
         """Return reports on blocked, recently suspected and cleared requests.
 
@@ -250,14 +262,7 @@
         suspects.sort(key=_suspicion, reverse=True)
         reports = cleared[-_MAX_REPORTS // 2 :]
         for fingerprint, suspect in suspects[: _MAX_REPORTS - len(reports)]:
-            reports.append(
-                CrashReport(
-                    fingerprint,
-                    sorted(suspect.ended_targets),
-                    False,
-                    _age_ms(suspect.seen_at, now),
-                )
-            )
+            reports.append(_build_report(fingerprint, suspect, now))
         return reports
 
     def apply_reports(
@@ -293,6 +298,17 @@
         _remove_older(self._cleared_at, now - _SUSPECT_LIFETIME_S)
 
 
+def _build_report(
+    fingerprint: Fingerprint, suspect: _Suspect, now: float
+) -> CrashReport:
+    return CrashReport(
+        fingerprint,
+        sorted(suspect.ended_targets),
+        False,
+        _age_ms(suspect.seen_at, now),
+    )
+
+
 def _suspicion(
     item: tuple[Fingerprint, _Suspect],
 ) -> tuple[int, float]:
--- a/tests/test_platform_entry.py
+++ b/tests/test_platform_entry.py
@@ -690,6 +690,24 @@
 
         _run(scenario, targets=6, entries=2)
 
+    # Guards against forgetting a blocked request when all entries end at once.
+    def test_request_stays_blocked_when_all_entries_end(self):
+        async def scenario(cluster):
+            self._restart_crashed(cluster)
+            await self._call_both_entries(cluster, "/read/crash", 4.0)
+            for task in cluster.tasks[:2]:
+                task.cancel()
+            await asyncio.gather(*cluster.tasks[:2], return_exceptions=True)
+            crash_count = sum(len(t.crash_times) for t in cluster.targets)
+            await cluster.add_entry("later")
+            answer = await cluster.call(path="/read/crash", entry=2)
+            assert answer.headers["x-chicorydoor-code"] == "144"
+            assert crash_count == sum(
+                len(t.crash_times) for t in cluster.targets
+            )
+
+        _run(scenario, targets=6, entries=2)
+
     def test_lost_connections_of_a_running_target_block_nothing(self):
         async def scenario(cluster):
             for target in cluster.targets:
