--- a/chicorydoor/coordination/target_selection.py
+++ b/chicorydoor/coordination/target_selection.py
@@ -327,7 +327,7 @@
         self,
         constraints: TargetConstraints,
         candidate_set: _CandidateSet,
-        caching_targets: abc.Collection[object_cache_index.TargetIncarnation],
+        caching_targets: abc.Collection[ids.TargetIncarnation],
     ) -> list[target_views.TargetView]:
         """Return the candidate set and others with the object cached."""
         known = {view.target_id for view in candidate_set.views}
--- a/chicorydoor/protocol/ids.py
+++ b/chicorydoor/protocol/ids.py
@@ -22,3 +22,7 @@
 # Revision of the operator's configuration. Revisions of the key-value store
 # are plain integers.
 Revision = typing.NewType("Revision", int)
+
+# Target id and start of the incarnation, milliseconds since the epoch. A new
+# incarnation knows nothing of before.
+TargetIncarnation = tuple[TargetId, int]
--- a/chicorydoor/state/object_cache_index.py
+++ b/chicorydoor/state/object_cache_index.py
@@ -26,9 +26,6 @@
 _MAX_PUBLISHED = 500
 
 ObjectId = tuple[ids.RouteId, bytes]
-# A target's id and the start of its incarnation; a new incarnation starts
-# with an empty cache.
-TargetIncarnation = tuple[ids.TargetId, int]
 
 
 class CachedObject(msgspec.Struct, frozen=True, array_like=True):
@@ -53,15 +50,18 @@
 
     def __init__(self) -> None:
         self._used_at_by_object: collections.OrderedDict[
-            ObjectId, dict[TargetIncarnation, float]
+            ObjectId, dict[ids.TargetIncarnation, float]
         ] = collections.OrderedDict()
         self._published_at_by_pair: dict[
-            tuple[ObjectId, TargetIncarnation], float
+            tuple[ObjectId, ids.TargetIncarnation], float
         ] = {}
         self._unpublished: list[CachedObject] = []
 
     def record_use(
-        self, object_id: ObjectId, incarnation: TargetIncarnation, now: float
+        self,
+        object_id: ObjectId,
+        incarnation: ids.TargetIncarnation,
+        now: float,
     ) -> None:
         """Record that a target has handled an object for this entry."""
         self._set_used_at(object_id, incarnation, now)
@@ -95,7 +95,10 @@
             self._set_used_at(object_id, incarnation, now)
 
     def _set_used_at(
-        self, object_id: ObjectId, incarnation: TargetIncarnation, now: float
+        self,
+        object_id: ObjectId,
+        incarnation: ids.TargetIncarnation,
+        now: float,
     ) -> None:
         used_at_by_incarnation = self._used_at_by_object.setdefault(
             object_id, {}
@@ -107,7 +110,7 @@
 
     def caching_targets(
         self, object_id: ObjectId, now: float
-    ) -> typing.Collection[TargetIncarnation]:
+    ) -> typing.Collection[ids.TargetIncarnation]:
         """Incarnations of targets that have recently handled an object."""
         used_at_by_incarnation = self._used_at_by_object.get(object_id)
         if used_at_by_incarnation is None:
--- a/chicorydoor/state/request_crashes.py
+++ b/chicorydoor/state/request_crashes.py
@@ -50,8 +50,6 @@
 _LOG = logging.getLogger(__name__)
 
 Fingerprint = bytes
-# Target id and start of the incarnation.
-Incarnation = tuple[ids.TargetId, int]
 
 
 class CrashReport(msgspec.Struct, frozen=True, array_like=True):
@@ -67,7 +65,7 @@
     """
 
     fingerprint: Fingerprint
-    ended_targets: list[Incarnation]
+    ended_targets: list[ids.TargetIncarnation]
     was_answered: bool
     age_ms: int
 
@@ -86,7 +84,7 @@
     """
 
     seen_at: float
-    ended_targets: set[Incarnation] = set()
+    ended_targets: set[ids.TargetIncarnation] = set()
     next_trial_at: float = 0.0
 
     @property
@@ -112,9 +110,9 @@
         self._get_instances = get_instances
         self._suspect_by_fingerprint: dict[Fingerprint, _Suspect] = {}
         self._lost_by_incarnation: dict[
-            Incarnation, dict[Fingerprint, float]
+            ids.TargetIncarnation, dict[Fingerprint, float]
         ] = {}
-        self._ended_at_by_incarnation: dict[Incarnation, float] = {}
+        self._ended_at_by_incarnation: dict[ids.TargetIncarnation, float] = {}
         # When the most recently answered requests were, the latest last.
         self._answered_at: collections.OrderedDict[Fingerprint, float] = (
             collections.OrderedDict()
@@ -168,7 +166,10 @@
             metrics.BLOCKED_REQUESTS.set(self.blocked_count)
 
     def record_lost(
-        self, fingerprint: Fingerprint, incarnation: Incarnation, now: float
+        self,
+        fingerprint: Fingerprint,
+        incarnation: ids.TargetIncarnation,
+        now: float,
     ) -> None:
         """Record that a request's connection broke without a response."""
         ended_at = self._ended_at_by_incarnation.get(incarnation)
@@ -179,7 +180,9 @@
         if len(lost) < _MAX_LOST_PER_TARGET:
             lost[fingerprint] = now
 
-    def record_ended(self, incarnation: Incarnation, now: float) -> None:
+    def record_ended(
+        self, incarnation: ids.TargetIncarnation, now: float
+    ) -> None:
         """Record that a target refuses connections."""
         self._ended_at_by_incarnation[incarnation] = now
         lost = self._lost_by_incarnation.pop(incarnation, {})
@@ -190,7 +193,7 @@
     def _add_ended(
         self,
         fingerprint: Fingerprint,
-        incarnations: set[Incarnation],
+        incarnations: set[ids.TargetIncarnation],
         ended_at: float,
         now: float,
     ) -> None:
--- a/chicorydoor/state/target_rate_limits.py
+++ b/chicorydoor/state/target_rate_limits.py
@@ -22,7 +22,8 @@
 from chicorydoor.transport import metrics
 
 # Senders of a target: this many, and one for each request per second of the
-# limit. Each sends one request at once, then its part of the limit.
+# limit. With D senders and a limit of L, up to 4 L + D requests arrive in 4 s.
+# Targets tolerate 6 L + 5, so there is room for a sender that is replaced.
 _MIN_SENDERS = 3
 # The senders keep to this rate where a target names less, since without
 # requests nobody would learn that the limit has ended.
@@ -40,9 +41,6 @@
 
 _LOG = logging.getLogger(__name__)
 
-# Target id and start of the incarnation.
-Incarnation = tuple[ids.TargetId, int]
-
 
 class LimitReport(msgspec.Struct, frozen=True, array_like=True):
     """Whether a response of a target named a limit, for other entries.
@@ -93,7 +91,7 @@
     has_logged_error: bool = False
 
     def build_report(
-        self, incarnation: Incarnation, now: float
+        self, incarnation: ids.TargetIncarnation, now: float
     ) -> LimitReport:
         """Build the report on the latest response."""
         reported_at = (
@@ -124,15 +122,20 @@
         self._instance = instance
         self._get_instances = get_instances
         self._get_region_instances = get_region_instances
-        self._limit_by_incarnation: dict[Incarnation, _TargetLimit] = {}
+        self._limit_by_incarnation: dict[
+            ids.TargetIncarnation, _TargetLimit
+        ] = {}
 
-    def rate_per_s(self, incarnation: Incarnation) -> float | None:
+    def rate_per_s(self, incarnation: ids.TargetIncarnation) -> float | None:
         """Return the limit of a target in requests per second, or None."""
         limit = self._limit_by_incarnation.get(incarnation)
         return limit.rate_per_s if limit is not None else None
 
     def may_send(
-        self, incarnation: Incarnation, region: ids.RegionId, now: float
+        self,
+        incarnation: ids.TargetIncarnation,
+        region: ids.RegionId,
+        now: float,
     ) -> bool:
         """Whether the limit allows a request now; does not record it.
 
@@ -183,7 +186,9 @@
             return region_share / in_region
         return (1.0 - region_share) / (len(senders) - in_region)
 
-    def record_sent(self, incarnation: Incarnation, now: float) -> None:
+    def record_sent(
+        self, incarnation: ids.TargetIncarnation, now: float
+    ) -> None:
         """Record a request, also a probe, that is sent to a target."""
         limit = self._limit_by_incarnation.get(incarnation)
         if limit is not None:
@@ -191,7 +196,7 @@
 
     def record_response(
         self,
-        incarnation: Incarnation,
+        incarnation: ids.TargetIncarnation,
         header_value: bytes | None,
         sent_at: float,
         now: float,
@@ -265,7 +270,7 @@
 
     def _set_rate(
         self,
-        incarnation: Incarnation,
+        incarnation: ids.TargetIncarnation,
         limit: _TargetLimit,
         rate_per_s: float | None,
     ) -> None:
@@ -288,7 +293,9 @@
             )
         )
 
-    def remove_obsolete(self, known: set[Incarnation], now: float) -> None:
+    def remove_obsolete(
+        self, known: set[ids.TargetIncarnation], now: float
+    ) -> None:
         """Remove what is known of limits that ended long ago.
 
         The limits of targets that no longer exist are removed at once.
@@ -321,7 +328,9 @@
 
 
 def _report_unreadable(
-    incarnation: Incarnation, limit: _TargetLimit, value: bytes
+    incarnation: ids.TargetIncarnation,
+    limit: _TargetLimit,
+    value: bytes,
 ) -> None:
     """Count an unreadable limit; log the first one of an incarnation."""
     metrics.TARGET_RATE_LIMIT_PARSE_ERRORS.inc()
--- a/tests/test_target_prober.py
+++ b/tests/test_target_prober.py
@@ -1,6 +1,7 @@
 """Probes of unreachable targets: back-off and rate limits."""
 
 import asyncio
+import contextlib
 import types
 
 import pytest
@@ -87,8 +88,6 @@
         )
         for second in range(1, 9):
             clock.now_s = float(second)
-            try:
+            with contextlib.suppress(asyncio.CancelledError):
                 asyncio.run(prober._probe(view))
-            except asyncio.CancelledError:
-                pass
         assert probed_at == [1.0, 3.0, 5.0, 7.0]
