Let a target of the region stand in for a home that names a limit

Cause: other targets of the region counted as no home of the objects of a limited one, so the homes in other regions were preferred for all of them at once. The next target in the region's ranking that names no limit is now their home for the time.

--- a/chicorydoor/coordination/target_selection.py
+++ b/chicorydoor/coordination/target_selection.py
@@ -127,12 +127,16 @@
             designated entries send it one even if another target has the
             object cached, so that new targets get a part of the load.
             Defaults to None.
+        substitutes (tuple): The home in the own region and, in the order of
+            the ranking, the targets that stand in for it while it names a
+            rate limit; empty without such a home. Defaults to none.
     """
 
     views: list[target_views.TargetView]
     homes: frozenset[ids.TargetId] = frozenset()
     secondary_homes: frozenset[ids.TargetId] = frozenset()
     first_in_own_region: ids.TargetId | None = None
+    substitutes: tuple[target_views.TargetView, ...] = ()
 
 
 class TargetSelection:
@@ -319,10 +323,26 @@
             return SelectionReason.FIRST_REQUEST
         if is_cached:
             return SelectionReason.CACHED
-        if view.target_id in candidate_set.homes:
+        if (
+            view.target_id in candidate_set.homes
+            or view is self._substitute_home(candidate_set)
+        ):
             return SelectionReason.HOME
         return SelectionReason.LOAD
 
+    def _substitute_home(
+        self, candidate_set: _CandidateSet
+    ) -> target_views.TargetView | None:
+        """Return the target that stands in for a rate-limited home.
+
+        Without it the requests of the home would all move to the homes in
+        other regions.
+        """
+        for view in candidate_set.substitutes:
+            if self._rate_limits.rate_per_s(view.incarnation_key) is None:
+                return view
+        return None
+
     def _candidates(
         self,
         constraints: TargetConstraints,
@@ -447,17 +467,19 @@
         views: list[target_views.TargetView] = []
         homes: list[target_views.TargetView] = []
         first: ids.TargetId | None = None
+        substitutes: tuple[target_views.TargetView, ...] = ()
         for region, region_views in views_by_region.items():
             ranked = rendezvous.rank(seed, region_views, _target_id)
             if position < home_fraction_by_region[region]:
                 homes.append(ranked[0])
-            is_own_region = region == self._region
-            first = ranked[0].target_id if is_own_region else first
-            views += ranked[
-                : _OWN_REGION_CANDIDATES
-                if is_own_region
-                else _OTHER_REGION_CANDIDATES
-            ]
+            if region != self._region:
+                views += ranked[:_OTHER_REGION_CANDIDATES]
+                continue
+            own_views = ranked[:_OWN_REGION_CANDIDATES]
+            views += own_views
+            first = ranked[0].target_id
+            if position < home_fraction_by_region[region]:
+                substitutes = tuple(own_views)
         remote_homes = [view for view in homes if view.region != self._region]
         secondary_homes = rendezvous.rank(seed, remote_homes, _target_id)[1:]
         return _CandidateSet(
@@ -465,6 +487,7 @@
             frozenset(view.target_id for view in homes),
             frozenset(view.target_id for view in secondary_homes),
             first,
+            substitutes,
         )
 
 
--- a/tests/test_model.py
+++ b/tests/test_model.py
@@ -169,6 +169,32 @@
                 assert arrivals.count(target_id, 5.0, 20.0) >= 8 * 15 / 3
             assert counts.in_time >= 0.95 * counts.request_count
 
+    # Guards against moving the requests of a region to other regions at once
+    # when targets of the region name limits.
+    def test_limits_do_not_shift_the_requests_of_a_region(self):
+        regions = ("n", "m", "k")
+        for seed, limited_count in itertools.product((1, 2), (2, 4)):
+            fleet = model_fleet.ModelFleet(
+                scenario.Scenario(
+                    target_count_by_region=dict.fromkeys(regions, 10),
+                    demands=tuple(
+                        scenario.Demand(region, 230.0, 400)
+                        for region in regions
+                    ),
+                    median_service_time_s=0.4,
+                    latency_objective_s=0.3,
+                    timeout_s=2.0,
+                    inter_region_rtt_s=0.07,
+                    entry_count_per_region=4,
+                    named_limit=scenario.NamedLimit(
+                        9.0, limited_count, 15.0, 30.0
+                    ),
+                ),
+                seed,
+            )
+            fleet.run()
+            assert fleet.region_mix.max_shift(_SHIFT_WINDOW_S) <= _MAX_SHIFT
+
     def test_all_entries_learn_that_the_limit_has_ended(self):
         for entries_per_region in (4, 29):
             fleet, _ = self._run(entries_per_region, seed=1)
