Log and count which services an entry reaches

The log lines, with both counts, and the metric chicorydoor_usable_targets tell slow detection from refusals after it.

--- a/chicorydoor/compose_fleet.py
+++ b/chicorydoor/compose_fleet.py
@@ -41,6 +41,7 @@
 from chicorydoor.state import fleet_view
 from chicorydoor.state import rate_shares
 from chicorydoor.state import request_crashes
+from chicorydoor.state import service_reach
 from chicorydoor.state import service_retry_budget
 from chicorydoor.state import store_mirror
 from chicorydoor.state import target_rate_limits
@@ -149,6 +150,7 @@
         self.target_registrations = target_registrations.TargetRegistrations(
             self.targets, clock
         )
+        self.service_reach = service_reach.ServiceReach(self.targets)
         self._compose_request_path()
         self.peer_exchange = peer_exchange.PeerExchange(
             fleet=self.fleet,
@@ -369,6 +371,7 @@
         while True:
             self._set_ready_once_configured()
             self._rebalance_rates()
+            self.service_reach.refresh()
             self.sender.close_unused()
             self.crashes.remove_expired(self.clock.now())
             await asyncio.sleep(_MAINTENANCE_INTERVAL_S)
--- /dev/null
+++ b/chicorydoor/state/service_reach.py
@@ -0,0 +1,91 @@
+"""Which services an entry reaches, by how many of their targets it can use.
+
+An entry may lose the way to most or all targets while its callers and peers
+still reach it. What it then believes of the targets says nothing about them.
+"""
+
+import logging
+
+from chicorydoor.protocol import ids
+from chicorydoor.state import target_views
+from chicorydoor.transport import metrics
+
+# With a smaller fraction of its targets in use a service is out of reach: the
+# others would get a multiple of the load that this entry sent them before.
+_MIN_USABLE_FRACTION = 0.5
+
+_LOG = logging.getLogger(__name__)
+
+
+class ServiceReach:
+    """Follows the targets that an entry can use.
+
+    Args:
+        targets (TargetViews): The known targets.
+    """
+
+    def __init__(self, targets: target_views.TargetViews) -> None:
+        self._targets = targets
+        self._generation = -1
+        self._service_ids: set[ids.ServiceId] = set()
+        self._out_of_reach: frozenset[ids.ServiceId] = frozenset()
+
+    @property
+    def out_of_reach(self) -> frozenset[ids.ServiceId]:
+        """Services of which this entry can use too few targets."""
+        self.refresh()
+        return self._out_of_reach
+
+    def refresh(self) -> None:
+        """Log and count the changes since the last call."""
+        if self._generation != self._targets.generation:
+            self._generation = self._targets.generation
+            self._update()
+
+    @property
+    def is_cut_off(self) -> bool:
+        """Whether all services that have targets are out of reach."""
+        out_of_reach = self.out_of_reach
+        return bool(out_of_reach) and out_of_reach >= self._service_ids
+
+    def _update(self) -> None:
+        views_by_service: dict[
+            ids.ServiceId, list[target_views.TargetView]
+        ] = {}
+        for view in self._targets.target_by_id.values():
+            if self._targets.should_get_requests(view):
+                views_by_service.setdefault(view.record.service_id, []).append(
+                    view
+                )
+        out_of_reach = set()
+        for service_id, views in views_by_service.items():
+            usable = len(self._targets.usable_targets(service_id))
+            metrics.USABLE_TARGETS.labels(service_id).set(usable)
+            if usable < _MIN_USABLE_FRACTION * len(views):
+                out_of_reach.add(service_id)
+            self._log_change(service_id, out_of_reach, usable, len(views))
+        for service_id in self._service_ids - views_by_service.keys():
+            metrics.USABLE_TARGETS.labels(service_id).set(0)
+        self._service_ids = set(views_by_service)
+        self._out_of_reach = frozenset(out_of_reach)
+
+    def _log_change(
+        self,
+        service_id: ids.ServiceId,
+        out_of_reach: set[ids.ServiceId],
+        usable: int,
+        registered: int,
+    ) -> None:
+        was_out_of_reach = service_id in self._out_of_reach
+        if (service_id in out_of_reach) is was_out_of_reach:
+            return
+        _LOG.warning(
+            "service back in reach"
+            if was_out_of_reach
+            else "service out of reach",
+            extra={
+                "service": service_id,
+                "usable_targets": usable,
+                "registered_targets": registered,
+            },
+        )
--- a/chicorydoor/state/target_views.py
+++ b/chicorydoor/state/target_views.py
@@ -353,9 +353,13 @@
 
     def may_get_requests(self, view: TargetView) -> bool:
         """Whether a target may get new requests at all."""
+        return view.reach is Reach.IN_USE and self.should_get_requests(view)
+
+    def should_get_requests(self, view: TargetView) -> bool:
+        """Whether a target may get requests from entries that reach it."""
         return (
             not view.is_leaving
-            and view.reach is Reach.IN_USE
+            and view.reach is not Reach.REPLACED
             and view.record.domain not in self.evacuated_domains
         )
 
