--- a/tests/test_platform_entry.py
+++ b/tests/test_platform_entry.py
@@ -5,7 +5,6 @@
 """
 
 import asyncio
-import contextlib
 import json
 import random
 import time
@@ -15,181 +14,23 @@
 import pytest
 
 from chicorydoor import compose_fleet
-from chicorydoor import fleet_entry
 from chicorydoor.platform import documents
-from chicorydoor.protocol import fleet_entry_settings
 from chicorydoor.protocol import store_items
 from chicorydoor.standins import platform_store
-from chicorydoor.standins import port_allocation
 from chicorydoor.state import fleet_view
 from chicorydoor.transport import clock as clock_module
 from tests.support import clocks
 from tests.support import config_builders as make
+from tests.support import platform_cluster
 from tests.support import scripted_target
 
 Behaviour = scripted_target.TargetBehaviour
 
-_FLEET_LIMITS = fleet_entry_settings.FleetLimits(
-    retry_ratio=0.2,
-    retry_slack=56.0,
-    retry_window_s=10.0,
-    rate_overage=0.1,
-    rate_slack=20.0,
-    stop_grace_s=3.5,
-    lookup_ttl_s=2.0,
-)
-
-
 _NOT_RUN_RESPONSE = (
     b"HTTP/1.1 503 No\r\nnot-executed: 1\r\ncontent-length: 0\r\n\r\n"
 )
 
 
-def _settings(name, store, seeds=()):
-    ports = port_allocation.allocate_ports(5)
-    addresses = [f"127.0.0.1:{port}" for port in ports[:4]]
-    return fleet_entry_settings.FleetEntrySettings(
-        instance=name,
-        domain="na",
-        region="n",
-        callers=addresses[0],
-        readiness=addresses[1],
-        peers=addresses[2],
-        lookups=addresses[3],
-        metrics_port=ports[4],
-        seed_addresses=tuple(seeds),
-        region_by_domain={"na": "n", "ma": "m"},
-        store=store,
-        promises=_FLEET_LIMITS,
-    )
-
-
-def _config(version=1, **changes):
-    route = {
-        "host": "shop.example",
-        "timeout": "1000ms",
-        "targetLatency": "400ms",
-        "maxAttempts": 2,
-        "service": "s",
-        "sessionAffinity": True,
-    }
-    routes = [
-        route | {"name": "read", "prefix": "/read/", "kind": "safe"},
-        route | {"name": "order", "prefix": "/order/", "kind": "unsafe"},
-    ]
-    service = {
-        "name": "s",
-        "healthPath": "/health",
-        "maxConnections": 50,
-        "coldStart": "0ms",
-        "coldPerS": 0,
-    }
-    tenants = [{"name": "c", "apiKeys": ["key-1"], "ratePerS": 0}]
-    document = {
-        "version": version,
-        "routes": routes,
-        "services": [service],
-        "tenants": tenants,
-    }
-    return json.dumps(document | changes).encode()
-
-
-def _registration(target, state="ready"):
-    return json.dumps(
-        {
-            "address": target.address,
-            "born": 1,
-            "info": {"service": "s", "zone": "na", "slots": 4},
-            "status": {"state": state, "coldRemaining": "0ms"},
-        }
-    ).encode()
-
-
-class _Cluster:
-    """A store with targets and entries."""
-
-    def __init__(self):
-        self.store = platform_store.PlatformStore()
-        self.targets = []
-        self.entries = []
-        self.tasks = []
-        self.client = httpx.AsyncClient(trust_env=False, timeout=5.0)
-
-    async def start(self, targets=2, entries=1):
-        await self.store.start()
-        self.store.put("op/config", _config())
-        for index in range(targets):
-            target = scripted_target.ScriptedTarget(f"t{index}")
-            await target.start()
-            self.targets.append(target)
-            self.store.put(f"servers/t{index}", _registration(target))
-        for index in range(entries):
-            await self.add_entry(f"e{index}")
-
-    async def add_entry(self, name, store=None, seeds=()):
-        settings = _settings(name, store or self.store.endpoint, seeds)
-        entry = fleet_entry.FleetEntry(settings)
-        entry.settings = settings
-        self.entries.append(entry)
-        self.tasks.append(asyncio.create_task(entry.run()))
-        await self.wait_until_ready(settings)
-        return entry
-
-    async def wait_until_ready(self, settings):
-        for _ in range(200):
-            with contextlib.suppress(httpx.HTTPError):
-                url = f"http://{settings.readiness}/readiness"
-                if (await self.client.get(url)).status_code == 200:
-                    return
-            await asyncio.sleep(0.02)
-        raise AssertionError("entry is not ready")
-
-    async def call(self, method="GET", path="/read/1", entry=0, **more):
-        address = self.entries[entry].settings.callers
-        headers = {
-            "host": "shop.example",
-            "request-id": f"{random.getrandbits(64):x}",
-            "affinity-key": "7",
-            "deadline-ms": "2000",
-            "x-api-key": "key-1",
-        }
-        headers |= more.pop("headers", {})
-        return await self.client.request(
-            method, f"http://{address}{path}", headers=headers, **more
-        )
-
-    async def wait_until(self, condition, seconds=3.0):
-        for _ in range(int(seconds / 0.02)):
-            if await condition():
-                return
-            await asyncio.sleep(0.02)
-        raise AssertionError("condition not met in time")
-
-    def request_count(self):
-        return sum(len(target.received_headers) for target in self.targets)
-
-    async def stop(self):
-        for task in self.tasks:
-            task.cancel()
-        await asyncio.gather(*self.tasks, return_exceptions=True)
-        await self.client.aclose()
-        for target in self.targets:
-            await target.stop()
-        await self.store.stop()
-
-
-def _run(scenario, **start):
-    async def run():
-        cluster = _Cluster()
-        try:
-            await cluster.start(**start)
-            await scenario(cluster)
-        finally:
-            await cluster.stop()
-
-    asyncio.run(run())
-
-
 class TestServing:
     def test_response_and_forwarded_headers(self):
         async def scenario(cluster):
@@ -204,7 +45,7 @@
             assert head[b"target-instance"] in (b"t0", b"t1")
             assert 0 < int(head[b"deadline-ms"]) <= 1000
 
-        _run(scenario)
+        platform_cluster.run(scenario)
 
     def test_requests_for_an_object_share_target_and_connection(self):
         async def scenario(cluster):
@@ -214,7 +55,7 @@
             assert counts == [0, 5]
             assert sum(t.connection_count for t in cluster.targets) == 1
 
-        _run(scenario)
+        platform_cluster.run(scenario)
 
     def test_body_is_forwarded(self):
         async def scenario(cluster):
@@ -227,7 +68,7 @@
             (head,) = [h for t in cluster.targets for h in t.received_headers]
             assert head[b""] == b"POST /order/1?a=b HTTP/1.1"
 
-        _run(scenario)
+        platform_cluster.run(scenario)
 
     def test_unknown_key_and_route_are_refused(self):
         async def scenario(cluster):
@@ -236,7 +77,7 @@
             assert (await cluster.call(path="/none/")).status_code == 404
             assert cluster.request_count() == 0
 
-        _run(scenario)
+        platform_cluster.run(scenario)
 
     def test_look_up_names_ready_entries(self):
         async def scenario(cluster):
@@ -248,7 +89,7 @@
             assert settings.callers in answer.json()["addresses"]
             assert answer.json()["ttl"].endswith("ms")
 
-        _run(scenario)
+        platform_cluster.run(scenario)
 
 
 class TestOutcomes:
@@ -264,7 +105,7 @@
             assert "retry-after" not in answer.headers
             assert cluster.request_count() == 1
 
-        _run(scenario)
+        platform_cluster.run(scenario)
 
     @pytest.mark.parametrize(
         "behaviour", [Behaviour.SHED, Behaviour.MISDIRECT]
@@ -285,7 +126,7 @@
             ]
             assert {answer.status_code for answer in answers} == {200}
 
-        _run(scenario)
+        platform_cluster.run(scenario)
 
     def test_order_shed_by_all_targets_is_refused_as_not_run(self):
         async def scenario(cluster):
@@ -296,7 +137,7 @@
             assert float(answer.headers["retry-after"]) > 0
             assert "response-seal" not in answer.headers
 
-        _run(scenario)
+        platform_cluster.run(scenario)
 
     @pytest.mark.parametrize(
         "behaviour", [Behaviour.RESET, Behaviour.TRUNCATE, Behaviour.FAIL]
@@ -308,7 +149,7 @@
                 answer = await cluster.call(headers={"affinity-key": str(key)})
                 assert answer.status_code == 200
 
-        _run(scenario)
+        platform_cluster.run(scenario)
 
     def test_failed_order_returns_the_response_of_the_target(self):
         async def scenario(cluster):
@@ -319,7 +160,7 @@
             assert answer.headers["response-seal"] == "s"
             assert cluster.request_count() == 1
 
-        _run(scenario)
+        platform_cluster.run(scenario)
 
     def test_response_to_another_request_is_not_forwarded(self):
         async def scenario(cluster):
@@ -329,7 +170,7 @@
             assert answer.status_code == 200
             assert answer.content != b"wrong"
 
-        _run(scenario)
+        platform_cluster.run(scenario)
 
     def test_order_succeeds_when_one_target_refuses_connections(self):
         async def scenario(cluster):
@@ -343,7 +184,7 @@
                 )
                 assert answer.status_code == 200
 
-        _run(scenario)
+        platform_cluster.run(scenario)
 
 
 class TestReachability:
@@ -356,7 +197,7 @@
                 assert answer.status_code == 502
             assert (await cluster.call()).status_code == 200
 
-        _run(scenario, targets=1)
+        platform_cluster.run(scenario, targets=1)
 
     def test_probe_refused_by_a_busy_target_returns_it_to_use(self):
         """A refusal for lack of capacity shows that a target is reachable.
@@ -378,7 +219,7 @@
 
             await cluster.wait_until(is_served_again)
 
-        _run(scenario, targets=1)
+        platform_cluster.run(scenario, targets=1)
 
 
 class TestIdleConnections:
@@ -402,7 +243,7 @@
             assert (await cluster.call()).status_code == 200
             assert target.connection_count == before + 1
 
-        _run(scenario, targets=1)
+        platform_cluster.run(scenario, targets=1)
 
 
 class TestTimeouts:
@@ -418,7 +259,7 @@
             await asyncio.sleep(0.1)
             assert sum(t.abandoned_requests for t in cluster.targets) == 1
 
-        _run(scenario)
+        platform_cluster.run(scenario)
 
     def test_disconnect_of_the_caller_reaches_the_target(self):
         async def scenario(cluster):
@@ -432,7 +273,7 @@
 
             await cluster.wait_until(is_closed, 0.5)
 
-        _run(scenario)
+        platform_cluster.run(scenario)
 
 
 _SHORT_CALLER_LIMITS = {
@@ -448,7 +289,10 @@
 
 async def _connect_with_short_timeouts(cluster):
     """Open a connection to an entry with short timeouts for callers."""
-    cluster.store.put("op/config", _config(2, limits=_SHORT_CALLER_LIMITS))
+    cluster.store.put(
+        "op/config",
+        platform_cluster.build_config(2, limits=_SHORT_CALLER_LIMITS),
+    )
 
     async def is_served():
         reply = await cluster.call()
@@ -473,7 +317,7 @@
             assert b"x-chicorydoor-outcome: not-run" in answer
             writer.close()
 
-        _run(scenario)
+        platform_cluster.run(scenario)
 
     def test_idle_connection_is_closed(self):
         async def scenario(cluster):
@@ -484,7 +328,7 @@
             assert answer.startswith(b"HTTP/1.1 200 ")
             writer.close()
 
-        _run(scenario)
+        platform_cluster.run(scenario)
 
     def test_late_pipelined_headers_do_not_end_a_running_request(self):
         async def scenario(cluster):
@@ -500,14 +344,16 @@
             assert answer.count(b"HTTP/1.1 408 ") == 1
             writer.close()
 
-        _run(scenario)
+        platform_cluster.run(scenario)
 
 
 class TestChanges:
     def test_new_configuration_replaces_keys(self):
         async def scenario(cluster):
             tenants = [{"name": "c", "apiKeys": ["key-2"]}]
-            cluster.store.put("op/config", _config(2, tenants=tenants))
+            cluster.store.put(
+                "op/config", platform_cluster.build_config(2, tenants=tenants)
+            )
 
             async def is_old_key_refused():
                 return (await cluster.call()).status_code == 401
@@ -516,39 +362,46 @@
             answer = await cluster.call(headers={"x-api-key": "key-2"})
             assert answer.status_code == 200
 
-        _run(scenario)
+        platform_cluster.run(scenario)
 
     def test_older_or_malformed_configuration_is_ignored(self):
         async def scenario(cluster):
-            cluster.store.put("op/config", _config(5))
+            cluster.store.put("op/config", platform_cluster.build_config(5))
             # Would accept every key, as it has no customers.
-            cluster.store.put("op/config", _config(4, tenants=[]))
+            cluster.store.put(
+                "op/config", platform_cluster.build_config(4, tenants=[])
+            )
             cluster.store.put("op/config", b"\x00broken")
             await asyncio.sleep(0.3)
             assert (await cluster.call()).status_code == 200
             answer = await cluster.call(headers={"x-api-key": "no"})
             assert answer.status_code == 401
 
-        _run(scenario)
+        platform_cluster.run(scenario)
 
     def test_leaving_and_removed_targets_get_no_requests(self):
         async def scenario(cluster):
             leaving, staying = cluster.targets
-            cluster.store.put("servers/t0", _registration(leaving, "draining"))
+            cluster.store.put(
+                "servers/t0",
+                platform_cluster.build_registration(leaving, "draining"),
+            )
             await asyncio.sleep(1.3)
             before = len(leaving.received_headers)
             for key in range(8):
                 await cluster.call(headers={"affinity-key": str(key)})
             assert len(leaving.received_headers) == before
             assert len(staying.received_headers) >= 8
-            cluster.store.put("servers/t0", _registration(leaving))
+            cluster.store.put(
+                "servers/t0", platform_cluster.build_registration(leaving)
+            )
             cluster.store.remove("servers/t1")
             await asyncio.sleep(1.3)
             before = len(staying.received_headers)
             assert (await cluster.call()).status_code == 200
             assert len(staying.received_headers) == before
 
-        _run(scenario)
+        platform_cluster.run(scenario)
 
     def test_evacuated_domain_gets_no_requests(self):
         async def scenario(cluster):
@@ -565,7 +418,7 @@
 
             await cluster.wait_until(is_served_again)
 
-        _run(scenario)
+        platform_cluster.run(scenario)
 
 
 class TestNamedRateLimits:
@@ -596,7 +449,7 @@
             assert 2 <= len(limited.received_headers) <= 1.5 * 2 * 4 + 5
             assert len(other.received_headers) >= 280
 
-        _run(scenario, entries=2)
+        platform_cluster.run(scenario, entries=2)
 
     def test_what_exceeds_all_limits_is_refused_at_once_as_not_run(self):
         async def scenario(cluster):
@@ -611,7 +464,7 @@
             run = [each for each in answers if each.status_code == 200]
             assert len(run) == cluster.request_count() == 300 - len(refused)
 
-        _run(scenario, entries=2)
+        platform_cluster.run(scenario, entries=2)
 
     def test_unreadable_limit_is_ignored(self):
         async def scenario(cluster):
@@ -621,7 +474,7 @@
                 answer = await cluster.call(path=f"/read/{number}")
                 assert answer.status_code == 200
 
-        _run(scenario)
+        platform_cluster.run(scenario)
 
 
 class TestCrashingRequests:
@@ -637,7 +490,7 @@
         async def restart(target):
             await asyncio.sleep(self._RESTART_S)
             await target.start()
-            record = json.loads(_registration(target))
+            record = json.loads(platform_cluster.build_registration(target))
             record["born"] = 1 + len(target.crash_times)
             cluster.store.put(
                 f"servers/{target.name}", json.dumps(record).encode()
@@ -672,7 +525,7 @@
             ]
             assert len(later) <= self._MAX_LATER_SENDS
 
-        _run(scenario, targets=6, entries=2)
+        platform_cluster.run(scenario, targets=6, entries=2)
 
     def test_blocked_request_is_refused_as_not_run_and_others_are_served(self):
         async def scenario(cluster):
@@ -688,7 +541,7 @@
                 other = await cluster.call(path="/read/other", entry=entry)
                 assert other.status_code == 200
 
-        _run(scenario, targets=6, entries=2)
+        platform_cluster.run(scenario, targets=6, entries=2)
 
     # Guards against forgetting a blocked request when all entries end at once.
     def test_request_stays_blocked_when_all_entries_end(self):
@@ -706,7 +559,7 @@
                 len(t.crash_times) for t in cluster.targets
             )
 
-        _run(scenario, targets=6, entries=2)
+        platform_cluster.run(scenario, targets=6, entries=2)
 
     def test_lost_connections_of_a_running_target_block_nothing(self):
         async def scenario(cluster):
@@ -719,7 +572,7 @@
             answer = await cluster.call("POST", "/order/1", content=b"x")
             assert answer.status_code == 200
 
-        _run(scenario)
+        platform_cluster.run(scenario)
 
 
 class TestEndlessAnswers:
@@ -766,7 +619,7 @@
                 <= max_bytes + self._SOCKET_BUFFERS_BYTES
             )
 
-        _run(scenario, targets=4)
+        platform_cluster.run(scenario, targets=4)
 
 
 class TestStoreFailures:
@@ -775,7 +628,9 @@
             cluster.store.put("servers/other", b"{}")
             cluster.store.compact_history()
             # Without customers every key is accepted.
-            cluster.store.put("op/config", _config(9, tenants=[]))
+            cluster.store.put(
+                "op/config", platform_cluster.build_config(9, tenants=[])
+            )
 
             async def is_any_key_accepted():
                 answer = await cluster.call(headers={"x-api-key": "no"})
@@ -783,7 +638,7 @@
 
             await cluster.wait_until(is_any_key_accepted)
 
-        _run(scenario)
+        platform_cluster.run(scenario)
 
     def test_store_outage_does_not_affect_callers(self):
         async def scenario(cluster):
@@ -796,7 +651,7 @@
                 assert (await cluster.call()).status_code == 200
             cluster.store.failure_mode = platform_store.FailureMode.NORMAL
 
-        _run(scenario)
+        platform_cluster.run(scenario)
 
     def test_entry_without_the_store_learns_from_its_peers(self):
         async def scenario(cluster):
@@ -807,7 +662,9 @@
             await cluster.add_entry("e9", unavailable.endpoint, [seed])
             assert (await cluster.call(entry=1)).status_code == 200
             # Without customers every key is accepted.
-            cluster.store.put("op/config", _config(3, tenants=[]))
+            cluster.store.put(
+                "op/config", platform_cluster.build_config(3, tenants=[])
+            )
 
             async def is_any_key_accepted():
                 answer = await cluster.call(
@@ -818,7 +675,7 @@
             await cluster.wait_until(is_any_key_accepted)
             await unavailable.stop()
 
-        _run(scenario)
+        platform_cluster.run(scenario)
 
 
 class TestGracefulStop:
@@ -839,7 +696,7 @@
                 await cluster.tasks[0]
             assert "chicorydoor/entries/e0" not in cluster.store.keys()
 
-        _run(scenario)
+        platform_cluster.run(scenario)
 
 
 class TestCancellation:
@@ -861,12 +718,12 @@
                 name for name in running if name.startswith(entry_tasks)
             ]
 
-        _run(scenario)
+        platform_cluster.run(scenario)
 
 
 def _components(clock):
     return compose_fleet.FleetComponents(
-        settings=_settings("e", "127.0.0.1:1"),
+        settings=platform_cluster.build_settings("e", "127.0.0.1:1"),
         store=None,
         link=None,
         clock=clock,
--- /dev/null
+++ b/tests/test_target_partition.py
@@ -0,0 +1,156 @@
+"""Entries that lose the way to all targets while callers still reach them."""
+
+import asyncio
+import collections
+import itertools
+
+import pytest
+
+from tests.support import platform_cluster
+from tests.support import target_partition
+
+CutMode = target_partition.CutMode
+
+# From then on after the begin of a cut callers must be served.
+_STABLE_WINDOW_S = 4.0
+# An entry serves by itself again this long after the end of a cut.
+_RECOVERY_S = 3.0
+_CALL_INTERVAL_S = 0.04
+_NOT_RUN_STATUSES = (429, 503)
+
+
+class _Callers:
+    """Callers that send reads and orders to all entries of a cluster.
+
+    They keep their connections and don't repeat requests.
+    """
+
+    def __init__(self, cluster):
+        self._cluster = cluster
+        self._numbers = itertools.count()
+        self.statuses_by_entry = collections.defaultdict(list)
+        self.status_by_order = {}
+        self.slowest_s = 0.0
+
+    async def call_all(self, seconds, entries):
+        self.statuses_by_entry.clear()
+        self.slowest_s = 0.0
+        loop = asyncio.get_running_loop()
+        ends_at = loop.time() + seconds
+        async with asyncio.TaskGroup() as group:
+            while loop.time() < ends_at:
+                for entry in entries:
+                    group.create_task(self._call(entry))
+                await asyncio.sleep(_CALL_INTERVAL_S)
+
+    async def _call(self, entry):
+        number = next(self._numbers)
+        is_order = number % 3 == 0
+        started_at = asyncio.get_running_loop().time()
+        response = await self._cluster.call(
+            "POST" if is_order else "GET",
+            f"/order/{number}" if is_order else f"/read/{number % 20}",
+            entry,
+            headers={
+                "request-id": f"r{number}",
+                "affinity-key": str(number % 20),
+            },
+        )
+        elapsed_s = asyncio.get_running_loop().time() - started_at
+        self.slowest_s = max(self.slowest_s, elapsed_s)
+        self.statuses_by_entry[entry].append(response.status_code)
+        if is_order:
+            self.status_by_order[f"r{number}"] = response.status_code
+
+    def served_share(self, entries):
+        statuses = [
+            status
+            for entry in entries
+            for status in self.statuses_by_entry[entry]
+        ]
+        return statuses.count(200) / len(statuses)
+
+    def check_orders(self):
+        runs = collections.Counter(
+            itertools.chain.from_iterable(
+                target.request_ids for target in self._cluster.targets
+            )
+        )
+        for order, status in self.status_by_order.items():
+            assert runs[order] <= 1
+            if status in _NOT_RUN_STATUSES:
+                assert runs[order] == 0
+
+
+class TestCutOffEntries:
+    # Guards against entries without targets refusing what peers can serve.
+    @pytest.mark.parametrize("cut_count", [1, 3])
+    @pytest.mark.parametrize("mode", list(CutMode))
+    def test_callers_are_served_through_peers(
+        self, mode, cut_count, monkeypatch
+    ):
+        async def scenario(cluster):
+            partition = target_partition.TargetPartition(cluster, monkeypatch)
+            callers = _Callers(cluster)
+            everyone = range(len(cluster.entries))
+            cut, others = everyone[:cut_count], everyone[cut_count:]
+            await callers.call_all(1.0, everyone)
+            for entry in cut:
+                partition.cut(f"e{entry}", mode)
+            await callers.call_all(_STABLE_WINDOW_S, everyone)
+            await callers.call_all(2.0, everyone)
+            assert callers.served_share(cut) >= (
+                2 / 3 * callers.served_share(others)
+            )
+            partition.end()
+            await callers.call_all(_RECOVERY_S, everyone)
+            # Nobody else reaches the targets.
+            for entry in others:
+                partition.cut(f"e{entry}", CutMode.RESET)
+            await callers.call_all(1.0, cut)
+            assert callers.served_share(cut) >= 0.9
+            callers.check_orders()
+
+        platform_cluster.run(scenario, targets=6, entries=5)
+
+    # Guards against callers being sent to entries that reach no target.
+    def test_look_ups_name_only_entries_that_reach_targets(self, monkeypatch):
+        async def scenario(cluster):
+            partition = target_partition.TargetPartition(cluster, monkeypatch)
+            callers = _Callers(cluster)
+            partition.cut("e0", CutMode.RESET)
+            await callers.call_all(_STABLE_WINDOW_S, range(3))
+            for entry in cluster.entries:
+                answer = await cluster.client.get(
+                    f"http://{entry.settings.lookups}/resolve",
+                    params={"region": "n", "zone": "na"},
+                )
+                assert set(answer.json()["addresses"]) == {
+                    other.settings.callers for other in cluster.entries[1:]
+                }
+
+        platform_cluster.run(scenario, targets=4, entries=3)
+
+    # Guards against requests circling between entries without targets.
+    @pytest.mark.parametrize("mode", [CutMode.HANG, CutMode.RESET])
+    def test_requests_are_refused_at_once_if_all_are_cut_off(
+        self, mode, monkeypatch
+    ):
+        async def scenario(cluster):
+            partition = target_partition.TargetPartition(cluster, monkeypatch)
+            callers = _Callers(cluster)
+            await callers.call_all(0.5, range(3))
+            for entry in range(3):
+                partition.cut(f"e{entry}", mode)
+            await callers.call_all(_STABLE_WINDOW_S, range(3))
+            await callers.call_all(1.0, range(3))
+            for statuses in callers.statuses_by_entry.values():
+                assert set(statuses) == {503}
+            assert callers.slowest_s < 0.3
+            partition.end()
+            await callers.call_all(_RECOVERY_S, range(3))
+            await callers.call_all(1.0, range(3))
+            assert callers.served_share(range(3)) >= 0.9
+            callers.check_orders()
+
+        platform_cluster.run(scenario, targets=4, entries=3)
