--- a/chicorydoor/compose_fleet.py
+++ b/chicorydoor/compose_fleet.py
@@ -22,7 +22,9 @@
 from chicorydoor.coordination import peer_exchange
 from chicorydoor.coordination import rate_limiter
 from chicorydoor.coordination import region_digests
+from chicorydoor.coordination import relay_app
 from chicorydoor.coordination import request_admission
+from chicorydoor.coordination import request_relay
 from chicorydoor.coordination import round_trip_times
 from chicorydoor.coordination import store_follower
 from chicorydoor.coordination import target_prober
@@ -125,6 +127,7 @@
             region=settings.region,
             peer_address=settings.peers,
             caller_address=settings.callers,
+            relay_address=settings.relay,
         )
         self.fleet = fleet_view.FleetView(
             own_registration,
@@ -151,6 +154,7 @@
             self.targets, clock
         )
         self.service_reach = service_reach.ServiceReach(self.targets)
+        self._announced_out_of_reach: frozenset[ids.ServiceId] = frozenset()
         self._compose_request_path()
         self.peer_exchange = peer_exchange.PeerExchange(
             fleet=self.fleet,
@@ -167,6 +171,7 @@
             crashes=self.crashes,
             targets=self.targets,
             connection_idle_limit=self.sender.idle_limit,
+            reach=self.service_reach,
             rng=self.rng,
         )
         self.registration = entry_registration.EntryRegistration(
@@ -225,15 +230,24 @@
             names=http_names.HEADER_NAMES,
             clock=self.clock,
             crashes=self.crashes,
+            on_refused=lambda view: self.prober.record_refused(view),
             on_connection_lost=lambda view: self.prober.check_listening(view),
             on_unreachable=lambda view, reason: self.prober.eject(
                 view, reason
             ),
             on_round_trip=self.round_trip_times.record,
         )
+        self.relay = request_relay.RequestRelay(
+            self.fleet,
+            self.service_reach,
+            http_names.HEADER_NAMES,
+            self.clock,
+            self.rng,
+        )
         self.runner = call_runner.CallRunner(
             selection=self.selection,
             sender=self.sender,
+            relay=self.relay,
             make_retry_budget=lambda: service_retry_budget.ServiceRetryBudget(
                 limits.retry_ratio,
                 limits.retry_slack,
@@ -249,7 +263,9 @@
             self.active_config,
             http_names.HEADER_NAMES,
             self.crashes,
+            self.service_reach,
             self.clock,
+            self.rng,
         )
         self.admission = request_admission.RequestAdmission(
             self.active_config, self.rate_limiter, self.clock, self.rng
@@ -261,6 +277,14 @@
             http_names.HEADER_NAMES,
             self.clock,
         )
+        self.relay_app = relay_app.RelayApp(
+            self.settings.instance,
+            self.admission,
+            self.runner,
+            self.active_config,
+            http_names.HEADER_NAMES,
+            self.clock,
+        )
 
     def _known_instances(self) -> list[ids.InstanceId]:
         """Return the entries that may be alive; none before they are known.
@@ -347,10 +371,16 @@
             region (str): The caller's region.
             domain (str): The caller's failure domain.
         """
-        ready = self.fleet.ready_peers(self.clock.now())
+        now = self.clock.now()
+        ready = self.fleet.ready_peers(now)
         if self.is_ready():
             ready = [*ready, self.fleet.own_registration]
-        chosen = entry_selection.select_entries(ready, region, domain)
+        chosen = entry_selection.select_entries(
+            ready,
+            region,
+            domain,
+            self.fleet.cut_off_instances(self.service_reach.out_of_reach, now),
+        )
         return [entry.caller_address for entry in chosen]
 
     def is_ready(self) -> bool:
@@ -371,8 +401,9 @@
         while True:
             self._set_ready_once_configured()
             self._rebalance_rates()
-            self.service_reach.refresh()
+            self._announce_reach()
             self.sender.close_unused()
+            self.relay.close_unused()
             self.crashes.remove_expired(self.clock.now())
             await asyncio.sleep(_MAINTENANCE_INTERVAL_S)
 
@@ -387,6 +418,13 @@
         ):
             self.peer_exchange.set_state(states.READY)
 
+    def _announce_reach(self) -> None:
+        """Tell the peers at once which services are out of reach."""
+        out_of_reach = self.service_reach.out_of_reach
+        if out_of_reach != self._announced_out_of_reach:
+            self._announced_out_of_reach = out_of_reach
+            self.peer_exchange.send_heartbeats()
+
     def _rebalance_rates(self) -> None:
         now = self.clock.now()
         self.rate_limiter.update_candidates()
@@ -413,4 +451,5 @@
     def announce_leaving(self) -> None:
         """Announce that this entry leaves, so that callers go elsewhere."""
         self.call_app.is_leaving = True
+        self.relay_app.is_leaving = True
         self.peer_exchange.set_state(fleet_view.EntryState.LEAVING)
--- a/chicorydoor/coordination/call_app.py
+++ b/chicorydoor/coordination/call_app.py
@@ -2,14 +2,17 @@
 
 import asyncio
 import logging
+import typing
 
 from chicorydoor.coordination import active_serving_config
 from chicorydoor.coordination import call_runner
+from chicorydoor.coordination import rate_limiter
 from chicorydoor.coordination import request_admission
 from chicorydoor.coordination import request_types
 from chicorydoor.protocol import admitted_request
 from chicorydoor.protocol import header_names
 from chicorydoor.protocol import result_codes
+from chicorydoor.protocol import serving_config
 from chicorydoor.transport import asgi
 from chicorydoor.transport import buffered_connection
 from chicorydoor.transport import clock as clock_module
@@ -24,6 +27,25 @@
     """The caller closed its connection before its request was complete."""
 
 
+class Admission(typing.NamedTuple):
+    """What admitting a request found.
+
+    Args:
+        route (RouteConfig): The matching route.
+        customer (CustomerConfig): Owner of the API key; None without one.
+        rate_decision (RateDecision): To release if the request does not run;
+            None if no token was taken.
+        relayed_after_sends (int): How often the entry that relayed the
+            request has sent it; None if its caller sent it to this entry.
+            Defaults to None.
+    """
+
+    route: serving_config.RouteConfig
+    customer: serving_config.CustomerConfig | None
+    rate_decision: rate_limiter.RateDecision | None
+    relayed_after_sends: int | None = None
+
+
 class CallApp:
     """Serves requests from reading the body to writing the response.
 
@@ -43,11 +65,11 @@
         names: header_names.HeaderNames,
         clock: clock_module.Clock,
     ) -> None:
-        self._admission = admission
-        self._runner = runner
-        self._active_config = active_config
-        self._header_names = names
-        self._clock = clock
+        self.admission = admission
+        self.runner = runner
+        self.active_config = active_config
+        self.header_names = names
+        self.clock = clock
         self.running_count = 0
         self.is_leaving = False
 
@@ -57,12 +79,18 @@
         """Serve one request."""
         self.running_count += 1
         try:
-            await _RequestHandler(self, scope, receive, send).serve()
+            await self.make_handler(scope, receive, send).serve()
         finally:
             self.running_count -= 1
 
+    def make_handler(
+        self, scope: asgi.Scope, receive: asgi.Receive, send: asgi.Send
+    ) -> "RequestHandler":
+        """Return the handler of one request."""
+        return RequestHandler(self, scope, receive, send)
+
 
-class _RequestHandler:
+class RequestHandler:
     """One request and its response."""
 
     def __init__(
@@ -76,7 +104,7 @@
         self._scope = scope
         self._receive = receive
         self._send = send
-        self._arrived_at = app._clock.now()
+        self._arrived_at = app.clock.now()
         self._trace = call_runner.CallTrace()
         self._has_caller_left = False
         self._values_by_header: dict[bytes, list[bytes]] = {}
@@ -120,7 +148,7 @@
                 watcher.cancel()
 
     async def _read_body(self) -> bytes:
-        limit = self._app._active_config.current.limits.body_bytes
+        limit = self._app.active_config.current.limits.body_bytes
         chunks: list[bytes] = []
         size = 0
         while True:
@@ -149,16 +177,11 @@
     ) -> buffered_connection.BufferedResponse:
         app, scope = self._app, self._scope
         path = scope["raw_path"] or scope["path"].encode("latin-1")
-        route = app._admission.find_route(
+        admission = await self._admit(
             self._header_value(b"host").decode("latin-1"),
             path.decode("latin-1"),
         )
-        self._route_id = route.route_id
-        keys = self._values_by_header.get(app._header_names.api_key, [])
-        customer = app._admission.authenticate(route, keys)
-        if customer is not None:
-            self._customer_id = customer.customer_id
-        decision = await app._admission.acquire_rate_token(customer)
+        route, customer = admission.route, admission.customer
         query = scope["query_string"]
         headers = scope["headers"]
         call = admitted_request.AdmittedRequest(
@@ -166,27 +189,48 @@
             request_target=path + b"?" + query if query else path,
             headers=admitted_request.filter_request_headers(
                 headers,
-                app._header_names,
+                app.header_names,
                 admitted_request.parse_connection_options(headers),
             ),
             body=body,
-            request_id=self._header_value(app._header_names.request_id),
-            affinity_key=self._header_value(app._header_names.affinity_key),
+            request_id=self._header_value(app.header_names.request_id),
+            affinity_key=self._header_value(app.header_names.affinity_key),
             route=route,
             customer=customer,
             arrived_at=self._arrived_at,
             deadline=self._absolute_deadline(route.timeout_s),
+            relayed_after_sends=admission.relayed_after_sends,
         )
         try:
-            return await app._runner.run(call, self._trace)
+            return await app.runner.run(call, self._trace)
         except request_types.RefusedError as refusal:
             if refusal.certainly_not_run:
-                app._admission.release_rate_token(customer, decision)
+                app.admission.release_rate_token(
+                    customer, admission.rate_decision
+                )
             raise
 
+    async def _admit(self, host: str, path: str) -> Admission:
+        """Find the route, check the key and take a token of the rate."""
+        app = self._app
+        route = app.admission.find_route(host, path)
+        self._route_id = route.route_id
+        keys = self._values_by_header.get(app.header_names.api_key, [])
+        customer = app.admission.authenticate(route, keys)
+        if customer is not None:
+            self._customer_id = customer.customer_id
+        decision = await app.admission.acquire_rate_token(customer)
+        return Admission(route, customer, decision)
+
+    def _add_headers(
+        self, headers: admitted_request.Headers, is_refusal: bool
+    ) -> admitted_request.Headers:
+        """Return the headers of a response with those of this handler."""
+        return headers
+
     def _absolute_deadline(self, timeout_s: float) -> float:
         # Relative to the request's arrival.
-        remaining_ms = self._header_value(self._app._header_names.deadline_ms)
+        remaining_ms = self._header_value(self._app.header_names.deadline_ms)
         remaining_s = (
             int(remaining_ms) / 1000 if remaining_ms.isdigit() else timeout_s
         )
@@ -195,7 +239,9 @@
     async def _send_target_answer(
         self, answer: buffered_connection.BufferedResponse
     ) -> None:
-        headers = admitted_request.filter_response_headers(answer.headers)
+        headers = self._add_headers(
+            admitted_request.filter_response_headers(answer.headers), False
+        )
         await self._send_response(answer.status, headers, answer.body)
         self._log_request(answer.status, _CODES.OK)
 
@@ -205,12 +251,13 @@
             (b"x-chicorydoor-code", b"%d" % code.number),
             (b"x-chicorydoor-outcome", refusal.outcome.value.encode()),
         ]
-        request_id = self._header_value(self._app._header_names.request_id)
+        request_id = self._header_value(self._app.header_names.request_id)
         if request_id:
-            headers.append((self._app._header_names.request_id, request_id))
+            headers.append((self._app.header_names.request_id, request_id))
         if refusal.retry_after_s > 0:
             value = f"{refusal.retry_after_s:.3f}".encode()
             headers.append((b"retry-after", value))
+        headers = self._add_headers(headers, True)
         await self._send_response(code.status, headers, b"")
         self._log_request(code.status, code, refusal.detail)
 
@@ -233,27 +280,37 @@
         )
         await self._send({"type": "http.response.body", "body": body})
 
+    @property
+    def _log_message(self) -> str:
+        return "request"
+
+    def _record_metrics(
+        self, code: result_codes.ResultCode, elapsed_s: float
+    ) -> None:
+        metrics.REQUESTS.labels(
+            self._route_id, self._customer_id, code.number
+        ).inc()
+        metrics.REQUEST_SECONDS.labels(self._route_id).observe(elapsed_s)
+
     def _log_request(
         self, status: int, code: result_codes.ResultCode, detail: str = ""
     ) -> None:
-        elapsed_s = self._app._clock.now() - self._arrived_at
-        route, customer = self._route_id, self._customer_id
-        metrics.REQUESTS.labels(route, customer, code.number).inc()
-        metrics.REQUEST_SECONDS.labels(route).observe(elapsed_s)
+        elapsed_s = self._app.clock.now() - self._arrived_at
+        self._record_metrics(code, elapsed_s)
         trace = self._trace
-        request_id = self._header_value(self._app._header_names.request_id)
+        request_id = self._header_value(self._app.header_names.request_id)
         _LOG.info(
-            "request",
+            self._log_message,
             extra={
                 "request_id": request_id.decode("latin-1"),
-                "route": route,
-                "customer": customer,
+                "route": self._route_id,
+                "customer": self._customer_id,
                 "status": status,
                 "code": code.number,
                 "outcome": code.outcome.value,
                 "detail": detail,
                 "object": self._header_value(
-                    self._app._header_names.affinity_key
+                    self._app.header_names.affinity_key
                 ).decode("latin-1"),
                 "fingerprint": trace.fingerprint.hex(),
                 "service": trace.service_id,
@@ -266,7 +323,7 @@
                 "target_rate_limit": trace.target_rate_limit_per_s,
                 "load_age_ms": _milliseconds(trace.target_load_age_s),
                 "elapsed_ms": round(elapsed_s * 1000),
-                "configuration": self._app._active_config.current.version,
+                "configuration": self._app.active_config.current.version,
             },
         )
 
--- a/chicorydoor/coordination/call_runner.py
+++ b/chicorydoor/coordination/call_runner.py
@@ -1,4 +1,4 @@
-"""Runs a request at targets: selection, sending and retries.
+"""Runs a request: at targets or at a peer, with retries.
 
 A request that may not be repeated is sent again only while it is certain that
 it has not run.
@@ -9,12 +9,14 @@
 
 import msgspec
 
+from chicorydoor.coordination import request_relay
 from chicorydoor.coordination import request_types
 from chicorydoor.coordination import target_selection
 from chicorydoor.coordination import target_sender
 from chicorydoor.protocol import admitted_request
 from chicorydoor.protocol import ids
 from chicorydoor.protocol import result_codes
+from chicorydoor.state import fleet_view
 from chicorydoor.state import request_crashes
 from chicorydoor.state import service_retry_budget
 from chicorydoor.state import service_split
@@ -80,6 +82,7 @@
     Args:
         selection (TargetSelection): Chooses targets.
         sender (TargetSender): Sends requests to targets.
+        relay (RequestRelay): Relays requests to peers.
         make_retry_budget (callable): Creates the retry budget of a service.
         crashes (RequestCrashes): Knows the requests that end their targets.
         count_entries (callable): Returns the number of entries that may be
@@ -92,6 +95,7 @@
         *,
         selection: target_selection.TargetSelection,
         sender: target_sender.TargetSender,
+        relay: request_relay.RequestRelay,
         make_retry_budget: abc.Callable[
             [], service_retry_budget.ServiceRetryBudget
         ],
@@ -101,6 +105,7 @@
     ) -> None:
         self.selection = selection
         self.sender = sender
+        self.relay = relay
         self.crashes = crashes
         self.clock = clock
         self._count_entries = count_entries
@@ -112,7 +117,7 @@
     async def run(
         self, call: admitted_request.AdmittedRequest, trace: CallTrace
     ) -> buffered_connection.BufferedResponse:
-        """Run a request at one or more targets.
+        """Run a request at one or more targets, or at a peer.
 
         Args:
             call (AdmittedRequest): The request.
@@ -124,7 +129,10 @@
         service_id = self._service_split.choose_service(call.route)
         trace.service_id = service_id
         trace.fingerprint = call.fingerprint
-        self._budget_by_service[service_id].record_request(self.clock.now())
+        if not call.relayed_after_sends:
+            self._budget_by_service[service_id].record_request(
+                self.clock.now()
+            )
         constraints = target_selection.TargetConstraints(
             call.route, service_id, call.affinity_key, call.allowed_region_ids
         )
@@ -155,6 +163,7 @@
         self._constraints = constraints
         self._trace = trace
         self._tried_targets: list[ids.TargetId] = []
+        self._tried_peers: list[ids.TargetId] = []
         # Attempts of which at least one byte may have been sent.
         self._sent_count = 0
         self._charged_retries = 0
@@ -169,10 +178,9 @@
     async def run(self) -> buffered_connection.BufferedResponse:
         """Send until there is a response or no further attempt is allowed."""
         for _ in range(_MAX_TRIES):
-            choice = self._choose_target()
-            if choice is None or not self._spend_retry_if_needed():
+            sent = await self._send_once()
+            if sent is None:
                 break
-            sent = await self._runner.sender.send(self._call, choice)
             self._record_attempt(sent)
             if (
                 sent.outcome is target_sender.SendOutcome.ANSWERED
@@ -183,9 +191,48 @@
                 break
         return self._conclude()
 
-    def _record_attempt(self, sent: target_sender.SendResult) -> None:
+    async def _send_once(self) -> target_sender.SendResult | None:
+        """Send to a target or relay to a peer; None if neither may get it."""
+        peer = None
+        if self._runner.relay.is_needed(self._constraints.service_id):
+            peer = self._choose_peer()
+        choice = self._choose_target() if peer is None else None
+        if choice is None and self._refusal.code is _CODES.NO_TARGET:
+            # Peers may reach targets in regions that this entry does not.
+            peer = self._choose_peer()
+        if peer is not None:
+            if not self._spend_retry_if_needed():
+                return None
+            return await self._relay(peer)
+        if choice is None or not self._spend_retry_if_needed():
+            return None
+        sent = await self._runner.sender.send(self._call, choice)
         metrics.SENDS.labels(self._trace.region, self._trace.reason).inc()
         self._tried_targets.append(sent.target_id)
+        return sent
+
+    def _choose_peer(self) -> fleet_view.Registration | None:
+        """Choose a peer to relay to; None for a request that was relayed."""
+        if self._call.relayed_after_sends is not None:
+            return None
+        return self._runner.relay.choose_peer(
+            self._constraints.service_id,
+            self._constraints.allowed_region_ids,
+            self._tried_peers,
+        )
+
+    async def _relay(
+        self, peer: fleet_view.Registration
+    ) -> target_sender.SendResult:
+        sent = await self._runner.relay.send(
+            self._call, peer, self._sent_count
+        )
+        self._tried_peers.append(sent.target_id)
+        if sent.refusal is not None and sent.refusal.certainly_not_run:
+            self._refusal = sent.refusal
+        return sent
+
+    def _record_attempt(self, sent: target_sender.SendResult) -> None:
         self._trace.attempts.append(
             f"{sent.target_id}:{sent.outcome.value}:{sent.reason}"
         )
@@ -260,7 +307,11 @@
             return False
         if sent.outcome is target_sender.SendOutcome.NOT_SENT:
             return True
-        return self._sent_count < call.route.max_attempts
+        if sent.refusal is not None:
+            # The peer has decided about retries.
+            return False
+        sent_before = call.relayed_after_sends or 0
+        return sent_before + self._sent_count < call.route.max_attempts
 
     def _spend_retry_if_needed(self) -> bool:
         """Spend a retry of the budget if the next attempt is a retry.
--- a/chicorydoor/coordination/entry_selection.py
+++ b/chicorydoor/coordination/entry_selection.py
@@ -21,6 +21,7 @@
     ready: abc.Sequence[fleet_view.Registration],
     region: ids.RegionId,
     domain: ids.DomainId,
+    cut_off: abc.Collection[ids.InstanceId] = (),
 ) -> list[fleet_view.Registration]:
     """Select the entries for a caller.
 
@@ -28,13 +29,19 @@
         ready (Sequence): Entries that take requests.
         region (str): The caller's region.
         domain (str): The caller's failure domain.
+        cut_off (Collection): Entries that cannot reach all services that
+            others reach, and relay requests. Defaults to none.
 
     Returns:
         Entries of the domain if it has at least ``_MIN_DOMAIN_ENTRIES``, else
         of the region, else of all regions; at most ``_MAX_ENTRIES``, the first
-        in the order of ``ready``.
+        in the order of ``ready``. Entries that are cut off are only returned
+        if their region has no others.
     """
-    nearest = [entry for entry in ready if entry.domain == domain]
+    reaching = [entry for entry in ready if entry.instance not in cut_off]
+    nearest = [entry for entry in reaching if entry.domain == domain]
     if len(nearest) < _MIN_DOMAIN_ENTRIES:
+        nearest = [entry for entry in reaching if entry.region == region]
+    if not nearest:
         nearest = [entry for entry in ready if entry.region == region]
     return (nearest or list(ready))[:_MAX_ENTRIES]
--- a/chicorydoor/coordination/peer_exchange.py
+++ b/chicorydoor/coordination/peer_exchange.py
@@ -24,6 +24,7 @@
 from chicorydoor.state import object_cache_index
 from chicorydoor.state import rate_shares
 from chicorydoor.state import request_crashes
+from chicorydoor.state import service_reach
 from chicorydoor.state import target_rate_limits
 from chicorydoor.state import target_views
 from chicorydoor.transport import clock as clock_module
@@ -96,6 +97,7 @@
         targets (TargetViews): The known targets and observations of them.
         connection_idle_limit (IdleLimit): How long idle connections to targets
             are trusted.
+        reach (ServiceReach): The services that this entry reaches.
         rng (Random): Source of random numbers.
     """
 
@@ -114,6 +116,7 @@
         crashes: request_crashes.RequestCrashes,
         targets: target_views.TargetViews,
         connection_idle_limit: idle_limit.IdleLimit,
+        reach: service_reach.ServiceReach,
         rng: random.Random,
     ) -> None:
         self._fleet = fleet
@@ -122,6 +125,7 @@
         self._crashes = crashes
         self._targets = targets
         self._idle_limit = connection_idle_limit
+        self._reach = reach
         self._rng = rng
         self._link = link
         self._clock = clock
@@ -227,6 +231,10 @@
             for peer in self._fleet.region_peers()
             if not peer.is_recently_seen(now, PEER_SILENT_AFTER_S)
         ]
+        target_reports = self._targets.pop_reports()
+        if self._reach.is_cut_off:
+            # The failures say nothing about the targets.
+            target_reports = []
         self.publish(
             fleet_view.Heartbeat(
                 registration=self._fleet.own_registration,
@@ -245,10 +253,11 @@
                 ),
                 unheard=silent_instances,
                 sightings=self._cache_index.pop_unpublished(now),
-                target_reports=self._targets.pop_reports(),
+                target_reports=target_reports,
                 limit_reports=self._rate_limits.pop_reports(now),
                 crash_reports=self._crashes.recent_reports(now),
                 trusted_idle_s=self._idle_limit.own_limit_s(now),
+                out_of_reach=sorted(self._reach.out_of_reach),
             )
         )
 
@@ -260,6 +269,7 @@
             return
         digest = self._digests.build_digest(
             self.state,
+            self._reach.out_of_reach,
             self._extent_by_prefix(),
             self._rate_limits.recent_reports(now),
             self._crashes.recent_reports(now),
--- a/chicorydoor/coordination/region_digests.py
+++ b/chicorydoor/coordination/region_digests.py
@@ -8,6 +8,7 @@
 
 import random
 
+from chicorydoor.protocol import ids
 from chicorydoor.state import fleet_view
 from chicorydoor.state import rate_shares
 from chicorydoor.state import request_crashes
@@ -43,6 +44,7 @@
     def build_digest(
         self,
         state: fleet_view.EntryState,
+        out_of_reach: frozenset[ids.ServiceId],
         extent_by_prefix: dict[str, fleet_view.Extent],
         limit_reports: list[target_rate_limits.LimitReport],
         crash_reports: list[request_crashes.CrashReport],
@@ -52,6 +54,7 @@
 
         Args:
             state (EntryState): State of this entry.
+            out_of_reach (frozenset): Services out of this entry's reach.
             extent_by_prefix (dict): How complete this entry's copies of the
                 store are, by key prefix.
             limit_reports (list): What targets have lately responded to the
@@ -67,6 +70,8 @@
         ]
         if state is fleet_view.EntryState.READY:
             ready.append(fleet.own_registration.instance)
+        cut_off = fleet.cut_off_instances(out_of_reach, now)
+        ready = [name for name in ready if name not in cut_off] or ready
         live_unregistered = [
             peer.registration.instance
             for peer in fleet.live_region_peers(now)
--- /dev/null
+++ b/chicorydoor/coordination/request_relay.py
@@ -0,0 +1,310 @@
+"""Relays requests to peers that reach a service which this entry does not.
+
+The peer runs the request as if its caller had sent it there; it does not check
+key and rate again and relays no further.
+"""
+
+import asyncio
+from collections import abc
+import random
+
+from chicorydoor import errors
+from chicorydoor.coordination import request_types
+from chicorydoor.coordination import target_sender
+from chicorydoor.protocol import admitted_request
+from chicorydoor.protocol import header_names
+from chicorydoor.protocol import ids
+from chicorydoor.protocol import result_codes
+from chicorydoor.state import fleet_view
+from chicorydoor.state import service_reach
+from chicorydoor.transport import buffered_connection
+from chicorydoor.transport import clock as clock_module
+from chicorydoor.transport import metrics
+
+# As for targets: a lost packet of the handshake costs a second.
+_CONNECT_TIMEOUT_S = 0.7
+# A peer that a relayed request could not reach is left out for as long as
+# silence takes to show in its heartbeats.
+_FAILED_PEER_PAUSE_S = 2.0
+# Idle connections to a peer. More are opened during a burst.
+_MAX_IDLE_CONNECTIONS = 32
+# Shorter than the idle limit of the relay port.
+_MAX_IDLE_S = 30.0
+
+_CODES = result_codes.ResultCode
+# Refusals of a peer that another peer may not share. No target was tried.
+_REFUSED_WITHOUT_SEND = frozenset(
+    {_CODES.NO_TARGET, _CODES.NOT_READY, _CODES.PEER_UNREACHABLE}
+)
+ANSWERED = b"answered"
+REFUSED = b"refused"
+CODE_HEADER = b"x-chicorydoor-code"
+
+
+class RequestRelay:
+    """Chooses peers and sends requests to them.
+
+    Args:
+        fleet (FleetView): The known entries.
+        reach (ServiceReach): The services that this entry reaches.
+        names (HeaderNames): Header names.
+        clock (Clock): Source of time.
+        rng (Random): Source of random numbers.
+    """
+
+    def __init__(
+        self,
+        fleet: fleet_view.FleetView,
+        reach: service_reach.ServiceReach,
+        names: header_names.HeaderNames,
+        clock: clock_module.Clock,
+        rng: random.Random,
+    ) -> None:
+        self._fleet = fleet
+        self._reach = reach
+        self._header_names = names
+        self._clock = clock
+        self._rng = rng
+        self._failed_at_by_instance: dict[ids.InstanceId, float] = {}
+        self._pool_by_address: dict[
+            str, buffered_connection.BufferedConnectionPool
+        ] = {}
+
+    def is_needed(self, service_id: ids.ServiceId) -> bool:
+        """Whether this entry reaches too few targets of a service."""
+        return service_id in self._reach.out_of_reach
+
+    def choose_peer(
+        self,
+        service_id: ids.ServiceId,
+        allowed_region_ids: frozenset[ids.RegionId],
+        excluded: abc.Collection[str] = (),
+    ) -> fleet_view.Registration | None:
+        """Choose a peer that reaches a service.
+
+        Peers of the own failure domain come first, then those of the region.
+
+        Args:
+            service_id (str): The service.
+            allowed_region_ids (frozenset): Regions that may serve the request;
+                empty for all. A peer elsewhere must not get it.
+            excluded (Collection): Instances that were tried before. Defaults
+                to none.
+
+        Returns:
+            The peer; None if there is none.
+        """
+        now = self._clock.now()
+        own = self._fleet.own_registration
+        if not allowed_region_ids or own.region in allowed_region_ids:
+            peers = self._fleet.live_region_peers(now)
+            reaching = [
+                peer.registration
+                for peer in peers
+                if peer.reaches(service_id)
+                and self._is_usable(peer.registration, excluded, now)
+            ]
+            domain_peers = [
+                each for each in reaching if each.domain == own.domain
+            ]
+            # This entry and the peers of its domain that relay as well.
+            relaying = 1 + sum(
+                peer.registration.domain == own.domain
+                and not peer.reaches(service_id)
+                for peer in peers
+            )
+            if len(domain_peers) >= relaying:
+                # Their load at most doubles.
+                return self._rng.choice(domain_peers)
+            if reaching:
+                return self._rng.choice(reaching)
+        remote = [
+            registration
+            for registration in self._fleet.ready_remote_peers(now)
+            if (
+                not allowed_region_ids
+                or registration.region in allowed_region_ids
+            )
+            and self._is_usable(registration, excluded, now)
+        ]
+        return self._rng.choice(remote) if remote else None
+
+    def _is_usable(
+        self,
+        registration: fleet_view.Registration,
+        excluded: abc.Collection[str],
+        now: float,
+    ) -> bool:
+        failed_at = self._failed_at_by_instance.get(
+            registration.instance, float("-inf")
+        )
+        return (
+            bool(registration.relay_address)
+            and registration.instance not in excluded
+            and now - failed_at >= _FAILED_PEER_PAUSE_S
+        )
+
+    async def send(
+        self,
+        call: admitted_request.AdmittedRequest,
+        peer: fleet_view.Registration,
+        send_count: int,
+    ) -> target_sender.SendResult:
+        """Relay a request to a peer once.
+
+        Args:
+            call (AdmittedRequest): The request.
+            peer (Registration): The peer.
+            send_count (int): How often this entry has sent the request.
+        """
+        result = await self._exchange(call, peer, send_count)
+        metrics.RELAYED_REQUESTS.labels(result.outcome.value).inc()
+        return result
+
+    async def _exchange(
+        self,
+        call: admitted_request.AdmittedRequest,
+        peer: fleet_view.Registration,
+        send_count: int,
+    ) -> target_sender.SendResult:
+        outcomes = target_sender.SendOutcome
+        pool = self._pool(peer.relay_address)
+        remaining_s = call.deadline - self._clock.now()
+        try:
+            connection = await pool.acquire(
+                min(_CONNECT_TIMEOUT_S, remaining_s), _MAX_IDLE_S
+            )
+        except errors.TargetError as error:
+            return self._record_failure(peer, outcomes.NOT_SENT, f"{error}")
+        remaining_s = (
+            call.deadline - self._clock.now() - target_sender.RESPONSE_MARGIN_S
+        )
+        if remaining_s <= 0:
+            pool.release(connection, _MAX_IDLE_CONNECTIONS)
+            return _result(outcomes.NOT_SENT, peer, "no time left")
+        request = admitted_request.encode_request(
+            call,
+            self._header_names,
+            peer.instance,
+            remaining_s,
+            [(self._header_names.send_count, b"%d" % send_count)],
+        )
+        try:
+            async with asyncio.timeout(remaining_s):
+                answer = await connection.exchange(
+                    request, call.request_id, call.method == b"HEAD"
+                )
+        except TimeoutError:
+            return self._record_failure(
+                peer, outcomes.UNKNOWN, "no answer in time"
+            )
+        except errors.TargetError as error:
+            outcome = (
+                outcomes.UNKNOWN
+                if error.may_have_been_sent
+                else outcomes.NOT_SENT
+            )
+            return self._record_failure(peer, outcome, f"{error}")
+        pool.release(connection, _MAX_IDLE_CONNECTIONS)
+        return self._evaluate(peer, answer)
+
+    def _pool(
+        self, address: str
+    ) -> buffered_connection.BufferedConnectionPool:
+        pool = self._pool_by_address.get(address)
+        if pool is None:
+            pool = buffered_connection.BufferedConnectionPool(
+                address, self._header_names.request_id, self._clock
+            )
+            self._pool_by_address[address] = pool
+        return pool
+
+    def _record_failure(
+        self,
+        peer: fleet_view.Registration,
+        outcome: target_sender.SendOutcome,
+        reason: str,
+    ) -> target_sender.SendResult:
+        self._failed_at_by_instance[peer.instance] = self._clock.now()
+        return _result(outcome, peer, reason)
+
+    def _evaluate(
+        self,
+        peer: fleet_view.Registration,
+        answer: buffered_connection.BufferedResponse,
+    ) -> target_sender.SendResult:
+        outcomes = target_sender.SendOutcome
+        kind = answer.find_header(self._header_names.relay_result)
+        if kind == ANSWERED:
+            answer.headers = [
+                (name, value)
+                for name, value in answer.headers
+                if name != self._header_names.relay_result
+            ]
+            return _result(
+                outcomes.ANSWERED, peer, f"{answer.status}", answer=answer
+            )
+        if kind != REFUSED:
+            # From the peer's HTTP server, which does not run such requests.
+            return _result(outcomes.NOT_SENT, peer, f"{answer.status}")
+        refusal = _read_refusal(answer)
+        if not refusal.certainly_not_run:
+            return _result(
+                outcomes.UNKNOWN, peer, f"{refusal}", refusal=refusal
+            )
+        outcome = (
+            outcomes.NOT_SENT
+            if refusal.code in _REFUSED_WITHOUT_SEND
+            else outcomes.NOT_RUN
+        )
+        return _result(outcome, peer, f"{refusal}", refusal=refusal)
+
+    def close_unused(self) -> None:
+        """Close connections to peers that are gone."""
+        in_use = {
+            peer.registration.relay_address
+            for peer in self._fleet.peer_by_instance.values()
+        }
+        for address in self._pool_by_address.keys() - in_use:
+            self._pool_by_address.pop(address).close()
+        for instance in (
+            self._failed_at_by_instance.keys()
+            - self._fleet.peer_by_instance.keys()
+        ):
+            del self._failed_at_by_instance[instance]
+
+    def close(self) -> None:
+        """Close all idle connections."""
+        for pool in self._pool_by_address.values():
+            pool.close()
+
+
+def _result(
+    outcome: target_sender.SendOutcome,
+    peer: fleet_view.Registration,
+    reason: str,
+    answer: buffered_connection.BufferedResponse | None = None,
+    refusal: request_types.RefusedError | None = None,
+) -> target_sender.SendResult:
+    return target_sender.SendResult(
+        outcome,
+        ids.TargetId(peer.instance),
+        answer,
+        f"relayed, {reason}",
+        refusal,
+    )
+
+
+def _read_refusal(
+    answer: buffered_connection.BufferedResponse,
+) -> request_types.RefusedError:
+    number = answer.find_header(CODE_HEADER) or b""
+    code = result_codes.RESULT_CODE_BY_NUMBER.get(
+        int(number) if number.isdigit() else -1, _CODES.PEER_FAILED
+    )
+    retry_after_s = 0.0
+    value = answer.find_header(b"retry-after")
+    if value is not None:
+        # Written by the peer's own code, always a decimal number.
+        retry_after_s = float(value)
+    return request_types.RefusedError(code, retry_after_s=retry_after_s)
--- a/chicorydoor/coordination/target_prober.py
+++ b/chicorydoor/coordination/target_prober.py
@@ -1,7 +1,15 @@
-"""Probes unreachable targets and returns them to use."""
+"""Probes unreachable targets and returns them to use.
+
+If targets of several failure domains become unreachable at the same time, the
+entry itself may be cut off. It then checks all targets at once instead of
+losing requests at each of them.
+"""
 
 import asyncio
+import collections
+import contextlib
 import logging
+import random
 
 from chicorydoor import errors
 from chicorydoor.coordination import active_serving_config
@@ -9,6 +17,7 @@
 from chicorydoor.protocol import header_names
 from chicorydoor.protocol import ids
 from chicorydoor.state import request_crashes
+from chicorydoor.state import service_reach
 from chicorydoor.state import target_views
 from chicorydoor.transport import buffered_connection
 from chicorydoor.transport import clock as clock_module
@@ -19,6 +28,23 @@
 _INITIAL_BACKOFF_S = 0.4
 _MAX_BACKOFF_S = 3.0
 _CONNECT_TIMEOUT_S = 1.0
+# Checks of whether targets accept connections use a shorter time, in which a
+# lost packet of the handshake is not retransmitted: callers are waiting.
+_CHECK_TIMEOUT_S = 0.7
+# Targets that become unreachable within this time are looked at together. It
+# includes two times in which a connection is given up.
+_SIMULTANEOUS_S = 2.0
+_MIN_SIMULTANEOUS_TARGETS = 2
+_MIN_SIMULTANEOUS_DOMAINS = 2
+# Targets that are checked first. Only if most of them are unreachable as well
+# the others follow: every entry sees it when targets end.
+_SAMPLE_SIZE = 8
+# Time in which a cut shows after the first target has refused a connection.
+# Until then a refusal does not mean that the target has ended.
+_CUT_DETECTION_S = 0.3
+# Longest back-off while the service is out of reach: requests make a detour
+# until then.
+_MAX_CUT_BACKOFF_S = 1.0
 # A target that is unreachable again this soon after a successful probe answers
 # probes but not requests. The delay before its first probe doubles each time,
 # up to the limit below.
@@ -41,7 +67,9 @@
         active_config (ActiveServingConfig): Holds the active configuration.
         names (HeaderNames): Header names.
         crashes (RequestCrashes): Learns which targets have ended.
+        reach (ServiceReach): The services that this entry reaches.
         clock (Clock): Source of time.
+        rng (Random): Source of random numbers.
     """
 
     def __init__(
@@ -51,7 +79,9 @@
         active_config: active_serving_config.ActiveServingConfig,
         names: header_names.HeaderNames,
         crashes: request_crashes.RequestCrashes,
+        reach: service_reach.ServiceReach,
         clock: clock_module.Clock,
+        rng: random.Random,
     ) -> None:
         self._targets = targets
         self._sender = sender
@@ -59,8 +89,17 @@
         self._header_names = names
         self._clock = clock
         self._crashes = crashes
+        self._reach = reach
+        self._rng = rng
         self._check_by_target: dict[ids.TargetId, asyncio.Task] = {}
         self._task_by_target: dict[ids.TargetId, asyncio.Task] = {}
+        # Time and failure domain of the latest ejections.
+        self._recent_ejections: collections.deque[
+            tuple[float, ids.DomainId]
+        ] = collections.deque()
+        self._cut_check: asyncio.Task | None = None
+        # Ends the back-off of all probes, and is then replaced.
+        self._reach_returns = asyncio.Event()
 
     def eject(self, view: target_views.TargetView, reason: str) -> None:
         """Eject a target until a probe succeeds.
@@ -91,6 +130,57 @@
             self._task_by_target[view.target_id] = asyncio.create_task(
                 self._probe_until_reachable(view)
             )
+        self._check_for_cut(view.record.domain)
+
+    def _check_for_cut(self, domain: ids.DomainId) -> None:
+        """Check other targets if several became unreachable together."""
+        now = self._clock.now()
+        recent = self._recent_ejections
+        recent.append((now, domain))
+        while now - recent[0][0] > _SIMULTANEOUS_S:
+            recent.popleft()
+        views = self._usable_views()
+        domains = {each for _, each in recent}
+        is_widespread = len(recent) >= _MIN_SIMULTANEOUS_TARGETS and (
+            len(domains) >= _MIN_SIMULTANEOUS_DOMAINS
+            or all(view.record.domain in domains for view in views)
+        )
+        is_checking = self._cut_check and not self._cut_check.done()
+        if is_widespread and views and not is_checking:
+            self._cut_check = asyncio.create_task(self._check_views(views))
+
+    def _usable_views(self) -> list[target_views.TargetView]:
+        return [
+            view
+            for view in self._targets.target_by_id.values()
+            if self._targets.may_get_requests(view)
+        ]
+
+    async def _check_views(self, views: list[target_views.TargetView]) -> None:
+        """Check a sample and, if most of it is unreachable, the rest."""
+        self._rng.shuffle(views)
+        sample, rest = views[:_SAMPLE_SIZE], views[_SAMPLE_SIZE:]
+        await asyncio.gather(*map(self._check_listening, sample))
+        unreachable = sum(
+            view.reach is not target_views.Reach.IN_USE for view in sample
+        )
+        if 2 * unreachable >= len(sample):
+            await asyncio.gather(*map(self._check_listening, rest))
+
+    def record_refused(self, view: target_views.TargetView) -> None:
+        """Record that a target refused a connection.
+
+        It has ended, unless this entry turns out to be cut off.
+        """
+        refused_at = self._clock.now()
+
+        def record_unless_cut_off() -> None:
+            if not self._reach.is_cut_off:
+                self._crashes.record_ended(view.incarnation_key, refused_at)
+
+        asyncio.get_running_loop().call_later(
+            _CUT_DETECTION_S, record_unless_cut_off
+        )
 
     def check_listening(self, view: target_views.TargetView) -> None:
         """Check whether a target still accepts connections; eject it if not.
@@ -107,13 +197,11 @@
     async def _check_listening(self, view: target_views.TargetView) -> None:
         pool = self._sender.connection_pool(view)
         try:
-            connection = await pool.open_connection(_CONNECT_TIMEOUT_S)
+            connection = await pool.open_connection(_CHECK_TIMEOUT_S)
         except errors.TargetError as error:
             if error.is_refused:
-                self._crashes.record_ended(
-                    view.incarnation_key, self._clock.now()
-                )
-                self.eject(view, f"{error}")
+                self.record_refused(view)
+            self.eject(view, f"{error}")
             return
         finally:
             if self._check_by_target.get(view.target_id) is (
@@ -127,12 +215,22 @@
     ) -> None:
         backoff_s = self._first_backoff_s(view)
         while self._needs_probe(view):
-            await asyncio.sleep(backoff_s)
+            await self._back_off(view, backoff_s)
             backoff_s = max(backoff_s, min(2 * backoff_s, _MAX_BACKOFF_S))
             if not self._needs_probe(view):
                 break
             await self._probe(view)
 
+    async def _back_off(
+        self, view: target_views.TargetView, backoff_s: float
+    ) -> None:
+        """Wait until the back-off or a cut of this entry ends."""
+        if view.record.service_id in self._reach.out_of_reach:
+            backoff_s = min(backoff_s, _MAX_CUT_BACKOFF_S)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(backoff_s):
+                await self._reach_returns.wait()
+
     def _first_backoff_s(self, view: target_views.TargetView) -> float:
         """Return the seconds before the first probe; more after a relapse."""
         now = self._clock.now()
@@ -226,6 +324,10 @@
             # Its queue is full, so it has worked for a while and is not cold.
             warm_up_s = 0.0
         view.cold_until = max(view.cold_until, now + warm_up_s)
+        if view.record.service_id in self._reach.out_of_reach:
+            # The way to one target is back, perhaps to all.
+            self._reach_returns.set()
+            self._reach_returns = asyncio.Event()
         self._targets.set_reach(view, target_views.Reach.IN_USE)
         view.restored_at = now
         _LOG.info(
@@ -238,5 +340,6 @@
         for task in (
             *self._task_by_target.values(),
             *self._check_by_target.values(),
+            *([self._cut_check] if self._cut_check else []),
         ):
             task.cancel()
--- a/chicorydoor/coordination/target_sender.py
+++ b/chicorydoor/coordination/target_sender.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from chicorydoor import errors
+from chicorydoor.coordination import request_types
 from chicorydoor.coordination import target_selection
 from chicorydoor.protocol import admitted_request
 from chicorydoor.protocol import header_names
@@ -69,12 +70,15 @@
             none. Defaults to None.
         reason (str): Status of the response, or why there was none.
             Defaults to empty.
+        refusal (RefusedError): A peer's refusal of a relayed request; None
+            without one. Defaults to None.
     """
 
     outcome: SendOutcome
     target_id: ids.TargetId
     answer: buffered_connection.BufferedResponse | None = None
     reason: str = ""
+    refusal: request_types.RefusedError | None = None
 
 
 class TargetSender:
@@ -94,6 +98,7 @@
             targets.
         on_unreachable (callable): Called with a target that does not
             answer, and the reason.
+        on_refused (callable): Called with a target that refused a connection.
         on_connection_lost (callable): Called with a target that broke a
             connection before it had responded.
         on_round_trip (callable): Called with a region and the seconds that
@@ -112,6 +117,7 @@
         clock: clock_module.Clock,
         crashes: request_crashes.RequestCrashes,
         on_unreachable: abc.Callable[[target_views.TargetView, str], None],
+        on_refused: abc.Callable[[target_views.TargetView], None],
         on_connection_lost: abc.Callable[[target_views.TargetView], None],
         on_round_trip: abc.Callable[[ids.RegionId, float], None],
     ) -> None:
@@ -124,6 +130,7 @@
         self._clock = clock
         self._crashes = crashes
         self._on_unreachable = on_unreachable
+        self._on_refused = on_refused
         self._on_connection_lost = on_connection_lost
         self._on_round_trip = on_round_trip
         self.idle_limit = idle_limit.IdleLimit()
@@ -177,9 +184,7 @@
             )
         except errors.TargetError as error:
             if error.is_refused:
-                self._crashes.record_ended(
-                    view.incarnation_key, self._clock.now()
-                )
+                self._on_refused(view)
             self._on_unreachable(view, f"{error}")
             return SendResult(
                 SendOutcome.NOT_SENT, view.target_id, reason=f"{error}"
--- a/chicorydoor/fleet_entry.py
+++ b/chicorydoor/fleet_entry.py
@@ -33,6 +33,8 @@
 # Draining before a stop: by then callers have looked up other entries, so that
 # connections may be closed.
 _DRAIN_S = 2.6
+# Room for the headers that an entry adds to a request that it relays.
+_RELAY_HEADER_BYTES = 1024
 # Part of the grace period of a stop that is reserved for closing everything.
 _CLOSE_RESERVE_S = 0.6
 
@@ -70,7 +72,9 @@
             incarnation=time.time_ns() // 1_000_000,
         )
         server = self._make_server(components)
+        relay_server = self._make_relay_server(components)
         await server.start()
+        await relay_server.start()
         _LOG.info("started", extra={"settings": msgspec.to_builtins(settings)})
         # Exempt the objects of the start from later garbage collections.
         gc.collect()
@@ -78,6 +82,7 @@
         tasks = asyncio.create_task(components.run())
         try:
             await self._serve_until_stopped(components, server, tasks)
+            await relay_server.stop()
         finally:
             tasks.cancel()
             await asyncio.gather(tasks, return_exceptions=True)
@@ -151,6 +156,21 @@
             ),
         )
 
+    def _make_relay_server(
+        self, components: compose_fleet.FleetComponents
+    ) -> http_server.HttpServer:
+        host, _, port = self._settings.relay.rpartition(":")
+
+        def limits() -> caller_protocol.ConnectionLimits:
+            caller_limits = components.active_config.current.limits
+            return caller_protocol.ConnectionLimits(
+                caller_limits.header_bytes + _RELAY_HEADER_BYTES
+            )
+
+        return http_server.HttpServer(
+            components.relay_app, host, int(port), limits=limits
+        )
+
     async def _drain_and_close(
         self,
         components: compose_fleet.FleetComponents,
@@ -168,6 +188,7 @@
         await server.stop(remaining_s)
         with contextlib.suppress(asyncio.CancelledError):
             components.sender.close()
+            components.relay.close()
             components.prober.close()
 
 
--- a/chicorydoor/platform/settings_file.py
+++ b/chicorydoor/platform/settings_file.py
@@ -107,6 +107,12 @@
 ) -> fleet_entry_settings.FleetEntrySettings:
     identity, network = settings.identity, settings.network
     listen = network.listen
+    relay_port, metrics_port = network.internal_port_range
+    if relay_port == metrics_port:
+        raise errors.ConfigurationError(
+            "internalPortRange has only one port, two are needed"
+        )
+    peer_host = listen.control.rpartition(":")[0]
     return fleet_entry_settings.FleetEntrySettings(
         instance=ids.InstanceId(identity.node_name),
         domain=ids.DomainId(identity.zone),
@@ -115,7 +121,8 @@
         readiness=listen.ready,
         peers=listen.control,
         lookups=listen.directory,
-        metrics_port=network.internal_port_range[1],
+        relay=f"{peer_host}:{relay_port}",
+        metrics_port=metrics_port,
         seed_addresses=tuple(network.seeds),
         region_by_domain={
             ids.DomainId(zone): ids.RegionId(region)
--- a/chicorydoor/protocol/admitted_request.py
+++ b/chicorydoor/protocol/admitted_request.py
@@ -1,5 +1,6 @@
 """An admitted request, its encoding for a target, and header filtering."""
 
+from collections import abc
 import functools
 import hashlib
 
@@ -42,6 +43,9 @@
         arrived_at (float): Arrival time on the local clock, in seconds.
         deadline (float): Time on the local clock by which the caller must
             have the response.
+        relayed_after_sends (int): How often the entry that relayed the
+            request has sent it; None if its caller sent it to this entry.
+            Defaults to None.
     """
 
     method: bytes
@@ -54,6 +58,7 @@
     customer: serving_config.CustomerConfig | None
     arrived_at: float
     deadline: float
+    relayed_after_sends: int | None = None
 
     @functools.cached_property
     def fingerprint(self) -> bytes:
@@ -119,6 +124,7 @@
         names.customer_id,
         names.deadline_ms,
         names.expected_target_id,
+        names.send_count,
         b"content-length",
     }
     return [
@@ -144,22 +150,25 @@
     names: header_names.HeaderNames,
     target_id: str,
     remaining_s: float,
+    additional_headers: abc.Iterable[tuple[bytes, bytes]] = (),
 ) -> bytes:
-    """Encode a request as an HTTP/1.1 message for a target.
+    """Encode a request as an HTTP/1.1 message for a target or a peer.
 
     Args:
         request (AdmittedRequest): The request.
         names (HeaderNames): Names of the headers that the entry interprets.
-        target_id (str): The only target that may run it; any other rejects
-            it.
+        target_id (str): The only target or peer that may run it; any other
+            rejects it.
         remaining_s (float): Time until the deadline; sent in milliseconds,
             at least 1.
+        additional_headers (Iterable): Defaults to none.
 
     Returns:
         bytes: Head and body.
     """
     lines = [b"%s %s HTTP/1.1" % (request.method, request.request_target)]
     lines += [b"%s: %s" % header for header in request.headers]
+    lines += [b"%s: %s" % header for header in additional_headers]
     lines.append(
         b"%s: %d" % (names.deadline_ms, max(1, int(remaining_s * 1000)))
     )
--- a/chicorydoor/protocol/fleet_entry_settings.py
+++ b/chicorydoor/protocol/fleet_entry_settings.py
@@ -45,6 +45,7 @@
         readiness (str): Listening ``ip:port`` for readiness checks.
         peers (str): Listening ``ip:port`` for peers.
         lookups (str): Listening ``ip:port`` for look-ups.
+        relay (str): Listening ``ip:port`` for requests that peers relay.
         metrics_port (int): TCP port on which metrics are served.
         seed_addresses (tuple): Peer addresses to contact first.
         region_by_domain (dict): Region of each failure domain of the fleet.
@@ -59,6 +60,7 @@
     readiness: str
     peers: str
     lookups: str
+    relay: str
     metrics_port: int
     seed_addresses: tuple[str, ...]
     region_by_domain: dict[ids.DomainId, ids.RegionId]
--- a/chicorydoor/protocol/header_names.py
+++ b/chicorydoor/protocol/header_names.py
@@ -25,6 +25,10 @@
         warm_up_remaining_ms (bytes): Remaining warm-up time of a target, in
             milliseconds.
         target_id (bytes): Id of the responding target.
+        send_count (bytes): Between entries: how often the relaying entry has
+            sent a request.
+        relay_result (bytes): Between entries: whether a response comes from a
+            target or is the peer's own refusal.
     """
 
     request_id: bytes = b"x-request-id"
@@ -39,3 +43,5 @@
     target_rate_limit: bytes = b"x-rate-limit"
     warm_up_remaining_ms: bytes = b"x-cold-ms"
     target_id: bytes = b"x-target"
+    send_count: bytes = b"x-chicorydoor-send-count"
+    relay_result: bytes = b"x-chicorydoor-relay-result"
--- a/chicorydoor/state/fleet_view.py
+++ b/chicorydoor/state/fleet_view.py
@@ -37,6 +37,8 @@
         region (str): Its region.
         peer_address (str): ``ip:port`` for messages from peers.
         caller_address (str): ``ip:port`` for requests from callers.
+        relay_address (str): ``ip:port`` for requests that peers relay; empty
+            if it takes none. Defaults to empty.
     """
 
     instance: ids.InstanceId
@@ -45,6 +47,7 @@
     region: ids.RegionId
     peer_address: str
     caller_address: str
+    relay_address: str = ""
 
 
 class Extent(msgspec.Struct, frozen=True, array_like=True):
@@ -90,6 +93,8 @@
             sender reuses a connection to a target, from requests that it
             lost itself on idle connections; None without any. Defaults to
             None.
+        out_of_reach (list): Services of which the sender can use too few
+            targets. Defaults to none.
     """
 
     registration: Registration
@@ -105,6 +110,7 @@
     limit_reports: list[target_rate_limits.LimitReport] = []
     crash_reports: list[request_crashes.CrashReport] = []
     trusted_idle_s: float | None = None
+    out_of_reach: list[ids.ServiceId] = []
 
 
 class RegionDigest(msgspec.Struct, frozen=True, tag="digest"):
@@ -158,6 +164,22 @@
         """
         return now - self.last_seen_at < silence_s
 
+    @property
+    def is_ready(self) -> bool:
+        """Whether the peer has announced that it is ready."""
+        return (
+            self.heartbeat is not None
+            and self.heartbeat.standing is EntryState.READY
+        )
+
+    def reaches(self, service_id: ids.ServiceId) -> bool:
+        """Whether the peer is ready and reaches a service."""
+        return (
+            self.heartbeat is not None
+            and self.is_ready
+            and service_id not in self.heartbeat.out_of_reach
+        )
+
     def apply_heartbeat(self, heartbeat: Heartbeat, now: float) -> None:
         """Apply a heartbeat of this peer."""
         self.heartbeat = heartbeat
@@ -318,13 +340,16 @@
         return [
             peer.registration
             for peer in self.live_region_peers(now)
-            if peer.heartbeat is not None
-            and peer.heartbeat.standing is EntryState.READY
+            if peer.is_ready
         ]
 
     def ready_peers(self, now: float) -> list[Registration]:
         """Peers that can be offered to callers, region peers first."""
-        ready = self.ready_region_peers(now)
+        return self.ready_region_peers(now) + self.ready_remote_peers(now)
+
+    def ready_remote_peers(self, now: float) -> list[Registration]:
+        """Entries of other regions that can be offered to callers."""
+        ready: list[Registration] = []
         for latest in self._digest_by_region.values():
             if now - latest.received_at >= self._digest_silence_s:
                 continue
@@ -335,6 +360,31 @@
             ]
         return ready
 
+    def cut_off_instances(
+        self, own_out_of_reach: frozenset[ids.ServiceId], now: float
+    ) -> set[ids.InstanceId]:
+        """Ready entries of the region that miss a service others reach.
+
+        Args:
+            own_out_of_reach (frozenset): Services out of this entry's reach.
+            now (float): Current time in seconds.
+        """
+        out_of_reach_by_instance = {
+            peer.registration.instance: frozenset(peer.heartbeat.out_of_reach)
+            for peer in self.live_region_peers(now)
+            if peer.heartbeat is not None and peer.is_ready
+        }
+        own_instance = self.own_registration.instance
+        out_of_reach_by_instance[own_instance] = own_out_of_reach
+        reached_by_none = frozenset.intersection(
+            *out_of_reach_by_instance.values()
+        )
+        return {
+            instance
+            for instance, services in out_of_reach_by_instance.items()
+            if services - reached_by_none
+        }
+
     @property
     def entry_count(self) -> int:
         """Number of entries that may be alive, including this one."""
--- a/chicorydoor/state/service_reach.py
+++ b/chicorydoor/state/service_reach.py
@@ -44,9 +44,11 @@
 
     @property
     def is_cut_off(self) -> bool:
-        """Whether all services that have targets are out of reach."""
-        out_of_reach = self.out_of_reach
-        return bool(out_of_reach) and out_of_reach >= self._service_ids
+        """Whether this entry can use none of the targets of any service."""
+        self.refresh()
+        return bool(self._service_ids) and not any(
+            map(self._targets.usable_targets, self._service_ids)
+        )
 
     def _update(self) -> None:
         views_by_service: dict[
--- a/chicorydoor/transport/metrics.py
+++ b/chicorydoor/transport/metrics.py
@@ -41,6 +41,11 @@
     "Times that a target was taken out of use after failures.",
     ["target"],
 )
+RELAYED_REQUESTS = prometheus_client.Counter(
+    "chicorydoor_relayed_requests",
+    "Requests relayed to a peer, by outcome.",
+    ["outcome"],
+)
 USABLE_TARGETS = prometheus_client.Gauge(
     "chicorydoor_usable_targets",
     "Targets that this entry can use.",
--- a/tests/support/simulated_peers.py
+++ b/tests/support/simulated_peers.py
@@ -14,6 +14,7 @@
 from chicorydoor.state import object_cache_index
 from chicorydoor.state import rate_shares
 from chicorydoor.state import request_crashes
+from chicorydoor.state import service_reach
 from chicorydoor.state import store_mirror
 from chicorydoor.state import target_rate_limits
 from chicorydoor.state import target_views
@@ -122,6 +123,7 @@
             crashes=self.crashes,
             targets=self.targets,
             connection_idle_limit=idle_limit.IdleLimit(),
+            reach=service_reach.ServiceReach(self.targets),
             rng=random.Random(name),
         )
         self.items = []
--- a/tests/test_call_runner.py
+++ b/tests/test_call_runner.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import types
 
 import pytest
 
@@ -98,6 +99,10 @@
     runner = call_runner.CallRunner(
         selection=_Selection(names),
         sender=sender,
+        relay=types.SimpleNamespace(
+            is_needed=lambda service_id: False,
+            choose_peer=lambda service_id, regions, excluded: None,
+        ),
         make_retry_budget=lambda: budget,
         crashes=request_crashes.RequestCrashes("e", lambda: ["e"]),
         count_entries=lambda: 1,
@@ -183,6 +188,7 @@
             clock=clock,
             crashes=None,
             on_unreachable=lambda view, reason: None,
+            on_refused=lambda view: None,
             on_connection_lost=lambda view: None,
             on_round_trip=lambda region, seconds: None,
         )
