Log which targets ask for rest or say that they leave

The entry now reads it and the header of leaving targets, logs both and counts rests. Nothing is held back yet.

--- a/chicorydoor/compose_fleet.py
+++ b/chicorydoor/compose_fleet.py
@@ -47,6 +47,7 @@
 from chicorydoor.state import service_retry_budget
 from chicorydoor.state import store_mirror
 from chicorydoor.state import target_rate_limits
+from chicorydoor.state import target_rests
 from chicorydoor.state import target_views
 from chicorydoor.transport import clock as clock_module
 
@@ -205,6 +206,7 @@
             self._known_instances,
             self.fleet.region_instances,
         )
+        self.rests = target_rests.TargetRests()
         self.selection = target_selection.TargetSelection(
             targets=self.targets,
             region=self.settings.region,
@@ -226,6 +228,7 @@
             selection=self.selection,
             cold_limits=self.cold_limits,
             rate_limits=self.rate_limits,
+            rests=self.rests,
             warm_up_rate_per_s=self._warm_up_rate_per_s,
             names=http_names.HEADER_NAMES,
             clock=self.clock,
--- a/chicorydoor/coordination/target_prober.py
+++ b/chicorydoor/coordination/target_prober.py
@@ -293,7 +293,7 @@
             connection, view.record.slots
         )
         if answer.status != _MISDIRECTED:
-            self._sender.record_rate_limit(
+            self._sender.record_announcements(
                 view, answer, now, self._clock.now()
             )
         self._apply_probe_answer(view, answer, service.warm_up_s)
--- a/chicorydoor/coordination/target_sender.py
+++ b/chicorydoor/coordination/target_sender.py
@@ -21,6 +21,7 @@
 from chicorydoor.state import idle_limit
 from chicorydoor.state import request_crashes
 from chicorydoor.state import target_rate_limits
+from chicorydoor.state import target_rests
 from chicorydoor.state import target_views
 from chicorydoor.transport import buffered_connection
 from chicorydoor.transport import clock as clock_module
@@ -39,6 +40,7 @@
 _SERVER_ERRORS = range(500, 600)
 # A target rejects requests that name another target with this status.
 _MISDIRECTED = 421
+_UNAVAILABLE = 503
 
 _LOG = logging.getLogger(__name__)
 
@@ -90,6 +92,7 @@
             times for later choices.
         cold_limits (ColdStartLimits): Counts requests to cold targets.
         rate_limits (TargetRateLimits): Learns the limits that targets name.
+        rests (TargetRests): Learns which targets asked for rest.
         warm_up_rate_per_s (callable): Returns the requests per second that a
             cold target of a service can take.
         names (HeaderNames): Header names.
@@ -112,6 +115,7 @@
         selection: target_selection.TargetSelection,
         cold_limits: cold_start_limits.ColdStartLimits,
         rate_limits: target_rate_limits.TargetRateLimits,
+        rests: target_rests.TargetRests,
         warm_up_rate_per_s: abc.Callable[[ids.ServiceId], float],
         names: header_names.HeaderNames,
         clock: clock_module.Clock,
@@ -125,6 +129,7 @@
         self._selection = selection
         self._cold_limits = cold_limits
         self.rate_limits = rate_limits
+        self.rests = rests
         self._warm_up_rate_per_s = warm_up_rate_per_s
         self._header_names = names
         self._clock = clock
@@ -285,7 +290,7 @@
         now = self._clock.now()
         if answer.status != _MISDIRECTED:
             self._record_load(view, answer, now)
-            self.record_rate_limit(view, answer, started_at, now)
+            self.record_announcements(view, answer, started_at, now)
         if answer.status == _MISDIRECTED:
             self._targets.set_reach(view, target_views.Reach.REPLACED)
             _LOG.warning(
@@ -339,14 +344,14 @@
             return
         view.record_load(running + waiting, now)
 
-    def record_rate_limit(
+    def record_announcements(
         self,
         view: target_views.TargetView,
         answer: buffered_connection.BufferedResponse,
         sent_at: float,
         now: float,
     ) -> None:
-        """Record the rate limit that a response names, or that it names none.
+        """Record what a response says of the target's wishes.
 
         Args:
             view (TargetView): The target.
@@ -354,6 +359,21 @@
             sent_at (float): When the request was sent, in seconds.
             now (float): Current time in seconds.
         """
+        self._record_rate_limit(view, answer, sent_at, now)
+        rest = answer.find_header(b"retry-after")
+        if answer.status == _UNAVAILABLE and rest is not None:
+            self.rests.record_request_for_rest(view.incarnation_key, rest, now)
+        if answer.find_header(self._header_names.target_leaving) == b"1":
+            self._targets.record_said_leaving(view)
+
+    def _record_rate_limit(
+        self,
+        view: target_views.TargetView,
+        answer: buffered_connection.BufferedResponse,
+        sent_at: float,
+        now: float,
+    ) -> None:
+        """Record the rate limit that a response names or leaves out."""
         value = answer.find_header(self._header_names.target_rate_limit)
         signature = answer.find_header(self._header_names.response_signature)
         # Only a signed response is sure to come from the target itself.
@@ -413,13 +433,12 @@
         self._selection.load_shedding.remove_unknown(
             set(self._targets.target_by_id)
         )
-        self.rate_limits.remove_obsolete(
-            {
-                view.incarnation_key
-                for view in self._targets.target_by_id.values()
-            },
-            self._clock.now(),
-        )
+        known = {
+            view.incarnation_key
+            for view in self._targets.target_by_id.values()
+        }
+        self.rate_limits.remove_obsolete(known, self._clock.now())
+        self.rests.remove_obsolete(known, self._clock.now())
 
     def close(self) -> None:
         """Close all idle connections."""
--- a/chicorydoor/platform/http_names.py
+++ b/chicorydoor/platform/http_names.py
@@ -16,6 +16,7 @@
     response_signature=b"response-seal",
     target_load=b"server-load",
     target_rate_limit=b"server-limit",
+    target_leaving=b"server-leaving",
     warm_up_remaining_ms=b"cold-ms",
     target_id=b"instance-id",
 )
--- a/chicorydoor/protocol/header_names.py
+++ b/chicorydoor/protocol/header_names.py
@@ -22,6 +22,8 @@
             target, as decimal numbers separated by commas.
         target_rate_limit (bytes): Requests per second, a decimal number, that
             a target accepts from all entries together while it names them.
+        target_leaving (bytes): In a response, with the value 1: the target
+            leaves.
         warm_up_remaining_ms (bytes): Remaining warm-up time of a target, in
             milliseconds.
         target_id (bytes): Id of the responding target.
@@ -41,6 +43,7 @@
     response_signature: bytes = b"x-seal"
     target_load: bytes = b"x-load"
     target_rate_limit: bytes = b"x-rate-limit"
+    target_leaving: bytes = b"x-leaving"
     warm_up_remaining_ms: bytes = b"x-cold-ms"
     target_id: bytes = b"x-target"
     send_count: bytes = b"x-chicorydoor-send-count"
--- a/chicorydoor/state/target_views.py
+++ b/chicorydoor/state/target_views.py
@@ -7,6 +7,7 @@
 
 from collections import abc
 import enum
+import logging
 import math
 
 from chicorydoor.protocol import ids
@@ -30,6 +31,9 @@
 _SILENT_AFTER_REQUESTS = 2
 
 
+_LOG = logging.getLogger(__name__)
+
+
 class Reach(enum.Enum):
     """Whether an entry can use a target, by the entry's observations.
 
@@ -68,6 +72,8 @@
             ``UNREACHABLE``), in seconds of the entry's clock.
         repeated_ejections (int): Ejections that each began shortly after the
             one before had ended.
+        has_said_leaving (bool): Whether the target has said in a response that
+            it leaves.
     """
 
     def __init__(
@@ -86,6 +92,7 @@
         self.cold_until = now + record.warm_up_remaining_s
         self.restored_at = float("-inf")
         self.repeated_ejections = 0
+        self.has_said_leaving = False
         self._other_requests = 0.0
         self._load_reported_at = float("-inf")
         self._average_latency_ratio = 1.0
@@ -367,6 +374,13 @@
         """Targets of a service that may get requests."""
         return self._usable_by_service.get(service_id, [])
 
+    def record_said_leaving(self, view: TargetView) -> None:
+        """Record that a target has said in a response that it leaves."""
+        if view.has_said_leaving:
+            return
+        view.has_said_leaving = True
+        _LOG.info("target says it leaves", extra={"target": view.target_id})
+
     def set_reach(self, view: TargetView, reach: Reach) -> None:
         """Set a target's reach."""
         if view.reach is not reach:
--- a/chicorydoor/transport/metrics.py
+++ b/chicorydoor/transport/metrics.py
@@ -105,6 +105,10 @@
     "chicorydoor_rate_limited_targets",
     "Targets that name a rate limit in their answers.",
 )
+TARGET_RESTS = prometheus_client.Counter(
+    "chicorydoor_target_rests",
+    "Times that a target asked this entry for rest.",
+)
 REQUESTS_BLOCKED = prometheus_client.Counter(
     "chicorydoor_requests_blocked",
     "Times that a request was blocked because targets ended under it.",
--- a/tests/test_call_runner.py
+++ b/tests/test_call_runner.py
@@ -14,6 +14,7 @@
 from chicorydoor.protocol import header_names
 from chicorydoor.state import request_crashes
 from chicorydoor.state import target_rate_limits
+from chicorydoor.state import target_rests
 from chicorydoor.state import target_views
 from tests.support import clocks
 from tests.support import config_builders as make
@@ -183,6 +184,7 @@
             rate_limits=target_rate_limits.TargetRateLimits(
                 "e", lambda: ["e"], lambda region: ["e"]
             ),
+            rests=target_rests.TargetRests(),
             warm_up_rate_per_s=lambda service_id: 0.0,
             names=_HEADER_NAMES,
             clock=clock,
