--- a/tests/support/scripted_target.py
+++ b/tests/support/scripted_target.py
@@ -39,10 +39,13 @@
     disconnected before the answer. ``received_headers`` holds the headers of
     each request by name, and its request line under the empty name.
     ``rate_limit`` is the value of the header that names a limit, None for no
-    such header. ``endless_bytes`` has the bytes that each endless answer sent
-    until the caller closed. A request whose path contains ``crashes_on`` ends
-    the target shortly after it arrived; ``start`` brings it back at its
-    address.
+    such header. While ``retry_after`` is set, all requests and health checks
+    are turned away with it; ``turned_away_at`` has their times.
+    ``says_leaving`` adds the header with which a target says that it leaves.
+    ``arrived_at`` has the time of each request. ``endless_bytes`` has the
+    bytes that each endless answer sent until the caller closed. A request
+    whose path contains ``crashes_on`` ends the target shortly after it
+    arrived; ``start`` brings it back at its address.
 
     Args:
         name (str): Body of its answers. Defaults to "t".
@@ -58,6 +61,10 @@
         self.work_s = 0.0
         self.endless_bytes = []
         self.rate_limit = None
+        self.retry_after = None
+        self.turned_away_at = []
+        self.says_leaving = False
+        self.arrived_at = []
         self.crashes_on = b"/crash"
         self.crash_times = []
         self.on_crash = lambda target: None
@@ -114,9 +121,14 @@
         head[b""] = head_lines[0]
         length = int(head.get(b"content-length", b"0"))
         body = await reader.readexactly(length)
+        if self.retry_after is not None:
+            self.turned_away_at.append(asyncio.get_running_loop().time())
+            writer.write(_ANSWER_WITH_REST % self.retry_after)
+            return True
         if head_lines[0].startswith(b"GET /health"):
             writer.write(self.health_answer)
             return True
+        self.arrived_at.append(asyncio.get_running_loop().time())
         self.received_headers.append(head)
         self.received_bodies.append(body)
         if self.crashes_on in head_lines[0]:
@@ -153,9 +165,9 @@
             request_id, self.name.encode()
         )
         if self.rate_limit is not None:
-            status_line, rest = answer.split(b"\r\n", 1)
-            limit = b"server-limit: " + self.rate_limit
-            answer = b"\r\n".join((status_line, limit, rest))
+            answer = _add_header(answer, b"server-limit: " + self.rate_limit)
+        if self.says_leaving:
+            answer = _add_header(answer, b"server-leaving: 1")
         writer.write(answer)
         await writer.drain()
         return True
@@ -185,6 +197,17 @@
         return True
 
 
+_ANSWER_WITH_REST = (
+    b"HTTP/1.1 503 No\r\nnot-executed: 1\r\nretry-after: %s\r\n"
+    b"content-length: 0\r\n\r\n"
+)
+
+
+def _add_header(answer, line):
+    status_line, rest = answer.split(b"\r\n", 1)
+    return b"\r\n".join((status_line, line, rest))
+
+
 def _answer(request_id, body, status=b"200 OK", extra_headers=b""):
     head = b"HTTP/1.1 %s\r\nrequest-id: %s\r\nresponse-seal: s\r\n%s"
     head += b"server-load: 1,0,4\r\ncontent-length: %d\r\n\r\n"
