Send nothing to a target for as long as it asked for rest

state/send_permits.py now decides for each way in which an entry sends (first attempts, retries, first and cold requests, probes) whether a target may get anything: rests, rate limits and cold starts together. A request that was chosen before the target asked is not sent either. If all targets of a request rest, it is refused at once as not run, until the first rest ends plus a random part.

The tests of target selection, prober and sender build the permits instead of the single limits; their checks are unchanged.

--- a/bench/fleet_control.py
+++ b/bench/fleet_control.py
@@ -15,9 +15,12 @@
 from chicorydoor.protocol import gossip_messages
 from chicorydoor.protocol import ids
 from chicorydoor.protocol import serving_config
+from chicorydoor.state import cold_start_limits
 from chicorydoor.state import fleet_view
 from chicorydoor.state import rate_shares
+from chicorydoor.state import send_permits
 from chicorydoor.state import target_rate_limits
+from chicorydoor.state import target_rests
 from chicorydoor.state import target_views
 
 _REPETITION_COUNT = 300
@@ -138,10 +141,16 @@
         targets=targets,
         region=ids.RegionId("r0"),
         round_trip_s=lambda region: 0.001 if region == "r0" else 0.1,
-        may_send_cold=lambda view: True,
         may_send_first=lambda view: True,
-        rate_limits=target_rate_limits.TargetRateLimits(
-            ids.InstanceId("e"), lambda: ["e"], lambda region: ["e"]
+        permits=send_permits.SendPermits(
+            target_rests.TargetRests(),
+            target_rate_limits.TargetRateLimits(
+                ids.InstanceId("e"), lambda: ["e"], lambda region: ["e"]
+            ),
+            cold_start_limits.ColdStartLimits(
+                ids.InstanceId("e"), lambda: ["e"]
+            ),
+            lambda service_id: 0.0,
         ),
         rng=random.Random(1),
     )
--- a/chicorydoor/compose_fleet.py
+++ b/chicorydoor/compose_fleet.py
@@ -43,6 +43,7 @@
 from chicorydoor.state import fleet_view
 from chicorydoor.state import rate_shares
 from chicorydoor.state import request_crashes
+from chicorydoor.state import send_permits
 from chicorydoor.state import service_reach
 from chicorydoor.state import service_retry_budget
 from chicorydoor.state import store_mirror
@@ -206,18 +207,20 @@
             self._known_instances,
             self.fleet.region_instances,
         )
-        self.rests = target_rests.TargetRests()
+        permits = send_permits.SendPermits(
+            target_rests.TargetRests(),
+            self.rate_limits,
+            self.cold_limits,
+            self._warm_up_rate_per_s,
+        )
         self.selection = target_selection.TargetSelection(
             targets=self.targets,
             region=self.settings.region,
             round_trip_s=self.round_trip_times.round_trip_s,
-            may_send_cold=lambda view: self.cold_limits.may_send(
-                view.target_id, self.clock.now()
-            ),
             may_send_first=lambda view: first_senders.includes_this_entry(
                 view.target_id
             ),
-            rate_limits=self.rate_limits,
+            permits=permits,
             rng=self.rng,
         )
         self.crashes = request_crashes.RequestCrashes(
@@ -226,10 +229,7 @@
         self.sender = target_sender.TargetSender(
             targets=self.targets,
             selection=self.selection,
-            cold_limits=self.cold_limits,
-            rate_limits=self.rate_limits,
-            rests=self.rests,
-            warm_up_rate_per_s=self._warm_up_rate_per_s,
+            permits=permits,
             names=http_names.HEADER_NAMES,
             clock=self.clock,
             crashes=self.crashes,
--- a/chicorydoor/coordination/call_runner.py
+++ b/chicorydoor/coordination/call_runner.py
@@ -285,11 +285,13 @@
         return choice
 
     def _refuse_without_target(self, now: float) -> request_types.RefusedError:
-        if self._runner.selection.is_rate_limited(self._constraints, now):
+        rest_s = self._runner.selection.find_rest_s(self._constraints, now)
+        if rest_s is not None:
             return request_types.RefusedError(
                 _CODES.NO_CAPACITY,
-                "all targets that may serve it are at the limits they named",
-                retry_after_s=_OVERLOAD_RETRY_AFTER_S,
+                "all targets that may serve it are at rest or at the limits "
+                "they named",
+                retry_after_s=rest_s or _OVERLOAD_RETRY_AFTER_S,
             )
         return request_types.RefusedError(
             _CODES.NO_TARGET, retry_after_s=_NO_TARGET_RETRY_AFTER_S
--- a/chicorydoor/coordination/target_prober.py
+++ b/chicorydoor/coordination/target_prober.py
@@ -256,10 +256,10 @@
         )
         if service is None:
             return
-        rate_limits, now = self._sender.rate_limits, self._clock.now()
-        if not rate_limits.may_send(view.incarnation_key, view.region, now):
+        permits, now = self._sender.permits, self._clock.now()
+        if not permits.may_probe(view, now):
             return
-        rate_limits.record_sent(view.incarnation_key, now)
+        permits.record_probe(view, now)
         metrics.PROBES.inc()
         request = b"\r\n".join(
             [
--- a/chicorydoor/coordination/target_selection.py
+++ b/chicorydoor/coordination/target_selection.py
@@ -27,7 +27,7 @@
 from chicorydoor.state import object_load_shedding
 from chicorydoor.state import processing_times
 from chicorydoor.state import rendezvous
-from chicorydoor.state import target_rate_limits
+from chicorydoor.state import send_permits
 from chicorydoor.state import target_views
 
 # Targets that are scored from the object's ranking in the entry's own region,
@@ -49,6 +49,10 @@
 # A region has homes for a fraction of the objects: this factor times its slots
 # over the mean slots of a region, at most all objects.
 _HOME_CAPACITY_FACTOR = 1.3
+# Callers that are refused until a rest ends return within this fraction of it
+# after its end, at least within the seconds below.
+_REST_JITTER = 0.3
+_MIN_REST_JITTER_S = 0.5
 _HASH_RANGE = float(2**64)
 _MAX_CACHED_CANDIDATE_SETS = 50_000
 
@@ -147,11 +151,9 @@
         region (str): The entry's region.
         round_trip_s (callable): Returns the round-trip time to a region in
             seconds.
-        may_send_cold (callable): Returns whether this entry may send one
-            more request to a cold target now.
         may_send_first (callable): Returns whether this entry may send a new
             target its first request ahead of better targets.
-        rate_limits (TargetRateLimits): The limits that targets name.
+        permits (SendPermits): Decides whether targets may get anything.
         rng (Random): Source of random numbers.
     """
 
@@ -161,17 +163,15 @@
         targets: target_views.TargetViews,
         region: ids.RegionId,
         round_trip_s: abc.Callable[[ids.RegionId], float],
-        may_send_cold: abc.Callable[[target_views.TargetView], bool],
         may_send_first: abc.Callable[[target_views.TargetView], bool],
-        rate_limits: target_rate_limits.TargetRateLimits,
+        permits: send_permits.SendPermits,
         rng: random.Random,
     ) -> None:
         self._targets = targets
         self._region = region
         self.round_trip_s = round_trip_s
-        self._may_send_cold = may_send_cold
         self._may_send_first = may_send_first
-        self._rate_limits = rate_limits
+        self._permits = permits
         self._rng = rng
         self.cache_index = object_cache_index.ObjectCacheIndex()
         self.processing_times = processing_times.ProcessingTimes()
@@ -206,20 +206,33 @@
         all_allowed = _CandidateSet(self._allowed_views(constraints))
         return self._best_choice(constraints, all_allowed, now, excluded)
 
-    def is_rate_limited(
+    def find_rest_s(
         self, constraints: TargetConstraints, now: float
-    ) -> bool:
-        """Whether a request fits into no limit of the targets that it may use.
+    ) -> float | None:
+        """Return the time until one of the targets takes requests again.
 
         Args:
             constraints (TargetConstraints): Where the request may be sent.
             now (float): Current time in seconds.
+
+        Returns:
+            Seconds with a random part, so that callers do not all return at
+            once; 0 if only rate limits prevent sending; None if some target
+            may get a request now or there is none.
         """
         views = self._allowed_views(constraints)
-        return bool(views) and not any(
-            self._rate_limits.may_send(view.incarnation_key, view.region, now)
+        if not views or any(
+            self._permits.may_probe(view, now) for view in views
+        ):
+            return None
+        if not all(self._permits.is_at_rest(view, now) for view in views):
+            return 0.0
+        rest_s = min(
+            self._permits.rests.ends_at(view.incarnation_key) - now
             for view in views
         )
+        jitter_s = max(_MIN_REST_JITTER_S, _REST_JITTER * rest_s)
+        return rest_s + jitter_s * self._rng.random()
 
     def should_shed(
         self,
@@ -272,11 +285,7 @@
             score = self._score(constraints, candidate_set, choice)
             if best is not None and score >= best_score:
                 continue
-            if choice.is_cold and not self._may_send_cold(view):
-                continue
-            if not self._rate_limits.may_send(
-                view.incarnation_key, view.region, now
-            ):
+            if not self._permits.may_send(view, now):
                 continue
             best, best_score = choice, score
         return best
@@ -339,7 +348,8 @@
         other regions.
         """
         for view in candidate_set.substitutes:
-            if self._rate_limits.rate_per_s(view.incarnation_key) is None:
+            rate_limits = self._permits.rate_limits
+            if rate_limits.rate_per_s(view.incarnation_key) is None:
                 return view
         return None
 
@@ -406,7 +416,7 @@
             processing_s,
             is_cached,
             is_cold,
-            self._rate_limits.rate_per_s(view.incarnation_key),
+            self._permits.rate_limits.rate_per_s(view.incarnation_key),
         )
 
     def _allowed_views(
--- a/chicorydoor/coordination/target_sender.py
+++ b/chicorydoor/coordination/target_sender.py
@@ -17,11 +17,9 @@
 from chicorydoor.protocol import admitted_request
 from chicorydoor.protocol import header_names
 from chicorydoor.protocol import ids
-from chicorydoor.state import cold_start_limits
 from chicorydoor.state import idle_limit
 from chicorydoor.state import request_crashes
-from chicorydoor.state import target_rate_limits
-from chicorydoor.state import target_rests
+from chicorydoor.state import send_permits
 from chicorydoor.state import target_views
 from chicorydoor.transport import buffered_connection
 from chicorydoor.transport import clock as clock_module
@@ -90,11 +88,8 @@
         targets (TargetViews): The known targets.
         selection (TargetSelection): Records cached objects and service
             times for later choices.
-        cold_limits (ColdStartLimits): Counts requests to cold targets.
-        rate_limits (TargetRateLimits): Learns the limits that targets name.
-        rests (TargetRests): Learns which targets asked for rest.
-        warm_up_rate_per_s (callable): Returns the requests per second that a
-            cold target of a service can take.
+        permits (SendPermits): Learns what targets ask for, and decides whether
+            they may get anything.
         names (HeaderNames): Header names.
         clock (Clock): Source of time.
         crashes (RequestCrashes): Learns which requests were lost with their
@@ -113,10 +108,7 @@
         *,
         targets: target_views.TargetViews,
         selection: target_selection.TargetSelection,
-        cold_limits: cold_start_limits.ColdStartLimits,
-        rate_limits: target_rate_limits.TargetRateLimits,
-        rests: target_rests.TargetRests,
-        warm_up_rate_per_s: abc.Callable[[ids.ServiceId], float],
+        permits: send_permits.SendPermits,
         names: header_names.HeaderNames,
         clock: clock_module.Clock,
         crashes: request_crashes.RequestCrashes,
@@ -127,10 +119,7 @@
     ) -> None:
         self._targets = targets
         self._selection = selection
-        self._cold_limits = cold_limits
-        self.rate_limits = rate_limits
-        self.rests = rests
-        self._warm_up_rate_per_s = warm_up_rate_per_s
+        self.permits = permits
         self._header_names = names
         self._clock = clock
         self._crashes = crashes
@@ -156,11 +145,7 @@
             choice (SelectedTarget): The target with its estimates.
         """
         view = choice.target
-        now = self._clock.now()
-        if choice.is_cold:
-            rate = self._warm_up_rate_per_s(view.record.service_id)
-            self._cold_limits.record_sent(view.target_id, rate, now)
-        self.rate_limits.record_sent(view.incarnation_key, now)
+        self.permits.record_request(view, self._clock.now())
         object_id = (call.route.route_id, call.affinity_key)
         view.own_requests_in_flight += 1
         view.has_received_requests = True
@@ -196,10 +181,12 @@
             )
         started_at = self._clock.now()
         remaining_s = call.deadline - started_at - RESPONSE_MARGIN_S
-        if remaining_s <= 0:
+        is_at_rest = self.permits.is_at_rest(view, started_at)
+        if remaining_s <= 0 or is_at_rest:
             pool.release(connection, view.record.slots)
+            reason = "at rest" if is_at_rest else "no time left"
             return SendResult(
-                SendOutcome.NOT_SENT, view.target_id, reason="no time left"
+                SendOutcome.NOT_SENT, view.target_id, reason=reason
             )
         request = admitted_request.encode_request(
             call, self._header_names, view.target_id, remaining_s
@@ -362,7 +349,9 @@
         self._record_rate_limit(view, answer, sent_at, now)
         rest = answer.find_header(b"retry-after")
         if answer.status == _UNAVAILABLE and rest is not None:
-            self.rests.record_request_for_rest(view.incarnation_key, rest, now)
+            self.permits.rests.record_request_for_rest(
+                view.incarnation_key, rest, now
+            )
         if answer.find_header(self._header_names.target_leaving) == b"1":
             self._targets.record_said_leaving(view)
 
@@ -379,7 +368,7 @@
         # Only a signed response is sure to come from the target itself.
         if value is None and signature is None:
             return
-        self.rate_limits.record_response(
+        self.permits.rate_limits.record_response(
             view.incarnation_key, value, sent_at, now
         )
 
@@ -420,8 +409,8 @@
     def close_unused(self) -> None:
         """Close connections to targets that get no more requests.
 
-        Also removes the load shedding state and the rate limits of unknown
-        targets.
+        Also removes the load shedding state of unknown targets and what they
+        asked for.
         """
         in_use = {
             view.incarnation_key
@@ -437,8 +426,7 @@
             view.incarnation_key
             for view in self._targets.target_by_id.values()
         }
-        self.rate_limits.remove_obsolete(known, self._clock.now())
-        self.rests.remove_obsolete(known, self._clock.now())
+        self.permits.remove_obsolete(known, self._clock.now())
 
     def close(self) -> None:
         """Close all idle connections."""
--- a/chicorydoor/model/model_fleet.py
+++ b/chicorydoor/model/model_fleet.py
@@ -16,8 +16,11 @@
 from chicorydoor.model import scenario as scenario_module
 from chicorydoor.protocol import ids
 from chicorydoor.protocol import serving_config
+from chicorydoor.state import cold_start_limits
 from chicorydoor.state import designated_entries
+from chicorydoor.state import send_permits
 from chicorydoor.state import target_rate_limits
+from chicorydoor.state import target_rests
 from chicorydoor.state import target_views
 
 _SAME_REGION_RTT_S = 0.002
@@ -91,11 +94,17 @@
             targets=self.targets,
             region=region,
             round_trip_s=self.round_trip_s,
-            may_send_cold=lambda view: True,
             may_send_first=lambda view: designated.includes_this_entry(
                 view.target_id
             ),
-            rate_limits=self.rate_limits,
+            permits=send_permits.SendPermits(
+                target_rests.TargetRests(),
+                self.rate_limits,
+                cold_start_limits.ColdStartLimits(
+                    instance, lambda: all_instances
+                ),
+                lambda service_id: 0.0,
+            ),
             rng=rng,
         )
 
--- a/tests/test_call_runner.py
+++ b/tests/test_call_runner.py
@@ -13,6 +13,7 @@
 from chicorydoor.protocol import admitted_request
 from chicorydoor.protocol import header_names
 from chicorydoor.state import request_crashes
+from chicorydoor.state import send_permits
 from chicorydoor.state import target_rate_limits
 from chicorydoor.state import target_rests
 from chicorydoor.state import target_views
@@ -56,8 +57,8 @@
             _build_selected_target(self._names.pop(0)) if self._names else None
         )
 
-    def is_rate_limited(self, constraints, now):
-        return False
+    def find_rest_s(self, constraints, now):
+        return None
 
     def should_shed(self, constraints, choice, now):
         return False
@@ -180,12 +181,14 @@
         sender = target_sender.TargetSender(
             targets=None,
             selection=None,
-            cold_limits=None,
-            rate_limits=target_rate_limits.TargetRateLimits(
-                "e", lambda: ["e"], lambda region: ["e"]
+            permits=send_permits.SendPermits(
+                target_rests.TargetRests(),
+                target_rate_limits.TargetRateLimits(
+                    "e", lambda: ["e"], lambda region: ["e"]
+                ),
+                None,
+                None,
             ),
-            rests=target_rests.TargetRests(),
-            warm_up_rate_per_s=lambda service_id: 0.0,
             names=_HEADER_NAMES,
             clock=clock,
             crashes=None,
--- a/tests/test_target_prober.py
+++ b/tests/test_target_prober.py
@@ -10,7 +10,9 @@
 from chicorydoor.coordination import target_prober
 from chicorydoor.protocol import header_names
 from chicorydoor.protocol import serving_config
+from chicorydoor.state import send_permits
 from chicorydoor.state import target_rate_limits
+from chicorydoor.state import target_rests
 from chicorydoor.state import target_views
 from tests.support import clocks
 from tests.support import config_builders as make
@@ -81,7 +83,10 @@
         prober = target_prober.TargetProber(
             None,
             types.SimpleNamespace(
-                rate_limits=limits, connection_pool=count_probe
+                permits=send_permits.SendPermits(
+                    target_rests.TargetRests(), limits, None, None
+                ),
+                connection_pool=count_probe,
             ),
             active_config,
             header_names.HeaderNames(),
--- a/tests/test_target_selection.py
+++ b/tests/test_target_selection.py
@@ -2,10 +2,13 @@
 
 import collections
 import random
+import types
 
 from chicorydoor.coordination import target_selection
 from chicorydoor.state import designated_entries
+from chicorydoor.state import send_permits
 from chicorydoor.state import target_rate_limits
+from chicorydoor.state import target_rests
 from chicorydoor.state import target_views
 from tests.support import config_builders as make
 
@@ -38,11 +41,17 @@
             targets=self.targets,
             region=region,
             round_trip_s=round_trip_s_by_region.__getitem__,
-            may_send_cold=lambda view: self.cold_allowed,
             may_send_first=lambda view: designated.includes_this_entry(
                 view.target_id
             ),
-            rate_limits=self.rate_limits,
+            permits=send_permits.SendPermits(
+                target_rests.TargetRests(),
+                self.rate_limits,
+                types.SimpleNamespace(
+                    may_send=lambda target_id, now: self.cold_allowed
+                ),
+                lambda service_id: 0.0,
+            ),
             rng=random.Random(1),
         )
         for view in self.targets.target_by_id.values():
