Send no further requests to targets that say that they leave

A target that says in its responses that it leaves, while its registration still said ready, got requests for as long as it was registered. Cause: only the registration was read. Each entry now stops at the first such response, from a request or a probe, and remembers the incarnation, also if its registration lapses and returns. TestLeaving of test_target_announcements.py failed before and passes.

--- a/chicorydoor/state/target_views.py
+++ b/chicorydoor/state/target_views.py
@@ -30,6 +30,9 @@
 # Consecutive unanswered requests after which a target counts as silent.
 _SILENT_AFTER_REQUESTS = 2
 
+# Incarnations that are remembered to have said that they leave, several
+# replacements of all targets of a large deployment.
+_MAX_LEAVING = 10_000
 
 _LOG = logging.getLogger(__name__)
 
@@ -105,7 +108,10 @@
     @property
     def is_leaving(self) -> bool:
         """Whether the target leaves and gets no further requests."""
-        return self.record.lifecycle is serving_config.TargetLifecycle.LEAVING
+        return (
+            self.has_said_leaving
+            or self.record.lifecycle is serving_config.TargetLifecycle.LEAVING
+        )
 
     @property
     def incarnation_key(self) -> tuple[ids.TargetId, int]:
@@ -287,6 +293,9 @@
         self.target_by_id: dict[ids.TargetId, TargetView] = {}
         self.evacuated_domains: set[ids.DomainId] = set()
         self._usable_by_service: dict[ids.ServiceId, list[TargetView]] = {}
+        # Outlive the views: a registration may lapse and return. Those that
+        # said it first come first.
+        self._said_leaving: dict[ids.TargetIncarnation, None] = {}
         self.generation = 0
 
     def add_or_update(
@@ -304,6 +313,7 @@
                 record.domain, ids.RegionId("")
             )
             view = TargetView(record, region, now)
+            view.has_said_leaving = view.incarnation_key in self._said_leaving
             self.target_by_id[record.target_id] = view
         else:
             _apply_record(view, record, now)
@@ -379,6 +389,10 @@
         if view.has_said_leaving:
             return
         view.has_said_leaving = True
+        self._said_leaving[view.incarnation_key] = None
+        if len(self._said_leaving) > _MAX_LEAVING:
+            del self._said_leaving[next(iter(self._said_leaving))]
+        self.rebuild_index()
         _LOG.info("target says it leaves", extra={"target": view.target_id})
 
     def set_reach(self, view: TargetView, reach: Reach) -> None:
