Reproduce a request that ends its targets silently; list the test

A target whose listening socket refuses while its connections stay open, without an answer: the request that ends it arrives 14 times later than 4 s after the third, allowed 3. The callers of these tests no longer wait for one answer before the next call, since the answers now take until the deadline.

--- a/tests/support/scripted_target.py
+++ b/tests/support/scripted_target.py
@@ -67,6 +67,8 @@
         self.arrived_at = []
         self.crashes_on = b"/crash"
         self.crash_times = []
+        self.crashes_silently = False
+        self._silent_writers = set()
         self.on_crash = lambda target: None
         self.health_answer = b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n"
         self.address = ""
@@ -82,16 +84,25 @@
         return self
 
     def crash(self):
-        """End as a process does that is killed: all sockets close."""
+        """End as a process does that is killed: all sockets close.
+
+        With ``crashes_silently`` open connections stay, without an answer.
+        """
         self.crash_times.append(asyncio.get_running_loop().time())
         self._server.close()
         for writer in list(self._writers):
-            writer.transport.abort()
+            if self.crashes_silently:
+                writer.transport.pause_reading()
+            else:
+                writer.transport.abort()
+        if self.crashes_silently:
+            self._silent_writers |= self._writers
+            self._writers = set()
         self.on_crash(self)
 
     async def stop(self):
         self._server.close()
-        for writer in list(self._writers):
+        for writer in self._writers | self._silent_writers:
             writer.transport.abort()
         await asyncio.sleep(0)
 
@@ -134,6 +145,8 @@
         if self.crashes_on in head_lines[0]:
             await asyncio.sleep(_CRASH_AFTER_S)
             self.crash()
+            if self.crashes_silently:
+                await asyncio.Event().wait()
             return False
         behaviour = (
             self.behaviours.pop(0)
--- a/tests/test_platform_entry.py
+++ b/tests/test_platform_entry.py
@@ -504,15 +504,20 @@
     async def _call_both_entries(self, cluster, path, seconds):
         answers = []
         for number in range(int(seconds / 0.2)):
-            answers.append(await cluster.call(path=path, entry=number % 2))
+            answers.append(
+                asyncio.create_task(cluster.call(path=path, entry=number % 2))
+            )
             await asyncio.sleep(0.2)
-        return answers
+        return await asyncio.gather(*answers)
 
     # Guards against a request that ends its targets being sent again whenever
-    # a caller repeats it, at any entry.
-    def test_request_that_ended_three_targets_is_not_sent_on(self):
+    # a caller repeats it, at any entry, also if its connections stay open.
+    @pytest.mark.parametrize("is_silent", [False, True])
+    def test_request_that_ended_three_targets_is_not_sent_on(self, is_silent):
         async def scenario(cluster):
             self._restart_crashed(cluster)
+            for target in cluster.targets:
+                target.crashes_silently = is_silent
             await self._call_both_entries(cluster, "/read/crash", 9.0)
             crash_times = sorted(
                 at for target in cluster.targets for at in target.crash_times
