Block requests that end their targets without closing connections

Cause: only broken connections counted as lost. A response that is missing at the deadline now counts too, if the target ended after the request had been sent, and a target that let a deadline pass is checked for whether it still listens.

--- a/chicorydoor/coordination/target_sender.py
+++ b/chicorydoor/coordination/target_sender.py
@@ -98,7 +98,7 @@
             answer, and the reason.
         on_refused (callable): Called with a target that refused a connection.
         on_connection_lost (callable): Called with a target that broke a
-            connection before it had responded.
+            connection, or let the deadline pass, before it had responded.
         on_round_trip (callable): Called with a region and the seconds that
             opening a connection to it took.
     """
@@ -197,20 +197,34 @@
                     request, call.request_id, call.method == b"HEAD"
                 )
         except TimeoutError:
-            return self._record_timeout(view, started_at)
+            return self._record_timeout(call, view, started_at)
         except errors.TargetError as error:
             self._record_idle_loss(view, connection, error, started_at)
-            return self._record_broken_connection(call, view, error)
+            return self._record_broken_connection(
+                call, view, error, started_at
+            )
         pool.release(connection, view.record.slots)
         return self._evaluate_answer(call, choice, answer, started_at)
 
     def _record_timeout(
-        self, view: target_views.TargetView, sent_at: float
+        self,
+        call: admitted_request.AdmittedRequest,
+        view: target_views.TargetView,
+        sent_at: float,
     ) -> SendResult:
-        """Record that no response arrived in time."""
+        """Record that no response arrived in time.
+
+        The target may have ended without closing its connections.
+        """
         reason = "no answer in time"
-        if view.record_unanswered(sent_at, self._clock.now()):
+        now = self._clock.now()
+        self._crashes.record_lost(
+            call.fingerprint, view.incarnation_key, sent_at, now
+        )
+        if view.record_unanswered(sent_at, now):
             self._on_unreachable(view, reason)
+        else:
+            self._on_connection_lost(view)
         return SendResult(SendOutcome.UNKNOWN, view.target_id, reason=reason)
 
     def _record_broken_connection(
@@ -218,6 +232,7 @@
         call: admitted_request.AdmittedRequest,
         view: target_views.TargetView,
         error: errors.TargetError,
+        sent_at: float,
     ) -> SendResult:
         """Record that the connection ended.
 
@@ -227,7 +242,7 @@
         view.record_broken_connection(now)
         if error.may_have_been_sent:
             self._crashes.record_lost(
-                call.fingerprint, view.incarnation_key, now
+                call.fingerprint, view.incarnation_key, sent_at, now
             )
             self._on_connection_lost(view)
         if error.is_tcp_timeout:
--- a/chicorydoor/state/request_crashes.py
+++ b/chicorydoor/state/request_crashes.py
@@ -1,10 +1,11 @@
 """Requests that end the targets that run them.
 
 A caller may repeat such a request under new ids at any entry, so it is known
-by its fingerprint (``AdmittedRequest.fingerprint``). A request whose
-connection broke without a response is suspected of the end of its target once
-that target refuses connections. A request under which several targets have
-ended, and that no target has ever answered, is blocked: no entry sends it.
+by its fingerprint (``AdmittedRequest.fingerprint``). A request that got no
+response, because its connection broke or stayed silent, is suspected of the
+end of its target once that target refuses connections. A request under which
+several targets have ended, and that no target has ever answered, is blocked:
+no entry sends it.
 
 Other requests are lost with the same targets. One that is repeated has been
 answered before or is answered next time, which clears it. The entries tell
@@ -29,6 +30,9 @@
 # A target refuses connections within a round trip after it has ended; a
 # request that was lost earlier has another cause.
 _LOSS_TO_END_S = 2.0
+# The end of a target is remembered for as long as requests that were under way
+# may still wait for its response; routes have timeouts of a few seconds.
+_ENDED_LIFETIME_S = 30.0
 # A suspected request is forgotten if no target ended under it for this long.
 # As long, an answer shows that a request is not the cause.
 _SUSPECT_LIFETIME_S = 600.0
@@ -169,11 +173,21 @@
         self,
         fingerprint: Fingerprint,
         incarnation: ids.TargetIncarnation,
+        sent_at: float,
         now: float,
     ) -> None:
-        """Record that a request's connection broke without a response."""
+        """Record that a request ended without a response.
+
+        Args:
+            fingerprint (bytes): The request's fingerprint.
+            incarnation (tuple): The target's incarnation.
+            sent_at (float): When the request was sent, in seconds.
+            now (float): Current time in seconds.
+        """
         ended_at = self._ended_at_by_incarnation.get(incarnation)
-        if ended_at is not None and now - ended_at <= _LOSS_TO_END_S:
+        if ended_at is not None and (
+            sent_at <= ended_at or now - ended_at <= _LOSS_TO_END_S
+        ):
             self._add_ended(fingerprint, {incarnation}, now, now)
             return
         lost = self._lost_by_incarnation.setdefault(incarnation, {})
@@ -297,7 +311,7 @@
         for incarnation, lost in list(self._lost_by_incarnation.items()):
             if now - max(lost.values()) > _LOSS_TO_END_S:
                 del self._lost_by_incarnation[incarnation]
-        _remove_older(self._ended_at_by_incarnation, now - _LOSS_TO_END_S)
+        _remove_older(self._ended_at_by_incarnation, now - _ENDED_LIFETIME_S)
         _remove_older(self._cleared_at, now - _SUSPECT_LIFETIME_S)
 
 
--- a/tests/test_blocked_request_records.py
+++ b/tests/test_blocked_request_records.py
@@ -62,7 +62,7 @@
 
 def _block(crashes):
     for number in range(3):
-        crashes.record_lost(_DEADLY, (f"t{number}", 1), 0.0)
+        crashes.record_lost(_DEADLY, (f"t{number}", 1), 0.0, 0.0)
         crashes.record_ended((f"t{number}", 1), 0.0)
 
 
--- a/tests/test_request_crashes.py
+++ b/tests/test_request_crashes.py
@@ -16,7 +16,7 @@
 def _end_target(crashes, fingerprint, number, now):
     """The target of this number ends under a request."""
     incarnation = (f"t{number}", 1)
-    crashes.record_lost(fingerprint, incarnation, now)
+    crashes.record_lost(fingerprint, incarnation, now, now)
     crashes.record_ended(incarnation, now + 0.1)
 
 
@@ -37,9 +37,27 @@
         for number in range(3):
             incarnation = (f"t{number}", 1)
             crashes.record_ended(incarnation, 1.0)
-            crashes.record_lost(_DEADLY, incarnation, 1.1)
+            crashes.record_lost(_DEADLY, incarnation, 1.1, 1.1)
         assert not crashes.may_send(_DEADLY, 2.0)
 
+    # Guards against a request that ends its targets silently: its connections
+    # stay open until its deadline, long after they refuse new ones.
+    def test_response_missing_until_the_deadline_counts(self):
+        crashes = _build()
+        for number in range(3):
+            incarnation = (f"t{number}", 1)
+            crashes.record_ended(incarnation, 1.0)
+            crashes.record_lost(_DEADLY, incarnation, 0.9, 6.0)
+        assert not crashes.may_send(_DEADLY, 7.0)
+
+    def test_requests_sent_long_after_the_end_of_a_target_do_not_count(self):
+        crashes = _build()
+        for number in range(3):
+            incarnation = (f"t{number}", 1)
+            crashes.record_ended(incarnation, 1.0)
+            crashes.record_lost(_DEADLY, incarnation, 4.0, 6.0)
+        assert crashes.may_send(_DEADLY, 7.0)
+
     def test_one_target_that_fails_often_blocks_nothing(self):
         crashes = _build()
         for now in range(10):
@@ -49,7 +67,7 @@
     def test_lost_connections_of_running_targets_block_nothing(self):
         crashes = _build()
         for number in range(10):
-            crashes.record_lost(_DEADLY, (f"t{number}", 1), 1.0)
+            crashes.record_lost(_DEADLY, (f"t{number}", 1), 1.0, 1.0)
         crashes.record_ended(("t1", 1), 10.0)
         assert crashes.may_send(_DEADLY, 10.0)
 
@@ -98,7 +116,7 @@
         for number in range(20_000):
             fingerprint = b"%d" % number
             _end_target(crashes, fingerprint, number, 1.0)
-            crashes.record_lost(fingerprint, ("t", 1), 1.0)
+            crashes.record_lost(fingerprint, ("t", 1), 1.0, 1.0)
         assert len(crashes._suspect_by_fingerprint) == 4096
         assert len(crashes._lost_by_incarnation["t", 1]) == 256
         assert not crashes.may_send(_DEADLY, 2.0)
