Cut entries from all targets in the soak; test which peers get relays

The soak's proxies find the connections of an entry by its process's ports and drop their bytes. They still accept connections, so the entry finds the cut by missing answers only.

--- a/chicorydoor/soak/loopback_proxy.py
+++ b/chicorydoor/soak/loopback_proxy.py
@@ -1,6 +1,7 @@
 """A TCP proxy on loopback that delays, drops or resets connections."""
 
 import asyncio
+from collections import abc
 import contextlib
 import enum
 
@@ -48,6 +49,8 @@
         self._own_port = port_allocation.allocate_ports(1)[0]
         self.endpoint = f"127.0.0.1:{self._own_port}"
         self._mode = ProxyMode.OPEN
+        self._find_cut_ports: abc.Callable[[], set[int]] = set
+        self._cut_ports: set[int] = set()
         self._writers: set[asyncio.StreamWriter] = set()
         self._server: asyncio.Server | None = None
         self._abort_task: asyncio.Task | None = None
@@ -74,6 +77,18 @@
         ):
             self._abort_task = asyncio.create_task(self._abort_repeatedly())
 
+    def cut_sources(self, find_ports: abc.Callable[[], set[int]]) -> None:
+        """Drop the bytes of some sources' connections, in both directions.
+
+        A connection that was cut once stays so.
+
+        Args:
+            find_ports (callable): Returns the source ports to cut; called now
+                and for each new connection.
+        """
+        self._find_cut_ports = find_ports
+        self._cut_ports |= find_ports()
+
     async def _abort_repeatedly(self) -> None:
         while self._mode is ProxyMode.RESET:
             self._abort_connections()
@@ -93,9 +108,16 @@
             writer.transport.abort()
             return
         self._writers |= {writer, upstream[1]}
+        source_port = writer.get_extra_info("peername")[1]
+        self._cut_ports.discard(source_port)
+        self._cut_ports |= {source_port} & self._find_cut_ports()
         relays = [
-            asyncio.create_task(self._relay(reader, upstream[1], False)),
-            asyncio.create_task(self._relay(upstream[0], writer, True)),
+            asyncio.create_task(
+                self._relay(reader, upstream[1], source_port, False)
+            ),
+            asyncio.create_task(
+                self._relay(upstream[0], writer, source_port, True)
+            ),
         ]
         try:
             await asyncio.wait(relays, return_when=asyncio.FIRST_COMPLETED)
@@ -110,12 +132,15 @@
         self,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
+        source_port: int,
         is_answer: bool,
     ) -> None:
         has_lost_bytes = False
         with contextlib.suppress(ConnectionError):
             while data := await reader.read(_CHUNK_BYTES):
-                has_lost_bytes |= self._drops(is_answer)
+                has_lost_bytes |= (
+                    self._drops(is_answer) or source_port in self._cut_ports
+                )
                 if has_lost_bytes:
                     continue
                 if self._mode is ProxyMode.SLOW:
--- a/chicorydoor/soak/soak_faults.py
+++ b/chicorydoor/soak/soak_faults.py
@@ -7,11 +7,13 @@
 
 import asyncio
 from collections import abc
+import functools
 import random
 import signal
 
 from chicorydoor.policies import registry
 from chicorydoor.soak import loopback_proxy
+from chicorydoor.soak import process_ports
 from chicorydoor.soak import soak_site
 from chicorydoor.standins import platform_site
 from chicorydoor.standins import platform_store
@@ -97,6 +99,23 @@
     await _disturb_links([site.proxy_by_target[name]], rng)
 
 
+@FAULTS.register("entry-cut-from-targets")
+async def _cut_entry_from_targets(
+    site: soak_site.SoakSite, rng: random.Random
+) -> None:
+    entry = _pick_running_entry(site, rng)
+    if entry is None:
+        return
+    with entry.reserve():
+        for proxy in site.proxy_by_target.values():
+            proxy.cut_sources(
+                functools.partial(process_ports.find_tcp_ports, entry.pid)
+            )
+        await asyncio.sleep(_random_duration_s(rng, 6.0))
+        for proxy in site.proxy_by_target.values():
+            proxy.cut_sources(set)
+
+
 async def _disturb_links(
     proxies: list[loopback_proxy.LoopbackProxy], rng: random.Random
 ) -> None:
--- a/chicorydoor/standins/platform_site.py
+++ b/chicorydoor/standins/platform_site.py
@@ -164,6 +164,12 @@
             },
         }
 
+    @property
+    def pid(self) -> int:
+        """Id of the process."""
+        assert self._process is not None
+        return self._process.pid
+
     @contextlib.contextmanager
     def reserve(self) -> typing.Iterator[None]:
         """Reserve the process for one fault, which may pause or restart it.
--- /dev/null
+++ b/tests/test_request_relay.py
@@ -0,0 +1,127 @@
+"""Which peer an entry relays a request to when it reaches no target."""
+
+import collections
+import random
+
+from chicorydoor.coordination import request_relay
+from chicorydoor.protocol import header_names
+from chicorydoor.state import fleet_view
+from tests.support import clocks
+
+_SERVICE = "svc"
+_REGION_COUNT = 3
+
+
+class _Reach:
+    """An entry that reaches no service."""
+
+    out_of_reach = frozenset({_SERVICE})
+
+
+class _Fleet:
+    """Entries of two failure domains in each of three regions.
+
+    Args:
+        entry_count (int): Number of entries.
+        cut_count (int): Number of entries of the first failure domain that
+            reach no target.
+    """
+
+    def __init__(self, entry_count, cut_count):
+        self.clock = clocks.ManualClock()
+        self.registrations = [
+            fleet_view.Registration(
+                f"e{index}",
+                1,
+                f"d{index % (2 * _REGION_COUNT)}",
+                f"r{index % _REGION_COUNT}",
+                f"10.0.0.{index}:1",
+                f"10.0.0.{index}:2",
+                f"10.0.0.{index}:3",
+            )
+            for index in range(entry_count)
+        ]
+        first_domain = [
+            each for each in self.registrations if each.domain == "d0"
+        ]
+        self.cut = first_domain[:cut_count]
+        self.cut_instances = {each.instance for each in self.cut}
+
+    def build_relay(self, registration):
+        now = self.clock.now()
+        fleet = fleet_view.FleetView(registration, 2.0, 12.0, 4.0)
+        for other in self.registrations:
+            fleet.record_registration(other)
+            is_cut = other.instance in self.cut_instances
+            if other.region == registration.region:
+                heartbeat = fleet_view.Heartbeat(
+                    other,
+                    fleet_view.EntryState.READY,
+                    {},
+                    {},
+                    out_of_reach=[_SERVICE] if is_cut else [],
+                )
+                fleet.apply_heartbeat(heartbeat, now)
+        for region in {each.region for each in self.registrations}:
+            ready = [
+                each.instance
+                for each in self.registrations
+                if each.region == region
+            ]
+            digest = fleet_view.RegionDigest(region, "", ready, [], {}, {})
+            fleet.record_digest(digest, now)
+        return request_relay.RequestRelay(
+            fleet,
+            _Reach(),
+            header_names.HeaderNames(),
+            self.clock,
+            random.Random(1),
+        )
+
+    def count_choices(self, requests_per_entry, regions=frozenset()):
+        counts = collections.Counter()
+        for registration in self.cut:
+            relay = self.build_relay(registration)
+            for _ in range(requests_per_entry):
+                peer = relay.choose_peer(_SERVICE, regions)
+                counts[peer.instance if peer else None] += 1
+        return counts
+
+
+class TestChosenPeers:
+    # Guards against requests circling between entries without targets.
+    def test_no_peer_that_is_cut_off_itself(self):
+        for entry_count in (6, 11, 87):
+            fleet = _Fleet(entry_count, cut_count=entry_count // 12 + 1)
+            chosen = fleet.count_choices(50)
+            assert not chosen.keys() & fleet.cut_instances
+            assert None not in chosen
+
+    # Guards against a few peers getting the load of a whole failure domain.
+    def test_load_of_peers_at_most_doubles_in_a_large_domain(self):
+        for cut_count in (1, 7):
+            fleet = _Fleet(87, cut_count)
+            chosen = fleet.count_choices(1000)
+            assert {instance[0] for instance in chosen} == {"e"}
+            # The domain has 15 entries.
+            assert max(chosen.values()) <= 1.3 * 1000
+
+    def test_entries_of_a_lost_domain_use_all_of_the_region(self):
+        fleet = _Fleet(87, cut_count=15)
+        chosen = fleet.count_choices(100)
+        domains = {
+            fleet.registrations[int(name[1:])].domain for name in chosen
+        }
+        assert domains == {"d3"}
+        assert len(chosen) == 14
+
+    def test_other_regions_if_the_own_one_reaches_nothing(self):
+        fleet = _Fleet(3, cut_count=1)
+        assert fleet.count_choices(20).keys() == {"e1", "e2"}
+
+    # Guards against bodies of bound requests leaving their regions.
+    def test_bound_requests_go_only_to_their_regions(self):
+        fleet = _Fleet(12, cut_count=1)
+        elsewhere = fleet.count_choices(20, frozenset({"r1"}))
+        assert {int(name[1:]) % _REGION_COUNT for name in elsewhere} == {1}
+        assert fleet.count_choices(5, frozenset({"r9"})).keys() == {None}
