Run a relayed request at the service that the relaying entry chose

The peer chose the service of a split route again, so the parts of a split were off while one of its services was out of reach. The relay names the service now; a peer whose configuration has another route or customer refuses, and the relaying entry tries another peer. A stopping entry also waits for the requests that peers relayed to it. Tests of call_runner cover relays: orders that are lost on the way are not sent again, reads use the retry budget, relayed requests are not relayed again, sends before the relay count.

--- a/chicorydoor/coordination/call_app.py
+++ b/chicorydoor/coordination/call_app.py
@@ -35,15 +35,14 @@
         customer (CustomerConfig): Owner of the API key; None without one.
         rate_decision (RateDecision): To release if the request does not run;
             None if no token was taken.
-        relayed_after_sends (int): How often the entry that relayed the
-            request has sent it; None if its caller sent it to this entry.
-            Defaults to None.
+        relay (Relay): What the entry that relayed the request has done; None
+            if its caller sent it to this entry. Defaults to None.
     """
 
     route: serving_config.RouteConfig
     customer: serving_config.CustomerConfig | None
     rate_decision: rate_limiter.RateDecision | None
-    relayed_after_sends: int | None = None
+    relay: admitted_request.Relay | None = None
 
 
 class CallApp:
@@ -199,7 +198,7 @@
             customer=customer,
             arrived_at=self._arrived_at,
             deadline=self._absolute_deadline(route.timeout_s),
-            relayed_after_sends=admission.relayed_after_sends,
+            relay=admission.relay,
         )
         try:
             return await app.runner.run(call, self._trace)
--- a/chicorydoor/coordination/call_runner.py
+++ b/chicorydoor/coordination/call_runner.py
@@ -126,10 +126,14 @@
         Raises:
             RefusedError: If there is no target's response to pass on.
         """
-        service_id = self._service_split.choose_service(call.route)
+        service_id = (
+            call.relay.service_id
+            if call.relay
+            else self._service_split.choose_service(call.route)
+        )
         trace.service_id = service_id
         trace.fingerprint = call.fingerprint
-        if not call.relayed_after_sends:
+        if call.relay is None or call.relay.send_count == 0:
             self._budget_by_service[service_id].record_request(
                 self.clock.now()
             )
@@ -193,13 +197,15 @@
 
     async def _send_once(self) -> target_sender.SendResult | None:
         """Send to a target or relay to a peer; None if neither may get it."""
-        peer = None
+        choice: target_selection.SelectedTarget | None = None
+        peer: fleet_view.Registration | None = None
         if self._runner.relay.is_needed(self._constraints.service_id):
             peer = self._choose_peer()
-        choice = self._choose_target() if peer is None else None
-        if choice is None and self._refusal.code is _CODES.NO_TARGET:
-            # Peers may reach targets in regions that this entry does not.
-            peer = self._choose_peer()
+        if peer is None:
+            choice = self._choose_target()
+            if choice is None and self._refusal.code is _CODES.NO_TARGET:
+                # Peers may reach targets in regions that this entry does not.
+                peer = self._choose_peer()
         if peer is not None:
             if not self._spend_retry_if_needed():
                 return None
@@ -213,7 +219,7 @@
 
     def _choose_peer(self) -> fleet_view.Registration | None:
         """Choose a peer to relay to; None for a request that was relayed."""
-        if self._call.relayed_after_sends is not None:
+        if self._call.relay is not None:
             return None
         return self._runner.relay.choose_peer(
             self._constraints.service_id,
@@ -224,9 +230,10 @@
     async def _relay(
         self, peer: fleet_view.Registration
     ) -> target_sender.SendResult:
-        sent = await self._runner.relay.send(
-            self._call, peer, self._sent_count
+        relay = admitted_request.Relay(
+            self._constraints.service_id, self._sent_count
         )
+        sent = await self._runner.relay.send(self._call, peer, relay)
         self._tried_peers.append(sent.target_id)
         if sent.refusal is not None and sent.refusal.certainly_not_run:
             self._refusal = sent.refusal
@@ -312,7 +319,7 @@
         if sent.refusal is not None:
             # The peer has decided about retries.
             return False
-        sent_before = call.relayed_after_sends or 0
+        sent_before = call.relay.send_count if call.relay else 0
         return sent_before + self._sent_count < call.route.max_attempts
 
     def _spend_retry_if_needed(self) -> bool:
--- a/chicorydoor/coordination/relay_app.py
+++ b/chicorydoor/coordination/relay_app.py
@@ -61,7 +61,7 @@
 
     async def _admit(self, host: str, path: str) -> call_app.Admission:
         names = self._app.header_names
-        send_count = self._header_value(names.send_count)
+        send_count = self._header_value(names.relayed_send_count)
         if (
             self._header_value(names.expected_target_id)
             != self._app.instance.encode()
@@ -69,8 +69,12 @@
         ):
             # Another entry had this address before.
             raise request_types.RefusedError(_CODES.PEER_UNREACHABLE)
+        service_id = ids.ServiceId(
+            self._header_value(names.relayed_service).decode("latin-1")
+        )
         try:
             route = self._app.admission.find_route(host, path)
+            self._check_service(route, service_id)
             customer = self._find_customer()
         except request_types.RefusedError as refusal:
             # The relaying entry has another version of the configuration.
@@ -80,7 +84,17 @@
         self._route_id = route.route_id
         if customer is not None:
             self._customer_id = customer.customer_id
-        return call_app.Admission(route, customer, None, int(send_count))
+        relay = admitted_request.Relay(service_id, int(send_count))
+        return call_app.Admission(route, customer, None, relay)
+
+    def _check_service(
+        self, route: serving_config.RouteConfig, service_id: ids.ServiceId
+    ) -> None:
+        """Refuse a service that the route has no longer, or not yet."""
+        if all(
+            each.service_id != service_id for each in route.weighted_services
+        ):
+            raise request_types.RefusedError(_CODES.NO_ROUTE)
 
     def _find_customer(self) -> serving_config.CustomerConfig | None:
         names = self._app.header_names
--- a/chicorydoor/coordination/request_relay.py
+++ b/chicorydoor/coordination/request_relay.py
@@ -148,16 +148,16 @@
         self,
         call: admitted_request.AdmittedRequest,
         peer: fleet_view.Registration,
-        send_count: int,
+        relay: admitted_request.Relay,
     ) -> target_sender.SendResult:
         """Relay a request to a peer once.
 
         Args:
             call (AdmittedRequest): The request.
             peer (Registration): The peer.
-            send_count (int): How often this entry has sent the request.
+            relay (Relay): What this entry has done with the request.
         """
-        result = await self._exchange(call, peer, send_count)
+        result = await self._exchange(call, peer, relay)
         metrics.RELAYED_REQUESTS.labels(result.outcome.value).inc()
         return result
 
@@ -165,7 +165,7 @@
         self,
         call: admitted_request.AdmittedRequest,
         peer: fleet_view.Registration,
-        send_count: int,
+        relay: admitted_request.Relay,
     ) -> target_sender.SendResult:
         outcomes = target_sender.SendOutcome
         pool = self._pool(peer.relay_address)
@@ -182,12 +182,16 @@
         if remaining_s <= 0:
             pool.release(connection, _MAX_IDLE_CONNECTIONS)
             return _result(outcomes.NOT_SENT, peer, "no time left")
+        names = self._header_names
         request = admitted_request.encode_request(
             call,
-            self._header_names,
+            names,
             peer.instance,
             remaining_s,
-            [(self._header_names.send_count, b"%d" % send_count)],
+            [
+                (names.relayed_service, relay.service_id.encode()),
+                (names.relayed_send_count, b"%d" % relay.send_count),
+            ],
         )
         try:
             async with asyncio.timeout(remaining_s):
--- a/chicorydoor/fleet_entry.py
+++ b/chicorydoor/fleet_entry.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+from collections import abc
 import contextlib
 import gc
 import logging
@@ -81,8 +82,9 @@
         gc.freeze()
         tasks = asyncio.create_task(components.run())
         try:
-            await self._serve_until_stopped(components, server, tasks)
-            await relay_server.stop()
+            await self._serve_until_stopped(
+                components, (server, relay_server), tasks
+            )
         finally:
             tasks.cancel()
             await asyncio.gather(tasks, return_exceptions=True)
@@ -95,7 +97,7 @@
     async def _serve_until_stopped(
         self,
         components: compose_fleet.FleetComponents,
-        server: http_server.HttpServer,
+        servers: abc.Sequence[http_server.HttpServer],
         tasks: asyncio.Task,
     ) -> None:
         """Serve until a stop is requested or a task fails."""
@@ -109,7 +111,7 @@
         if tasks.done():
             # Raises the failure.
             tasks.result()
-        await self._drain_and_close(components, server)
+        await self._drain_and_close(components, servers)
 
     def _make_server(
         self, components: compose_fleet.FleetComponents
@@ -174,7 +176,7 @@
     async def _drain_and_close(
         self,
         components: compose_fleet.FleetComponents,
-        server: http_server.HttpServer,
+        servers: abc.Sequence[http_server.HttpServer],
     ) -> None:
         """Drain: serve until callers use other entries, then close."""
         grace_s = self._settings.promises.stop_grace_s
@@ -185,7 +187,7 @@
         components.announce_leaving()
         await asyncio.sleep(_DRAIN_S)
         remaining_s = max(0.0, deadline - components.clock.now())
-        await server.stop(remaining_s)
+        await asyncio.gather(*(server.stop(remaining_s) for server in servers))
         with contextlib.suppress(asyncio.CancelledError):
             components.sender.close()
             components.relay.close()
--- a/chicorydoor/protocol/admitted_request.py
+++ b/chicorydoor/protocol/admitted_request.py
@@ -8,6 +8,7 @@
 
 from chicorydoor.protocol import header_names
 from chicorydoor.protocol import headers as http_headers
+from chicorydoor.protocol import ids
 from chicorydoor.protocol import serving_config
 
 Headers = list[tuple[bytes, bytes]]
@@ -23,6 +24,18 @@
 _FINGERPRINT_BYTES = 16
 
 
+class Relay(msgspec.Struct, frozen=True):
+    """What an entry has done with a request that it relays to a peer.
+
+    Args:
+        service_id (str): The service that it chose.
+        send_count (int): How often it has sent the request.
+    """
+
+    service_id: ids.ServiceId
+    send_count: int
+
+
 class AdmittedRequest(msgspec.Struct, dict=True):
     """An admitted request.
 
@@ -43,9 +56,8 @@
         arrived_at (float): Arrival time on the local clock, in seconds.
         deadline (float): Time on the local clock by which the caller must
             have the response.
-        relayed_after_sends (int): How often the entry that relayed the
-            request has sent it; None if its caller sent it to this entry.
-            Defaults to None.
+        relay (Relay): What the entry that relayed the request has done; None
+            if its caller sent it to this entry. Defaults to None.
     """
 
     method: bytes
@@ -58,7 +70,7 @@
     customer: serving_config.CustomerConfig | None
     arrived_at: float
     deadline: float
-    relayed_after_sends: int | None = None
+    relay: Relay | None = None
 
     @functools.cached_property
     def fingerprint(self) -> bytes:
@@ -124,7 +136,8 @@
         names.customer_id,
         names.deadline_ms,
         names.expected_target_id,
-        names.send_count,
+        names.relayed_service,
+        names.relayed_send_count,
         b"content-length",
     }
     return [
--- a/chicorydoor/protocol/header_names.py
+++ b/chicorydoor/protocol/header_names.py
@@ -27,8 +27,10 @@
         warm_up_remaining_ms (bytes): Remaining warm-up time of a target, in
             milliseconds.
         target_id (bytes): Id of the responding target.
-        send_count (bytes): Between entries: how often the relaying entry has
-            sent a request.
+        relayed_service (bytes): Between entries: the service that the relaying
+            entry chose for a request.
+        relayed_send_count (bytes): Between entries: how often the relaying
+            entry has sent it.
         relay_result (bytes): Between entries: whether a response comes from a
             target or is the peer's own refusal.
     """
@@ -46,5 +48,6 @@
     target_leaving: bytes = b"x-leaving"
     warm_up_remaining_ms: bytes = b"x-cold-ms"
     target_id: bytes = b"x-target"
-    send_count: bytes = b"x-chicorydoor-send-count"
+    relayed_service: bytes = b"x-chicorydoor-relayed-service"
+    relayed_send_count: bytes = b"x-chicorydoor-relayed-send-count"
     relay_result: bytes = b"x-chicorydoor-relay-result"
--- a/tests/test_call_runner.py
+++ b/tests/test_call_runner.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import contextlib
-import types
 
 import pytest
 
@@ -12,6 +11,7 @@
 from chicorydoor.coordination import target_sender
 from chicorydoor.protocol import admitted_request
 from chicorydoor.protocol import header_names
+from chicorydoor.protocol import result_codes
 from chicorydoor.state import request_crashes
 from chicorydoor.state import send_permits
 from chicorydoor.state import target_rate_limits
@@ -24,7 +24,7 @@
 _SendOutcome = target_sender.SendOutcome
 
 
-def _build_request(deadline=2.0, **changes):
+def _build_request(deadline=2.0, relay=None, **changes):
     return admitted_request.AdmittedRequest(
         method=b"GET",
         request_target=b"/read/1",
@@ -36,6 +36,7 @@
         customer=None,
         arrived_at=0.0,
         deadline=deadline,
+        relay=relay,
     )
 
 
@@ -95,27 +96,97 @@
         return True
 
 
-def _run(names, outcomes, budget_limit=10, **changes):
+class _Relay:
+    """Relays to the given peers in turn, with the given outcomes.
+
+    Args:
+        peers (list): Names of peers. Defaults to none.
+        outcomes (list): Outcomes at the peers. Defaults to none.
+    """
+
+    def __init__(self, peers=(), outcomes=()):
+        self._peers = list(peers)
+        self._outcomes = list(outcomes)
+        self.sent = []
+
+    def is_needed(self, service_id):
+        return bool(self._peers)
+
+    def choose_peer(self, service_id, regions, excluded):
+        return self._peers.pop(0) if self._peers else None
+
+    async def send(self, call, peer, relay):
+        self.sent.append((peer, relay.send_count))
+        outcome = self._outcomes.pop(0)
+        refusal = (
+            request_types.RefusedError(result_codes.ResultCode.TARGET_SHED)
+            if outcome is _SendOutcome.NOT_RUN
+            else None
+        )
+        return target_sender.SendResult(outcome, peer, refusal=refusal)
+
+
+def _run(names, outcomes, budget_limit=10, relay=None, **changes):
     budget = _Budget(budget_limit)
     sender = _Sender(outcomes)
     runner = call_runner.CallRunner(
         selection=_Selection(names),
         sender=sender,
-        relay=types.SimpleNamespace(
-            is_needed=lambda service_id: False,
-            choose_peer=lambda service_id, regions, excluded: None,
-        ),
+        relay=relay or _Relay(),
         make_retry_budget=lambda: budget,
         crashes=request_crashes.RequestCrashes("e", lambda: ["e"]),
         count_entries=lambda: 1,
         clock=clocks.ManualClock(),
     )
     trace = call_runner.CallTrace()
+    relayed = changes.pop("relayed", None)
     with contextlib.suppress(request_types.RefusedError):
-        asyncio.run(runner.run(_build_request(**changes), trace))
+        asyncio.run(
+            runner.run(_build_request(relay=relayed, **changes), trace)
+        )
     return budget, sender
 
 
+class TestRelays:
+    def test_peer_that_did_not_get_the_request_is_followed_by_another(self):
+        relay = _Relay(
+            ["p1", "p2"], [_SendOutcome.NOT_SENT, _SendOutcome.NOT_RUN]
+        )
+        _, sender = _run(["a"], [], relay=relay)
+        assert relay.sent == [("p1", 0), ("p2", 0)]
+        assert sender.sent == []
+
+    # Guards against orders that run at a second peer.
+    def test_order_lost_on_its_way_to_a_peer_is_not_sent_again(self):
+        relay = _Relay(["p1", "p2"], [_SendOutcome.UNKNOWN])
+        _, sender = _run(["a"], [], relay=relay, is_idempotent=False)
+        assert [peer for peer, _ in relay.sent] == ["p1"]
+        assert sender.sent == []
+
+    def test_read_lost_on_its_way_to_a_peer_uses_the_budget(self):
+        relay = _Relay(
+            ["p1", "p2"], [_SendOutcome.UNKNOWN, _SendOutcome.UNKNOWN]
+        )
+        budget, _ = _run(["a"], [], relay=relay)
+        assert relay.sent == [("p1", 0), ("p2", 1)]
+        assert budget.acquired == 1
+
+    # Guards against requests circling between entries without targets.
+    def test_relayed_request_is_not_relayed_again(self):
+        relay = _Relay(["p1"], [])
+        relayed = admitted_request.Relay("svc", 0)
+        _, sender = _run(
+            ["a"], [_SendOutcome.NOT_RUN], relay=relay, relayed=relayed
+        )
+        assert relay.sent == []
+        assert sender.sent == ["a"]
+
+    def test_sends_of_the_relaying_entry_count(self):
+        relayed = admitted_request.Relay("svc", 1)
+        _, sender = _run(["a", "b"], [_SendOutcome.NOT_RUN], relayed=relayed)
+        assert sender.sent == ["a"]
+
+
 class TestRetryBudget:
     def test_without_a_further_target_no_budget_is_used(self):
         budget, sender = _run(["a"], [_SendOutcome.NOT_RUN])
