--- a/chicorydoor/coordination/call_app.py
+++ b/chicorydoor/coordination/call_app.py
@@ -247,7 +247,7 @@
     async def _send_refusal(self, refusal: request_types.RefusedError) -> None:
         code = refusal.code
         headers = [
-            (b"x-chicorydoor-code", b"%d" % code.number),
+            (result_codes.CODE_HEADER, b"%d" % code.number),
             (b"x-chicorydoor-outcome", refusal.outcome.value.encode()),
         ]
         request_id = self._header_value(self._app.header_names.request_id)
--- a/chicorydoor/coordination/relay_app.py
+++ b/chicorydoor/coordination/relay_app.py
@@ -3,8 +3,6 @@
 It listens on a port that callers cannot reach.
 """
 
-import logging
-
 from chicorydoor.coordination import active_serving_config
 from chicorydoor.coordination import call_app
 from chicorydoor.coordination import call_runner
@@ -20,7 +18,6 @@
 from chicorydoor.transport import clock as clock_module
 
 _CODES = result_codes.ResultCode
-_LOG = logging.getLogger(__name__)
 
 
 class RelayApp(call_app.CallApp):
--- a/chicorydoor/coordination/request_relay.py
+++ b/chicorydoor/coordination/request_relay.py
@@ -28,17 +28,15 @@
 _FAILED_PEER_PAUSE_S = 2.0
 # Idle connections to a peer. More are opened during a burst.
 _MAX_IDLE_CONNECTIONS = 32
-# Shorter than the idle limit of the relay port.
-_MAX_IDLE_S = 30.0
 
 _CODES = result_codes.ResultCode
 # Refusals of a peer that another peer may not share. No target was tried.
 _REFUSED_WITHOUT_SEND = frozenset(
     {_CODES.NO_TARGET, _CODES.NOT_READY, _CODES.PEER_UNREACHABLE}
 )
+# Values of the header that says where a peer's response comes from.
 ANSWERED = b"answered"
 REFUSED = b"refused"
-CODE_HEADER = b"x-chicorydoor-code"
 
 
 class RequestRelay:
@@ -172,7 +170,7 @@
         remaining_s = call.deadline - self._clock.now()
         try:
             connection = await pool.acquire(
-                min(_CONNECT_TIMEOUT_S, remaining_s), _MAX_IDLE_S
+                min(_CONNECT_TIMEOUT_S, remaining_s)
             )
         except errors.TargetError as error:
             return self._record_failure(peer, outcomes.NOT_SENT, f"{error}")
@@ -302,7 +300,7 @@
 def _read_refusal(
     answer: buffered_connection.BufferedResponse,
 ) -> request_types.RefusedError:
-    number = answer.find_header(CODE_HEADER) or b""
+    number = answer.find_header(result_codes.CODE_HEADER) or b""
     code = result_codes.RESULT_CODE_BY_NUMBER.get(
         int(number) if number.isdigit() else -1, _CODES.PEER_FAILED
     )
--- a/chicorydoor/protocol/result_codes.py
+++ b/chicorydoor/protocol/result_codes.py
@@ -161,4 +161,6 @@
         self.meaning = meaning
 
 
+# Header with the number of the result code, in an entry's own responses.
+CODE_HEADER = b"x-chicorydoor-code"
 RESULT_CODE_BY_NUMBER = {code.number: code for code in ResultCode}
