Relay only under a quarter of the targets; count ends of targets at once

Evidence counts at once now and is retracted if the entry can use no target 0.3 s later. A service is out of reach with fewer than a quarter of its targets.

--- a/chicorydoor/coordination/target_prober.py
+++ b/chicorydoor/coordination/target_prober.py
@@ -40,7 +40,6 @@
 # the others follow: every entry sees it when targets end.
 _SAMPLE_SIZE = 8
 # Time in which a cut shows after the first target has refused a connection.
-# Until then a refusal does not mean that the target has ended.
 _CUT_DETECTION_S = 0.3
 # Longest back-off while the service is out of reach: requests make a detour
 # until then.
@@ -172,14 +171,16 @@
 
         It has ended, unless this entry turns out to be cut off.
         """
-        refused_at = self._clock.now()
+        if self._reach.is_cut_off:
+            return
+        self._crashes.record_ended(view.incarnation_key, self._clock.now())
 
-        def record_unless_cut_off() -> None:
-            if not self._reach.is_cut_off:
-                self._crashes.record_ended(view.incarnation_key, refused_at)
+        def retract_if_cut_off() -> None:
+            if self._reach.is_cut_off:
+                self._crashes.retract_ended(view.incarnation_key)
 
         asyncio.get_running_loop().call_later(
-            _CUT_DETECTION_S, record_unless_cut_off
+            _CUT_DETECTION_S, retract_if_cut_off
         )
 
     def check_listening(self, view: target_views.TargetView) -> None:
--- a/chicorydoor/coordination/target_sender.py
+++ b/chicorydoor/coordination/target_sender.py
@@ -219,7 +219,11 @@
         reason = "no answer in time"
         now = self._clock.now()
         self._crashes.record_lost(
-            call.fingerprint, view.incarnation_key, sent_at, now
+            call.fingerprint,
+            view.incarnation_key,
+            sent_at,
+            now,
+            is_silent=True,
         )
         if view.record_unanswered(sent_at, now):
             self._on_unreachable(view, reason)
--- a/chicorydoor/state/request_crashes.py
+++ b/chicorydoor/state/request_crashes.py
@@ -30,6 +30,9 @@
 # A target refuses connections within a round trip after it has ended; a
 # request that was lost earlier has another cause.
 _LOSS_TO_END_S = 2.0
+# The same for a response that is missing at the deadline: whether its target
+# still listens is checked at once.
+_SILENCE_TO_END_S = 1.0
 # The end of a target is remembered for as long as requests that were under way
 # may still wait for its response; routes have timeouts of a few seconds.
 _ENDED_LIFETIME_S = 30.0
@@ -113,6 +116,7 @@
         self._instance = instance
         self._get_instances = get_instances
         self._suspect_by_fingerprint: dict[Fingerprint, _Suspect] = {}
+        # Until when the end of its target counts against a lost request.
         self._lost_by_incarnation: dict[
             ids.TargetIncarnation, dict[Fingerprint, float]
         ] = {}
@@ -175,6 +179,7 @@
         incarnation: ids.TargetIncarnation,
         sent_at: float,
         now: float,
+        is_silent: bool = False,
     ) -> None:
         """Record that a request ended without a response.
 
@@ -183,6 +188,8 @@
             incarnation (tuple): The target's incarnation.
             sent_at (float): When the request was sent, in seconds.
             now (float): Current time in seconds.
+            is_silent (bool): Whether its connection is still open. Defaults to
+                False.
         """
         ended_at = self._ended_at_by_incarnation.get(incarnation)
         if ended_at is not None and (
@@ -192,7 +199,9 @@
             return
         lost = self._lost_by_incarnation.setdefault(incarnation, {})
         if len(lost) < _MAX_LOST_PER_TARGET:
-            lost[fingerprint] = now
+            lost[fingerprint] = now + (
+                _SILENCE_TO_END_S if is_silent else _LOSS_TO_END_S
+            )
 
     def record_ended(
         self, incarnation: ids.TargetIncarnation, now: float
@@ -200,10 +209,19 @@
         """Record that a target refuses connections."""
         self._ended_at_by_incarnation[incarnation] = now
         lost = self._lost_by_incarnation.pop(incarnation, {})
-        for fingerprint, lost_at in lost.items():
-            if now - lost_at <= _LOSS_TO_END_S:
+        for fingerprint, counts_until in lost.items():
+            if now <= counts_until:
                 self._add_ended(fingerprint, {incarnation}, now, now)
 
+    def retract_ended(self, incarnation: ids.TargetIncarnation) -> None:
+        """Forget that a target has ended: this entry was cut off from it."""
+        self._ended_at_by_incarnation.pop(incarnation, None)
+        for fingerprint, suspect in list(self._suspect_by_fingerprint.items()):
+            suspect.ended_targets.discard(incarnation)
+            if not suspect.ended_targets:
+                del self._suspect_by_fingerprint[fingerprint]
+        metrics.BLOCKED_REQUESTS.set(self.blocked_count)
+
     def _add_ended(
         self,
         fingerprint: Fingerprint,
@@ -309,7 +327,7 @@
                 del self._suspect_by_fingerprint[fingerprint]
                 metrics.BLOCKED_REQUESTS.set(self.blocked_count)
         for incarnation, lost in list(self._lost_by_incarnation.items()):
-            if now - max(lost.values()) > _LOSS_TO_END_S:
+            if now > max(lost.values()):
                 del self._lost_by_incarnation[incarnation]
         _remove_older(self._ended_at_by_incarnation, now - _ENDED_LIFETIME_S)
         _remove_older(self._cleared_at, now - _SUSPECT_LIFETIME_S)
--- a/chicorydoor/state/service_reach.py
+++ b/chicorydoor/state/service_reach.py
@@ -10,9 +10,10 @@
 from chicorydoor.state import target_views
 from chicorydoor.transport import metrics
 
-# With a smaller fraction of its targets in use a service is out of reach: the
-# others would get a multiple of the load that this entry sent them before.
-_MIN_USABLE_FRACTION = 0.5
+# With a smaller fraction of its targets in use a service is out of reach. More
+# than that are unreachable when targets end in great numbers, which peers see
+# as well.
+_MIN_USABLE_FRACTION = 0.25
 
 _LOG = logging.getLogger(__name__)
 
--- a/tests/test_request_crashes.py
+++ b/tests/test_request_crashes.py
@@ -58,6 +58,16 @@
             crashes.record_lost(_DEADLY, incarnation, 4.0, 6.0)
         assert crashes.may_send(_DEADLY, 7.0)
 
+    # Guards against evidence of an entry that was cut off from the targets.
+    def test_retracted_ends_of_targets_do_not_count(self):
+        crashes = _build()
+        for number in range(3):
+            _end_target(crashes, _DEADLY, number, 1.0)
+        for number in range(3):
+            crashes.retract_ended((f"t{number}", 1))
+        assert crashes.may_send(_DEADLY, 2.0)
+        assert not crashes.recent_reports(2.0)
+
     def test_one_target_that_fails_often_blocks_nothing(self):
         crashes = _build()
         for now in range(10):
