Treat a peer's response without the mark of the relay as unknown

Callers could have got an order run twice: the HTTP server of a peer answers 500 if the application fails or is cancelled, for example at the end of a stop, when a target may run the request already. The relaying entry took every response without the mark for 'not sent' and tried another peer. Found by reading, not seen in a run.

Only statuses with which the server answers before its application runs (400, 408, 431) count as not sent now, all others as unknown. The three cases of test_response_without_the_mark_of_the_relay_is_unknown failed before (not-sent) and pass; 431 stays not sent.

--- a/chicorydoor/coordination/request_relay.py
+++ b/chicorydoor/coordination/request_relay.py
@@ -34,6 +34,9 @@
 _REFUSED_WITHOUT_SEND = frozenset(
     {_CODES.NO_TARGET, _CODES.NOT_READY, _CODES.PEER_UNREACHABLE}
 )
+# The peer's HTTP server answers so if it has not passed a request on to its
+# application: malformed, or headers too late or too large.
+_STATUSES_BEFORE_APPLICATION = frozenset({400, 408, 431})
 # Values of the header that says where a peer's response comes from.
 ANSWERED = b"answered"
 REFUSED = b"refused"
@@ -247,8 +250,7 @@
                 outcomes.ANSWERED, peer, f"{answer.status}", answer=answer
             )
         if kind != REFUSED:
-            # From the peer's HTTP server, which does not run such requests.
-            return _result(outcomes.NOT_SENT, peer, f"{answer.status}")
+            return _evaluate_unmarked(peer, answer.status)
         refusal = _read_refusal(answer)
         if not refusal.certainly_not_run:
             return _result(
@@ -297,6 +299,23 @@
     )
 
 
+def _evaluate_unmarked(
+    peer: fleet_view.Registration, status: int
+) -> target_sender.SendResult:
+    """Evaluate a response of the peer's HTTP server itself.
+
+    It also answers for a request that ended with an error, which a target may
+    have run.
+    """
+    outcomes = target_sender.SendOutcome
+    outcome = (
+        outcomes.NOT_SENT
+        if status in _STATUSES_BEFORE_APPLICATION
+        else outcomes.UNKNOWN
+    )
+    return _result(outcome, peer, f"{status}")
+
+
 def _read_refusal(
     answer: buffered_connection.BufferedResponse,
 ) -> request_types.RefusedError:
--- a/tests/test_request_relay.py
+++ b/tests/test_request_relay.py
@@ -1,13 +1,21 @@
 """Which peer an entry relays a request to when it reaches no target."""
 
+import asyncio
 import collections
 import random
 
+import pytest
+
 from chicorydoor.coordination import request_relay
+from chicorydoor.coordination import target_sender
+from chicorydoor.protocol import admitted_request
 from chicorydoor.protocol import header_names
 from chicorydoor.state import fleet_view
+from chicorydoor.transport import clock as clock_module
 from tests.support import clocks
+from tests.support import config_builders as make
 
+_SendOutcome = target_sender.SendOutcome
 _SERVICE = "svc"
 _REGION_COUNT = 3
 
@@ -125,3 +133,93 @@
         elsewhere = fleet.count_choices(20, frozenset({"r1"}))
         assert {int(name[1:]) % _REGION_COUNT for name in elsewhere} == {1}
         assert fleet.count_choices(5, frozenset({"r9"})).keys() == {None}
+
+
+class _Peer:
+    """A peer that answers each relayed request with fixed bytes.
+
+    Args:
+        response (bytes): The bytes; none at all if empty.
+    """
+
+    def __init__(self, response):
+        self._response = response
+
+    async def __aenter__(self):
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        port = self._server.sockets[0].getsockname()[1]
+        self.registration = fleet_view.Registration(
+            "peer", 1, "d0", "r0", "", "", f"127.0.0.1:{port}"
+        )
+        return self
+
+    async def __aexit__(self, *error):
+        self._server.close()
+
+    async def _serve(self, reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        if self._response:
+            writer.write(self._response)
+            await writer.drain()
+        else:
+            await reader.read()
+        writer.close()
+
+
+def _relay_once(response):
+    """Relay a request to a peer; return result and next chosen peer."""
+
+    async def run():
+        clock = clock_module.SystemClock()
+        async with _Peer(response) as peer:
+            own = fleet_view.Registration("own", 1, "d0", "r0", "", "", "")
+            fleet = fleet_view.FleetView(own, 2.0, 12.0, 4.0)
+            heartbeat = fleet_view.Heartbeat(
+                peer.registration, fleet_view.EntryState.READY, {}, {}
+            )
+            fleet.apply_heartbeat(heartbeat, clock.now())
+            relay = request_relay.RequestRelay(
+                fleet,
+                _Reach(),
+                header_names.HeaderNames(),
+                clock,
+                random.Random(1),
+            )
+            now = clock.now()
+            call = admitted_request.AdmittedRequest(
+                method=b"POST",
+                request_target=b"/order/1",
+                headers=[],
+                body=b"",
+                request_id=b"r1",
+                affinity_key=b"",
+                route=make.build_route_config(),
+                customer=None,
+                arrived_at=now,
+                deadline=now + 0.3,
+            )
+            history = admitted_request.Relay(_SERVICE, 0)
+            result = await relay.send(call, peer.registration, history)
+            return result, relay.choose_peer(_SERVICE, frozenset())
+
+    return asyncio.run(run())
+
+
+class TestResponsesOfPeers:
+    # Guards against a second run of an order: the HTTP server of a peer
+    # answers 500 if it ends a request that a target may already run.
+    @pytest.mark.parametrize(
+        "status", [b"500 Internal", b"502 Bad", b"200 OK"]
+    )
+    def test_response_without_the_mark_of_the_relay_is_unknown(self, status):
+        result, _ = _relay_once(
+            b"HTTP/1.1 %s\r\nx-request-id: r1\r\ncontent-length: 0\r\n\r\n"
+            % status
+        )
+        assert result.outcome is _SendOutcome.UNKNOWN
+
+    def test_headers_that_the_peer_did_not_accept_were_not_run(self):
+        result, _ = _relay_once(
+            b"HTTP/1.1 431 Large\r\ncontent-length: 0\r\n\r\n"
+        )
+        assert result.outcome is _SendOutcome.NOT_SENT
