Do not leave out a peer because a target was slow

A relayed request without an answer in time excluded its peer for 2 s, though its target may be slow and the peer well; with a few slow targets a cut-off entry would have had no peer left and refused everything. Only a failed connection to the peer excludes it now; a silent one is left out by its heartbeats. test_peer_whose_target_was_slow_is_chosen_again failed before (no peer) and passes.

--- a/chicorydoor/coordination/request_relay.py
+++ b/chicorydoor/coordination/request_relay.py
@@ -23,8 +23,8 @@
 
 # As for targets: a lost packet of the handshake costs a second.
 _CONNECT_TIMEOUT_S = 0.7
-# A peer that a relayed request could not reach is left out for as long as
-# silence takes to show in its heartbeats.
+# A peer that could not be connected to, or that broke the connection, is left
+# out for as long as it takes until it counts as silent.
 _FAILED_PEER_PAUSE_S = 2.0
 # Idle connections to a peer. More are opened during a burst.
 _MAX_IDLE_CONNECTIONS = 32
@@ -200,9 +200,8 @@
                     request, call.request_id, call.method == b"HEAD"
                 )
         except TimeoutError:
-            return self._record_failure(
-                peer, outcomes.UNKNOWN, "no answer in time"
-            )
+            # The target may be slow; heartbeats show whether the peer is gone.
+            return _result(outcomes.UNKNOWN, peer, "no answer in time")
         except errors.TargetError as error:
             outcome = (
                 outcomes.UNKNOWN
--- a/tests/test_request_relay.py
+++ b/tests/test_request_relay.py
@@ -223,3 +223,9 @@
             b"HTTP/1.1 431 Large\r\ncontent-length: 0\r\n\r\n"
         )
         assert result.outcome is _SendOutcome.NOT_SENT
+
+    # Guards against leaving out peers because a target was slow.
+    def test_peer_whose_target_was_slow_is_chosen_again(self):
+        result, next_peer = _relay_once(b"")
+        assert result.outcome is _SendOutcome.UNKNOWN
+        assert next_peer is not None
