Relay nothing that all peers lack, and ask one peer at most in doubt

Requests for a service without any registered target were relayed to one peer after the other before they were refused: 150 relays for 75 refusals. So were requests whose regions had lost their targets while others went on: 225 for 75. Cause: every refusal 'no target serves the route' tried peers, and heartbeats name services, not regions. Found by reading.

The entry asks a peer now only if its own observations rule out a registered target, and then one. Both tests of TestServicesWithoutTargets failed before and pass (0 relays; at most one for each request).

--- a/chicorydoor/coordination/call_runner.py
+++ b/chicorydoor/coordination/call_runner.py
@@ -203,8 +203,7 @@
             peer = self._choose_peer()
         if peer is None:
             choice = self._choose_target()
-            if choice is None and self._refusal.code is _CODES.NO_TARGET:
-                # Peers may reach targets in regions that this entry does not.
+            if choice is None and self._may_others_reach_a_target():
                 peer = self._choose_peer()
         if peer is not None:
             if not self._spend_retry_if_needed():
@@ -217,6 +216,18 @@
         self._tried_targets.append(sent.target_id)
         return sent
 
+    def _may_others_reach_a_target(self) -> bool:
+        """Whether this entry alone may have lost the targets of a request.
+
+        These may be only some of the service's, in the regions that may serve
+        the request. Heartbeats say nothing of that, so one peer is asked.
+        """
+        return (
+            self._refusal.code is _CODES.NO_TARGET
+            and not self._tried_peers
+            and self._runner.selection.has_unreachable(self._constraints)
+        )
+
     def _choose_peer(self) -> fleet_view.Registration | None:
         """Choose a peer to relay to; None for a request that was relayed."""
         if self._call.relay is not None:
--- a/chicorydoor/coordination/target_selection.py
+++ b/chicorydoor/coordination/target_selection.py
@@ -234,6 +234,19 @@
         jitter_s = max(_MIN_REST_JITTER_S, _REST_JITTER * rest_s)
         return rest_s + jitter_s * self._rng.random()
 
+    def has_unreachable(self, constraints: TargetConstraints) -> bool:
+        """Whether only this entry's observations rule out some target.
+
+        Args:
+            constraints (TargetConstraints): Where the request may be sent.
+        """
+        return any(
+            view.reach is target_views.Reach.UNREACHABLE
+            and self._is_allowed(constraints, view)
+            and self._targets.should_get_requests(view)
+            for view in self._targets.target_by_id.values()
+        )
+
     def should_shed(
         self,
         constraints: TargetConstraints,
@@ -376,13 +389,16 @@
     def _is_eligible(
         self, constraints: TargetConstraints, view: target_views.TargetView
     ) -> bool:
-        return (
-            view.record.service_id == constraints.service_id
-            and (
-                not constraints.allowed_region_ids
-                or view.region in constraints.allowed_region_ids
-            )
-            and self._targets.may_get_requests(view)
+        return self._is_allowed(
+            constraints, view
+        ) and self._targets.may_get_requests(view)
+
+    def _is_allowed(
+        self, constraints: TargetConstraints, view: target_views.TargetView
+    ) -> bool:
+        return view.record.service_id == constraints.service_id and (
+            not constraints.allowed_region_ids
+            or view.region in constraints.allowed_region_ids
         )
 
     def _estimate(
--- a/tests/test_call_runner.py
+++ b/tests/test_call_runner.py
@@ -61,6 +61,9 @@
     def find_rest_s(self, constraints, now):
         return None
 
+    def has_unreachable(self, constraints):
+        return True
+
     def should_shed(self, constraints, choice, now):
         return False
 
--- a/tests/test_target_partition.py
+++ b/tests/test_target_partition.py
@@ -3,9 +3,11 @@
 import asyncio
 import collections
 import itertools
+import json
 
 import pytest
 
+from chicorydoor.transport import metrics
 from tests.support import platform_cluster
 from tests.support import target_partition
 
@@ -154,3 +156,67 @@
             callers.check_orders()
 
         platform_cluster.run(scenario, targets=4, entries=3)
+
+
+def _relayed_count():
+    return sum(
+        sample.value
+        for metric in metrics.RELAYED_REQUESTS.collect()
+        for sample in metric.samples
+        if sample.name.endswith("_total")
+    )
+
+
+class TestServicesWithoutTargets:
+    # Guards against sending a request from peer to peer that none can serve.
+    def test_requests_are_refused_without_a_relay(self):
+        async def scenario(cluster):
+            callers = _Callers(cluster)
+            for target in cluster.targets:
+                cluster.store.remove(f"servers/{target.name}")
+            await asyncio.sleep(2.0)
+            relayed_before = _relayed_count()
+            await callers.call_all(1.0, range(3))
+            for statuses in callers.statuses_by_entry.values():
+                assert set(statuses) == {503}
+            assert _relayed_count() == relayed_before
+
+        platform_cluster.run(scenario, targets=2, entries=3)
+
+    # Guards against the same for requests that only some regions may serve,
+    # while the targets of other regions go on.
+    def test_targets_that_all_peers_lost_cost_one_relay_at_most(self):
+        async def scenario(cluster):
+            tenant = {
+                "name": "c",
+                "apiKeys": ["key-1"],
+                "ratePerS": 0,
+                "allowedRegions": ["n"],
+            }
+            for index in range(4):
+                record = json.loads(
+                    platform_cluster.build_registration(cluster.targets[0])
+                )
+                record["info"]["zone"] = "ma"
+                cluster.store.put(
+                    f"servers/other{index}", json.dumps(record).encode()
+                )
+            cluster.store.put(
+                "op/config", platform_cluster.build_config(2, tenants=[tenant])
+            )
+            await asyncio.sleep(2.0)
+            await cluster.targets[1].stop()
+            cluster.store.remove("servers/t0")
+            callers = _Callers(cluster)
+            await callers.call_all(2.0, range(3))
+            relayed_before = _relayed_count()
+            await callers.call_all(1.0, range(3))
+            statuses = [
+                status
+                for entry_statuses in callers.statuses_by_entry.values()
+                for status in entry_statuses
+            ]
+            assert set(statuses) == {503}
+            assert _relayed_count() - relayed_before <= len(statuses)
+
+        platform_cluster.run(scenario, targets=2, entries=4)
