Log the requests that are unblocked when evidence is retracted

Retracting the ends of targets changed a verdict without a line in the log, so an operator saw 'request blocked' and then sends of it. It now logs 'request unblocked' as an answer does. test_retracted_ends_of_targets_do_not_count checks both lines and failed before.

--- a/chicorydoor/state/request_crashes.py
+++ b/chicorydoor/state/request_crashes.py
@@ -168,9 +168,7 @@
         suspect = self._suspect_by_fingerprint.pop(fingerprint, None)
         self._cleared_at[fingerprint] = now
         if suspect is not None and suspect.is_blocked:
-            _LOG.info(
-                "request unblocked", extra={"fingerprint": fingerprint.hex()}
-            )
+            _report_unblocked(fingerprint)
             metrics.BLOCKED_REQUESTS.set(self.blocked_count)
 
     def record_lost(
@@ -217,9 +215,12 @@
         """Forget that a target has ended: this entry was cut off from it."""
         self._ended_at_by_incarnation.pop(incarnation, None)
         for fingerprint, suspect in list(self._suspect_by_fingerprint.items()):
+            was_blocked = suspect.is_blocked
             suspect.ended_targets.discard(incarnation)
             if not suspect.ended_targets:
                 del self._suspect_by_fingerprint[fingerprint]
+            if was_blocked and not suspect.is_blocked:
+                _report_unblocked(fingerprint)
         metrics.BLOCKED_REQUESTS.set(self.blocked_count)
 
     def _add_ended(
@@ -333,6 +334,10 @@
         _remove_older(self._cleared_at, now - _SUSPECT_LIFETIME_S)
 
 
+def _report_unblocked(fingerprint: Fingerprint) -> None:
+    _LOG.info("request unblocked", extra={"fingerprint": fingerprint.hex()})
+
+
 def _build_report(
     fingerprint: Fingerprint, suspect: _Suspect, now: float
 ) -> CrashReport:
--- a/tests/test_request_crashes.py
+++ b/tests/test_request_crashes.py
@@ -59,12 +59,17 @@
         assert crashes.may_send(_DEADLY, 7.0)
 
     # Guards against evidence of an entry that was cut off from the targets.
-    def test_retracted_ends_of_targets_do_not_count(self):
+    def test_retracted_ends_of_targets_do_not_count(self, caplog):
+        caplog.set_level(logging.INFO)
         crashes = _build()
         for number in range(3):
             _end_target(crashes, _DEADLY, number, 1.0)
         for number in range(3):
             crashes.retract_ended((f"t{number}", 1))
+        assert [record.message for record in caplog.records] == [
+            "request blocked",
+            "request unblocked",
+        ]
         assert crashes.may_send(_DEADLY, 2.0)
         assert not crashes.recent_reports(2.0)
 
