Name what a relayed request went through a relay history

Cause: the type was called Relay, like the component that relays, and find_rest_s also returned 0 for rate limits, which its caller replaced. Change: RelayHistory; wait_for_permit_s returns the whole wait; the choice among the region's peers is a method of its own.

--- a/chicorydoor/coordination/call_app.py
+++ b/chicorydoor/coordination/call_app.py
@@ -35,14 +35,15 @@
         customer (CustomerConfig): Owner of the API key; None without one.
         rate_decision (RateDecision): To release if the request does not run;
             None if no token was taken.
-        relay (Relay): What the entry that relayed the request has done; None
-            if its caller sent it to this entry. Defaults to None.
+        relay_history (RelayHistory): What the entry that relayed the request
+            did with it; None if its caller sent it to this entry. Defaults to
+            None.
     """
 
     route: serving_config.RouteConfig
     customer: serving_config.CustomerConfig | None
     rate_decision: rate_limiter.RateDecision | None
-    relay: admitted_request.Relay | None = None
+    relay_history: admitted_request.RelayHistory | None = None
 
 
 class CallApp:
@@ -198,7 +199,7 @@
             customer=customer,
             arrived_at=self._arrived_at,
             deadline=self._absolute_deadline(route.timeout_s),
-            relay=admission.relay,
+            relay_history=admission.relay_history,
         )
         try:
             return await app.runner.run(call, self._trace)
--- a/chicorydoor/coordination/call_runner.py
+++ b/chicorydoor/coordination/call_runner.py
@@ -126,14 +126,16 @@
         Raises:
             RefusedError: If there is no target's response to pass on.
         """
+        history = call.relay_history
         service_id = (
-            call.relay.service_id
-            if call.relay
+            history.service_id
+            if history is not None
             else self._service_split.choose_service(call.route)
         )
         trace.service_id = service_id
         trace.fingerprint = call.fingerprint
-        if call.relay is None or call.relay.send_count == 0:
+        # The relaying entry has counted a request that it has sent itself.
+        if history is None or history.send_count == 0:
             self._budget_by_service[service_id].record_request(
                 self.clock.now()
             )
@@ -230,7 +232,7 @@
 
     def _choose_peer(self) -> fleet_view.Registration | None:
         """Choose a peer to relay to; None for a request that was relayed."""
-        if self._call.relay is not None:
+        if self._call.relay_history is not None:
             return None
         return self._runner.relay.choose_peer(
             self._constraints.service_id,
@@ -241,10 +243,10 @@
     async def _relay(
         self, peer: fleet_view.Registration
     ) -> target_sender.SendResult:
-        relay = admitted_request.Relay(
+        history = admitted_request.RelayHistory(
             self._constraints.service_id, self._sent_count
         )
-        sent = await self._runner.relay.send(self._call, peer, relay)
+        sent = await self._runner.relay.send(self._call, peer, history)
         self._tried_peers.append(sent.target_id)
         if sent.refusal is not None and sent.refusal.certainly_not_run:
             self._refusal = sent.refusal
@@ -303,13 +305,15 @@
         return choice
 
     def _refuse_without_target(self, now: float) -> request_types.RefusedError:
-        rest_s = self._runner.selection.find_rest_s(self._constraints, now)
-        if rest_s is not None:
+        wait_s = self._runner.selection.wait_for_permit_s(
+            self._constraints, now
+        )
+        if wait_s is not None:
             return request_types.RefusedError(
                 _CODES.NO_CAPACITY,
                 "all targets that may serve it are at rest or at the limits "
                 "they named",
-                retry_after_s=rest_s or _OVERLOAD_RETRY_AFTER_S,
+                retry_after_s=wait_s,
             )
         return request_types.RefusedError(
             _CODES.NO_TARGET, retry_after_s=_NO_TARGET_RETRY_AFTER_S
@@ -328,9 +332,10 @@
         if sent.outcome is target_sender.SendOutcome.NOT_SENT:
             return True
         if sent.refusal is not None:
-            # The peer has decided about retries.
+            # The peer has retried as far as the route and its budget allow.
             return False
-        sent_before = call.relay.send_count if call.relay else 0
+        history = call.relay_history
+        sent_before = history.send_count if history is not None else 0
         return sent_before + self._sent_count < call.route.max_attempts
 
     def _spend_retry_if_needed(self) -> bool:
--- a/chicorydoor/coordination/relay_app.py
+++ b/chicorydoor/coordination/relay_app.py
@@ -1,6 +1,7 @@
 """ASGI application that serves the requests that peers relay.
 
-It listens on a port that callers cannot reach.
+It listens on a port that callers cannot reach, and trusts the customer that
+the relaying entry names.
 """
 
 from chicorydoor.coordination import active_serving_config
@@ -81,8 +82,8 @@
         self._route_id = route.route_id
         if customer is not None:
             self._customer_id = customer.customer_id
-        relay = admitted_request.Relay(service_id, int(send_count))
-        return call_app.Admission(route, customer, None, relay)
+        history = admitted_request.RelayHistory(service_id, int(send_count))
+        return call_app.Admission(route, customer, None, history)
 
     def _check_service(
         self, route: serving_config.RouteConfig, service_id: ids.ServiceId
--- a/chicorydoor/coordination/request_relay.py
+++ b/chicorydoor/coordination/request_relay.py
@@ -96,39 +96,50 @@
             The peer; None if there is none.
         """
         now = self._clock.now()
-        own = self._fleet.own_registration
-        if not allowed_region_ids or own.region in allowed_region_ids:
-            peers = self._fleet.live_region_peers(now)
-            reaching = [
-                peer.registration
-                for peer in peers
-                if peer.reaches(service_id)
-                and self._is_usable(peer.registration, excluded, now)
-            ]
-            domain_peers = [
-                each for each in reaching if each.domain == own.domain
+        candidates: list[fleet_view.Registration] = []
+        own_region = self._fleet.own_registration.region
+        if not allowed_region_ids or own_region in allowed_region_ids:
+            candidates = self._region_candidates(service_id, excluded, now)
+        if not candidates:
+            candidates = [
+                registration
+                for registration in self._fleet.ready_remote_peers(now)
+                if (
+                    not allowed_region_ids
+                    or registration.region in allowed_region_ids
+                )
+                and self._is_usable(registration, excluded, now)
             ]
-            # This entry and the peers of its domain that relay as well.
-            relaying = 1 + sum(
-                peer.registration.domain == own.domain
-                and not peer.reaches(service_id)
-                for peer in peers
-            )
-            if len(domain_peers) >= relaying:
-                # Their load at most doubles.
-                return self._rng.choice(domain_peers)
-            if reaching:
-                return self._rng.choice(reaching)
-        remote = [
-            registration
-            for registration in self._fleet.ready_remote_peers(now)
-            if (
-                not allowed_region_ids
-                or registration.region in allowed_region_ids
-            )
-            and self._is_usable(registration, excluded, now)
+        return self._rng.choice(candidates) if candidates else None
+
+    def _region_candidates(
+        self,
+        service_id: ids.ServiceId,
+        excluded: abc.Collection[str],
+        now: float,
+    ) -> list[fleet_view.Registration]:
+        """Return the region's peers to choose from.
+
+        Those of the own failure domain suffice if they are at least as many
+        as its entries that relay, so that their load at most doubles.
+        """
+        own_domain = self._fleet.own_registration.domain
+        peers = self._fleet.live_region_peers(now)
+        reaching = [
+            peer.registration
+            for peer in peers
+            if peer.reaches(service_id)
+            and self._is_usable(peer.registration, excluded, now)
         ]
-        return self._rng.choice(remote) if remote else None
+        domain_peers = [each for each in reaching if each.domain == own_domain]
+        relaying_count = 1 + sum(
+            peer.registration.domain == own_domain
+            and not peer.reaches(service_id)
+            for peer in peers
+        )
+        return (
+            domain_peers if len(domain_peers) >= relaying_count else reaching
+        )
 
     def _is_usable(
         self,
@@ -149,16 +160,16 @@
         self,
         call: admitted_request.AdmittedRequest,
         peer: fleet_view.Registration,
-        relay: admitted_request.Relay,
+        history: admitted_request.RelayHistory,
     ) -> target_sender.SendResult:
         """Relay a request to a peer once.
 
         Args:
             call (AdmittedRequest): The request.
             peer (Registration): The peer.
-            relay (Relay): What this entry has done with the request.
+            history (RelayHistory): What this entry has done with the request.
         """
-        result = await self._exchange(call, peer, relay)
+        result = await self._exchange(call, peer, history)
         metrics.RELAYED_REQUESTS.labels(result.outcome.value).inc()
         return result
 
@@ -166,7 +177,7 @@
         self,
         call: admitted_request.AdmittedRequest,
         peer: fleet_view.Registration,
-        relay: admitted_request.Relay,
+        history: admitted_request.RelayHistory,
     ) -> target_sender.SendResult:
         outcomes = target_sender.SendOutcome
         pool = self._pool(peer.relay_address)
@@ -190,8 +201,8 @@
             peer.instance,
             remaining_s,
             [
-                (names.relayed_service, relay.service_id.encode()),
-                (names.relayed_send_count, b"%d" % relay.send_count),
+                (names.relayed_service, history.service_id.encode()),
+                (names.relayed_send_count, b"%d" % history.send_count),
             ],
         )
         try:
@@ -325,6 +336,6 @@
     retry_after_s = 0.0
     value = answer.find_header(b"retry-after")
     if value is not None:
-        # Written by the peer's own code, always a decimal number.
+        # The peer itself writes it, as a decimal number.
         retry_after_s = float(value)
     return request_types.RefusedError(code, retry_after_s=retry_after_s)
--- a/chicorydoor/coordination/target_prober.py
+++ b/chicorydoor/coordination/target_prober.py
@@ -92,12 +92,13 @@
         self._rng = rng
         self._check_by_target: dict[ids.TargetId, asyncio.Task] = {}
         self._task_by_target: dict[ids.TargetId, asyncio.Task] = {}
-        # Time and failure domain of the latest ejections.
+        # Time and failure domain of each ejection of the last seconds.
         self._recent_ejections: collections.deque[
             tuple[float, ids.DomainId]
         ] = collections.deque()
         self._cut_check: asyncio.Task | None = None
-        # Ends the back-off of all probes, and is then replaced.
+        # Set when a target of a service out of reach answers a probe. Ends
+        # the back-off of all probes; a new event replaces it for the next cut.
         self._reach_returns = asyncio.Event()
 
     def eject(self, view: target_views.TargetView, reason: str) -> None:
@@ -146,7 +147,9 @@
         )
         is_checking = self._cut_check and not self._cut_check.done()
         if is_widespread and views and not is_checking:
-            self._cut_check = asyncio.create_task(self._check_views(views))
+            self._cut_check = asyncio.create_task(
+                self._check_sample_then_rest(views)
+            )
 
     def _usable_views(self) -> list[target_views.TargetView]:
         return [
@@ -155,7 +158,9 @@
             if self._targets.may_get_requests(view)
         ]
 
-    async def _check_views(self, views: list[target_views.TargetView]) -> None:
+    async def _check_sample_then_rest(
+        self, views: list[target_views.TargetView]
+    ) -> None:
         """Check a sample and, if most of it is unreachable, the rest."""
         self._rng.shuffle(views)
         sample, rest = views[:_SAMPLE_SIZE], views[_SAMPLE_SIZE:]
--- a/chicorydoor/coordination/target_selection.py
+++ b/chicorydoor/coordination/target_selection.py
@@ -53,6 +53,8 @@
 # after its end, at least within the seconds below.
 _REST_JITTER = 0.3
 _MIN_REST_JITTER_S = 0.5
+# Rate limits that targets name last for seconds, so they do not end at once.
+_RATE_LIMIT_WAIT_S = 1.0
 _HASH_RANGE = float(2**64)
 _MAX_CACHED_CANDIDATE_SETS = 50_000
 
@@ -206,19 +208,20 @@
         all_allowed = _CandidateSet(self._allowed_views(constraints))
         return self._best_choice(constraints, all_allowed, now, excluded)
 
-    def find_rest_s(
+    def wait_for_permit_s(
         self, constraints: TargetConstraints, now: float
     ) -> float | None:
-        """Return the time until one of the targets takes requests again.
+        """Return how long targets let a request wait that ask for fewer.
 
         Args:
             constraints (TargetConstraints): Where the request may be sent.
             now (float): Current time in seconds.
 
         Returns:
-            Seconds with a random part, so that callers do not all return at
-            once; 0 if only rate limits prevent sending; None if some target
-            may get a request now or there is none.
+            Seconds until the first rest ends, with a random part so that
+            callers do not all return at once, or a fixed time if rate limits
+            are in the way; None if some target may get a request now, except
+            for its cold start, or if there is no target.
         """
         views = self._allowed_views(constraints)
         if not views or any(
@@ -226,7 +229,7 @@
         ):
             return None
         if not all(self._permits.is_at_rest(view, now) for view in views):
-            return 0.0
+            return _RATE_LIMIT_WAIT_S
         rest_s = min(
             self._permits.rests.ends_at(view.incarnation_key) - now
             for view in views
--- a/chicorydoor/protocol/admitted_request.py
+++ b/chicorydoor/protocol/admitted_request.py
@@ -24,8 +24,8 @@
 _FINGERPRINT_BYTES = 16
 
 
-class Relay(msgspec.Struct, frozen=True):
-    """What an entry has done with a request that it relays to a peer.
+class RelayHistory(msgspec.Struct, frozen=True):
+    """What an entry did with a request before it relayed it to a peer.
 
     Args:
         service_id (str): The service that it chose.
@@ -56,8 +56,9 @@
         arrived_at (float): Arrival time on the local clock, in seconds.
         deadline (float): Time on the local clock by which the caller must
             have the response.
-        relay (Relay): What the entry that relayed the request has done; None
-            if its caller sent it to this entry. Defaults to None.
+        relay_history (RelayHistory): What the entry that relayed the request
+            did with it; None if its caller sent it to this entry. Defaults to
+            None.
     """
 
     method: bytes
@@ -70,7 +71,7 @@
     customer: serving_config.CustomerConfig | None
     arrived_at: float
     deadline: float
-    relay: Relay | None = None
+    relay_history: RelayHistory | None = None
 
     @functools.cached_property
     def fingerprint(self) -> bytes:
--- a/chicorydoor/state/send_permits.py
+++ b/chicorydoor/state/send_permits.py
@@ -46,7 +46,10 @@
         return self.may_probe(view, now)
 
     def may_probe(self, view: target_views.TargetView, now: float) -> bool:
-        """Whether a probe may be sent now; does not record it."""
+        """Whether a probe may be sent now; does not record it.
+
+        Cold starts limit requests only.
+        """
         return not self.is_at_rest(view, now) and self.rate_limits.may_send(
             view.incarnation_key, view.region, now
         )
--- a/chicorydoor/state/target_views.py
+++ b/chicorydoor/state/target_views.py
@@ -29,8 +29,7 @@
 _MIN_LATENCY_RATIO, _MAX_LATENCY_RATIO = 0.5, 20.0
 # Consecutive unanswered requests after which a target counts as silent.
 _SILENT_AFTER_REQUESTS = 2
-
-# Incarnations that are remembered to have said that they leave, several
+# Incarnations remembered to have said that they leave: room for several
 # replacements of all targets of a large deployment.
 _MAX_LEAVING = 10_000
 
@@ -293,8 +292,8 @@
         self.target_by_id: dict[ids.TargetId, TargetView] = {}
         self.evacuated_domains: set[ids.DomainId] = set()
         self._usable_by_service: dict[ids.ServiceId, list[TargetView]] = {}
-        # Outlive the views: a registration may lapse and return. Those that
-        # said it first come first.
+        # Incarnations that said that they leave, the first to say it first.
+        # Kept apart from the views, as a registration may lapse and return.
         self._said_leaving: dict[ids.TargetIncarnation, None] = {}
         self.generation = 0
 
--- a/tests/test_call_runner.py
+++ b/tests/test_call_runner.py
@@ -24,7 +24,7 @@
 _SendOutcome = target_sender.SendOutcome
 
 
-def _build_request(deadline=2.0, relay=None, **changes):
+def _build_request(deadline=2.0, relay_history=None, **changes):
     return admitted_request.AdmittedRequest(
         method=b"GET",
         request_target=b"/read/1",
@@ -36,7 +36,7 @@
         customer=None,
         arrived_at=0.0,
         deadline=deadline,
-        relay=relay,
+        relay_history=relay_history,
     )
 
 
@@ -58,7 +58,7 @@
             _build_selected_target(self._names.pop(0)) if self._names else None
         )
 
-    def find_rest_s(self, constraints, now):
+    def wait_for_permit_s(self, constraints, now):
         return None
 
     def has_unreachable(self, constraints):
@@ -118,8 +118,8 @@
     def choose_peer(self, service_id, regions, excluded):
         return self._peers.pop(0) if self._peers else None
 
-    async def send(self, call, peer, relay):
-        self.sent.append((peer, relay.send_count))
+    async def send(self, call, peer, history):
+        self.sent.append((peer, history.send_count))
         outcome = self._outcomes.pop(0)
         refusal = (
             request_types.RefusedError(result_codes.ResultCode.TARGET_SHED)
@@ -142,11 +142,8 @@
         clock=clocks.ManualClock(),
     )
     trace = call_runner.CallTrace()
-    relayed = changes.pop("relayed", None)
     with contextlib.suppress(request_types.RefusedError):
-        asyncio.run(
-            runner.run(_build_request(relay=relayed, **changes), trace)
-        )
+        asyncio.run(runner.run(_build_request(**changes), trace))
     return budget, sender
 
 
@@ -177,16 +174,18 @@
     # Guards against requests circling between entries without targets.
     def test_relayed_request_is_not_relayed_again(self):
         relay = _Relay(["p1"], [])
-        relayed = admitted_request.Relay("svc", 0)
+        history = admitted_request.RelayHistory("svc", 0)
         _, sender = _run(
-            ["a"], [_SendOutcome.NOT_RUN], relay=relay, relayed=relayed
+            ["a"], [_SendOutcome.NOT_RUN], relay=relay, relay_history=history
         )
         assert relay.sent == []
         assert sender.sent == ["a"]
 
     def test_sends_of_the_relaying_entry_count(self):
-        relayed = admitted_request.Relay("svc", 1)
-        _, sender = _run(["a", "b"], [_SendOutcome.NOT_RUN], relayed=relayed)
+        history = admitted_request.RelayHistory("svc", 1)
+        _, sender = _run(
+            ["a", "b"], [_SendOutcome.NOT_RUN], relay_history=history
+        )
         assert sender.sent == ["a"]
 
 
--- a/tests/test_request_relay.py
+++ b/tests/test_request_relay.py
@@ -198,7 +198,7 @@
                 arrived_at=now,
                 deadline=now + 0.3,
             )
-            history = admitted_request.Relay(_SERVICE, 0)
+            history = admitted_request.RelayHistory(_SERVICE, 0)
             result = await relay.send(call, peer.registration, history)
             return result, relay.choose_peer(_SERVICE, frozenset())
 
