Refuse requests as too late by measurements only

Cause: the estimate before the first measurement (a factor of the objective, doubled for cold targets) can exceed a route's timeout.

--- a/chicorydoor/coordination/call_runner.py
+++ b/chicorydoor/coordination/call_runner.py
@@ -290,7 +290,9 @@
         trace.target_load = choice.target.estimated_requests(now)
         trace.target_rate_limit_per_s = choice.rate_limit_per_s
         trace.target_load_age_s = choice.target.load_age_s(now)
-        if now + choice.expected_latency_s > call.deadline:
+        # Estimates without measurements choose a target, but refuse nothing:
+        # without requests there would never be a measurement.
+        if now + choice.measured_latency_s > call.deadline:
             self._refusal = request_types.RefusedError(
                 _CODES.NO_CAPACITY, retry_after_s=_BUSY_RETRY_AFTER_S
             )
--- a/chicorydoor/coordination/target_selection.py
+++ b/chicorydoor/coordination/target_selection.py
@@ -88,6 +88,8 @@
         is_cold (bool): Whether the target is still warming up.
         rate_limit_per_s (float): Rate limit that the target names; None
             without one. Defaults to None.
+        measured_latency_s (float): The part of the expected latency that
+            recent measurements show, in seconds. Defaults to 0.
         reason (SelectionReason): Why it was chosen. Defaults to ``LOAD``.
     """
 
@@ -98,6 +100,7 @@
     is_cached: bool
     is_cold: bool
     rate_limit_per_s: float | None = None
+    measured_latency_s: float = 0.0
     reason: SelectionReason = SelectionReason.LOAD
 
 
@@ -436,8 +439,32 @@
             is_cached,
             is_cold,
             self._permits.rate_limits.rate_per_s(view.incarnation_key),
+            round_trip_s
+            + self._measured_time_s(route, view, expects_cache_hit, now),
         )
 
+    def _measured_time_s(
+        self,
+        route: serving_config.RouteConfig,
+        view: target_views.TargetView,
+        expects_cache_hit: bool,
+        now: float,
+    ) -> float:
+        """Time at a target, in seconds, as far as measurements show it.
+
+        Without a measurement a part of it counts as 0. The latency ratio of
+        the target is left out, as it may be relative to an estimate.
+        """
+        times = self.processing_times
+        hit_s = times.measured_s(route, True, now)
+        miss_s = times.measured_s(route, False, now)
+        processing_s = hit_s if expects_cache_hit else miss_s
+        queued_s = miss_s if hit_s is None else hit_s
+        wait_s = target_views.expected_wait_s(
+            view.estimated_requests(now), view.record.slots, queued_s or 0.0
+        )
+        return (processing_s or 0.0) + wait_s
+
     def _allowed_views(
         self, constraints: TargetConstraints
     ) -> list[target_views.TargetView]:
--- a/chicorydoor/coordination/target_sender.py
+++ b/chicorydoor/coordination/target_sender.py
@@ -407,7 +407,10 @@
             return
         round_trip_s = self._selection.round_trip_s(view.region)
         self._selection.processing_times.record(
-            call.route, choice.is_cached, max(0.0, elapsed_s - round_trip_s)
+            call.route,
+            choice.is_cached,
+            max(0.0, elapsed_s - round_trip_s),
+            now,
         )
 
     def connection_pool(
--- a/chicorydoor/model/model_fleet.py
+++ b/chicorydoor/model/model_fleet.py
@@ -397,7 +397,7 @@
                 0.0, elapsed_s - entry.round_trip_s(view.region)
             )
             entry.selection.processing_times.record(
-                self._route, choice.is_cached, processing_s
+                self._route, choice.is_cached, processing_s, now
             )
         self._record_result(response.sent_at, elapsed_s, is_from_other_region)
 
