Pass configurations on between entries instead of reading them everywhere

Change: the first of a region's readers publishes the values, compressed and through one relay for each failure domain; the others announce the change as before, and an entry that has no values 0.4 s later reads the store itself. Values above 256 kB are only announced.

--- a/chicorydoor/compose_fleet.py
+++ b/chicorydoor/compose_fleet.py
@@ -65,7 +65,7 @@
         read_interval_s=0.0,
         takeover_s=2.0,
         stagger_s=0.05,
-        publishes_values=False,
+        values_within_s=0.4,
     ),
     # Targets write continuously; a read about every second meets the time
     # limits.
--- a/chicorydoor/coordination/peer_exchange.py
+++ b/chicorydoor/coordination/peer_exchange.py
@@ -55,6 +55,9 @@
 # Digests are not acknowledged, so their connections are reopened at this
 # interval in case one has failed silently.
 _DIGEST_RECONNECT_INTERVAL_S = 5.0
+# Published messages from this size on are compressed. Configurations compress
+# several times; heartbeats are shorter.
+_COMPRESSED_FROM_BYTES = 8192
 # A connection that delivered nothing for this long is reopened.
 _RECONNECT_AFTER_S = 1.6
 
@@ -148,6 +151,7 @@
             gossip_messages.RateTokenReply: limiter.handle_reply,
             gossip_messages.RateTokenRelease: limiter.handle_release,
             gossip_messages.RelayedMessage: self._handle_relay,
+            gossip_messages.CompressedMessage: self._handle_compressed,
         }
 
     def add_follower(self, follower: store_follower.StoreFollower) -> None:
@@ -169,7 +173,10 @@
 
     def publish(self, message: gossip_messages.Message) -> None:
         """Send a message to every other entry of the region."""
-        self._send_to_region(gossip_messages.encode(message))
+        data = gossip_messages.encode(message)
+        if len(data) >= _COMPRESSED_FROM_BYTES:
+            data = gossip_messages.encode_compressed(message)
+        self._send_to_region(data)
 
     def _send_to_region(self, data: bytes) -> None:
         """Send encoded data to all entries of the region.
@@ -359,13 +366,16 @@
 
     def _handle_data(self, data: bytes) -> None:
         try:
-            message = gossip_messages.decode(data)
+            self.handle_message(gossip_messages.decode(data))
         except errors.PeerError as error:
             _LOG.warning(
                 "cannot decode peer message", extra={"reason": f"{error}"}
             )
-            return
-        self.handle_message(message)
+
+    def _handle_compressed(
+        self, message: gossip_messages.CompressedMessage
+    ) -> None:
+        self._handle_data(gossip_messages.decompress(message))
 
     def _handle_relay(self, relay: gossip_messages.RelayedMessage) -> None:
         if relay.scope is gossip_messages.RelayScope.REGION:
--- a/chicorydoor/coordination/store_follower.py
+++ b/chicorydoor/coordination/store_follower.py
@@ -42,6 +42,8 @@
 # The same for a peer of another region: the own region is likely to read
 # within this time what another region has read first.
 _OTHER_REGION_COPY_DELAY_S = 1.0
+# Values above this size are not published; each entry reads them itself.
+_MAX_PUBLISHED_BYTES = 256 * 1024
 # Longest sleep before the rank is determined again: readers ranked before this
 # entry may have stopped meanwhile.
 _RANK_RECHECK_S = 0.5
@@ -82,9 +84,11 @@
         takeover_s (float): Seconds without an update after which the next
             entry in rank reads too.
         stagger_s (float): Additional seconds for each further rank.
-        publishes_values (bool): Whether readers publish the changed values;
-            otherwise they only publish that there is a change, so that
-            large values do not saturate an entry's link. Defaults to True.
+        values_within_s (float): If above 0, values are large: only the first
+            reader publishes them, so that they do not saturate the links. The
+            others publish that there is a change, and an entry that then gets
+            no values within this time, in seconds, reads them itself.
+            Defaults to 0.
     """
 
     prefix: str
@@ -93,7 +97,7 @@
     read_interval_s: float
     takeover_s: float
     stagger_s: float
-    publishes_values: bool = True
+    values_within_s: float = 0.0
 
     def max_age_s(self, rank: int) -> float:
         """Return the seconds since the last update after which an entry reads.
@@ -159,6 +163,10 @@
         # this entry learnt of it.
         self._missing_revision = 0
         self._missing_since = 0.0
+        # Latest revision that a peer announced, and the timer after which it
+        # is read if its values did not arrive.
+        self._announced_revision = 0
+        self._value_timer: asyncio.TimerHandle | None = None
         # Set when there is a change that this entry has to read itself.
         self._must_read = asyncio.Event()
 
@@ -283,14 +291,34 @@
 
     def _publish_change(self, since: int) -> None:
         prefix = self.policy.prefix
-        if self.policy.publishes_values:
-            batch = self.mirror.changes_since(since)
+        batch = self.mirror.changes_since(since)
+        if self._should_publish_values(batch):
             self._publish(gossip_messages.StoreChanges(prefix, since, batch))
         else:
             self._publish(
                 gossip_messages.StoreProgress(prefix, self.local_extent())
             )
 
+    def _should_publish_values(
+        self, batch: store_items.StoreItemBatch
+    ) -> bool:
+        if not self.policy.values_within_s:
+            return True
+        size_bytes = sum(len(item.value or b"") for item in batch.items)
+        return size_bytes <= _MAX_PUBLISHED_BYTES and self._reader_rank() == 0
+
+    def _read_unless_published(self) -> None:
+        """Read the store if a change that a peer has is not published soon."""
+        if self._value_timer is None:
+            self._value_timer = asyncio.get_running_loop().call_later(
+                self.policy.values_within_s, self._read_if_missing
+            )
+
+    def _read_if_missing(self) -> None:
+        self._value_timer = None
+        if self._announced_revision > self.mirror.as_of:
+            self._must_read.set()
+
     def _record_update(self) -> None:
         self.updated_at = self._clock.now()
         self._on_contact()
@@ -320,8 +348,11 @@
             progress.extent.as_of, progress.extent.latest
         ):
             self._record_update()
+        self._announced_revision = max(
+            self._announced_revision, progress.extent.latest
+        )
         if progress.extent.latest > self.mirror.as_of:
-            self._must_read.set()
+            self._read_unless_published()
 
     def apply_copy(self, copy: gossip_messages.StoreCopy) -> None:
         """Replace the local copy by a peer's."""
@@ -352,8 +383,8 @@
 
         Also advances the local copy's extent: if the peer's latest change
         is present here, nothing else has changed up to the peer's extent.
-        Where updates carry no values, a missing change also lets this entry
-        read the store.
+        Where values are large, a missing change also lets this entry read
+        the store.
 
         Args:
             extent (Extent): How complete the peer's copy is.
@@ -369,8 +400,11 @@
             self._record_update()
         if extent.latest <= self.mirror.as_of:
             return False
-        if not self.policy.publishes_values:
-            self._must_read.set()
+        if self.policy.values_within_s:
+            self._announced_revision = max(
+                self._announced_revision, extent.latest
+            )
+            self._read_unless_published()
         if self._missing_revision <= self.mirror.as_of:
             self._missing_revision = extent.latest
             self._missing_since = now
@@ -379,6 +413,7 @@
             if is_other_region
             else _REGION_COPY_DELAY_S
         )
+        copy_delay_s += self.policy.values_within_s
         is_due = now - self._missing_since >= copy_delay_s
         if (
             not is_due
--- a/chicorydoor/protocol/gossip_messages.py
+++ b/chicorydoor/protocol/gossip_messages.py
@@ -7,6 +7,7 @@
 """
 
 import enum
+import zlib
 
 import msgspec
 
@@ -112,6 +113,16 @@
     customer_id: ids.CustomerId
 
 
+class CompressedMessage(msgspec.Struct, frozen=True, tag="compressed"):
+    """Another message in compressed form.
+
+    Args:
+        data (bytes): The encoded message, compressed by zlib.
+    """
+
+    data: bytes
+
+
 class RelayScope(enum.Enum):
     """Which peers the receiver of a relayed message passes it on to."""
 
@@ -142,8 +153,12 @@
     | RateTokenReply
     | RateTokenRelease
     | RelayedMessage
+    | CompressedMessage
 )
 
+# Bound of what compressed data may expand to.
+_MAX_DECOMPRESSED_BYTES = 4 * 1024 * 1024
+
 _ENCODER = msgspec.msgpack.Encoder()
 _DECODER: msgspec.msgpack.Decoder[Message] = msgspec.msgpack.Decoder(Message)
 
@@ -163,3 +178,24 @@
         return _DECODER.decode(data)
     except msgspec.DecodeError as error:
         raise errors.PeerError(f"{error}") from error
+
+
+def encode_compressed(message: Message) -> bytes:
+    """Return a message's encoding as a ``CompressedMessage``."""
+    return encode(CompressedMessage(zlib.compress(encode(message))))
+
+
+def decompress(message: CompressedMessage) -> bytes:
+    """Return the encoding of the message that a compressed one holds.
+
+    Raises:
+        PeerError: If the data is not valid, or too long.
+    """
+    decompressor = zlib.decompressobj()
+    try:
+        data = decompressor.decompress(message.data, _MAX_DECOMPRESSED_BYTES)
+    except zlib.error as error:
+        raise errors.PeerError(f"{error}") from error
+    if not decompressor.eof:
+        raise errors.PeerError("compressed data is incomplete or too long")
+    return data
--- a/tests/test_peer_exchange.py
+++ b/tests/test_peer_exchange.py
@@ -1,6 +1,9 @@
 """Exchange of messages between entries over a lossy link."""
 
 import asyncio
+import zlib
+
+import pytest
 
 from chicorydoor.coordination import peer_exchange
 from chicorydoor.protocol import gossip_messages
@@ -74,6 +77,46 @@
         simulated_peers.run_scenario(scenario)
 
 
+class TestCompression:
+    def test_large_update_crosses_compressed(self):
+        async def scenario(network, entries):
+            await asyncio.sleep(1.0)
+            network.sent_messages.clear()
+            # An entry whose copy is up to revision 0 merges it.
+            item = store_items.StoreItemChange("p/a", 1, b"abc" * 10_000)
+            batch = store_items.StoreItemBatch([item], 1)
+            entries[0].peers.publish(
+                gossip_messages.StoreChanges("p/", 0, batch)
+            )
+            assert max(size for _, _, size in network.sent_messages) < 3_000
+            await asyncio.sleep(0.1)
+            for entry in entries[1:]:
+                assert entry.items == [item]
+
+        simulated_peers.run_scenario(scenario)
+
+    @pytest.mark.parametrize(
+        "data",
+        [
+            b"not compressed",
+            zlib.compress(b"cut off")[:-3],
+            zlib.compress(bytes(64 * 1024 * 1024)),
+            zlib.compress(b"no message"),
+        ],
+    )
+    def test_malformed_compressed_data_is_ignored(self, data):
+        async def scenario(network, entries):
+            message = gossip_messages.CompressedMessage(data)
+            network.queue_by_address["e1:1"].put_nowait(
+                gossip_messages.encode(message)
+            )
+            await asyncio.sleep(3.0)
+            now = asyncio.get_running_loop().time()
+            assert len(entries[1].fleet.live_region_peers(now)) == 2
+
+        simulated_peers.run_scenario(scenario)
+
+
 class TestRelays:
     def test_heartbeat_crosses_to_another_domain_once(self):
         async def scenario(network, entries):
--- a/tests/test_store_follower.py
+++ b/tests/test_store_follower.py
@@ -76,7 +76,15 @@
 class _FollowerHarness:
     """A follower with its copy of the store and a record of its actions."""
 
-    def __init__(self, feed, read_interval_s=0.0, rank=0, entries=1):
+    def __init__(
+        self,
+        feed,
+        read_interval_s=0.0,
+        rank=0,
+        entries=1,
+        readers=1,
+        values_within_s=0.0,
+    ):
         self.value_by_key = {}
         self.published = []
         self.contacts = 0
@@ -84,7 +92,13 @@
             # After the prefix: watch_timeout_s, reader_count,
             # read_interval_s, takeover_s and stagger_s.
             policy=store_follower.FollowPolicy(
-                "p/", 1.0, 1, read_interval_s, read_interval_s + 0.25, 0.25
+                "p/",
+                1.0,
+                readers,
+                read_interval_s,
+                read_interval_s + 0.25,
+                0.25,
+                values_within_s,
             ),
             feed=feed,
             mirror=store_mirror.StoreMirror("p/"),
@@ -253,6 +267,76 @@
         _run_scenario(scenario, read_interval_s=0.8)
 
 
+class TestLargeValues:
+    """Guards against a call of every entry for every configuration."""
+
+    @pytest.mark.parametrize(
+        ("rank", "kind"),
+        [
+            (0, gossip_messages.StoreChanges),
+            (1, gossip_messages.StoreProgress),
+        ],
+    )
+    def test_first_reader_publishes_the_values(self, rank, kind):
+        async def scenario(feed, harness):
+            await asyncio.sleep(0.1)
+            harness.published.clear()
+            feed.write("p/b", b"2")
+            await asyncio.sleep(0.1)
+            assert [type(each) for each in harness.published] == [kind]
+
+        _run_scenario(scenario, rank=rank, readers=2, values_within_s=0.4)
+
+    def test_values_above_the_limit_are_announced_only(self):
+        async def scenario(feed, harness):
+            await asyncio.sleep(0.1)
+            harness.published.clear()
+            feed.write("p/b", bytes(300_000))
+            await asyncio.sleep(0.1)
+            assert isinstance(
+                harness.published[0], gossip_messages.StoreProgress
+            )
+
+        _run_scenario(scenario, readers=2, values_within_s=0.4)
+
+    def test_entry_that_gets_the_values_makes_no_call(self):
+        async def scenario(feed, harness):
+            await asyncio.sleep(0.1)
+            feed.calls.clear()
+            since = feed.revision
+            feed.write("p/b", b"2")
+            extent = fleet_view.Extent(feed.revision, feed.revision)
+            progress = gossip_messages.StoreProgress("p/", extent)
+            harness.follower.handle_progress(progress)
+            await asyncio.sleep(0.2)
+            batch = store_items.StoreItemBatch(
+                feed.history[-1:], feed.revision
+            )
+            changes = gossip_messages.StoreChanges("p/", since, batch)
+            harness.follower.apply_changes(changes)
+            assert harness.value_by_key["p/b"] == b"2"
+            await asyncio.sleep(0.5)
+            assert feed.calls == []
+
+        _run_scenario(
+            scenario, rank=5, read_interval_s=2.0, values_within_s=0.4
+        )
+
+    def test_entry_that_gets_no_values_reads_them_in_time(self):
+        async def scenario(feed, harness):
+            await asyncio.sleep(0.1)
+            feed.write("p/b", b"2")
+            extent = fleet_view.Extent(feed.revision, feed.revision)
+            progress = gossip_messages.StoreProgress("p/", extent)
+            harness.follower.handle_progress(progress)
+            await asyncio.sleep(0.5)
+            assert harness.value_by_key["p/b"] == b"2"
+
+        _run_scenario(
+            scenario, rank=5, read_interval_s=2.0, values_within_s=0.4
+        )
+
+
 class TestRefusal:
     def _receive_progress(self, feed, harness):
         """Apply a peer's notice that the store has a new revision."""
