Keep an entry running after a malformed message or an unexpected error

Cause: all tasks of an entry shared one task group, so that any error that was not foreseen ended the process. A relayed message that holds others, 3,000 deep, did so by its recursion, and each level was sent to all peers again. Wrapped messages hold no further wrapped ones. A relay passes on messages that only later builds know.

--- a/chicorydoor/compose_fleet.py
+++ b/chicorydoor/compose_fleet.py
@@ -27,6 +27,7 @@
 from chicorydoor.coordination import request_relay
 from chicorydoor.coordination import round_trip_times
 from chicorydoor.coordination import store_follower
+from chicorydoor.coordination import supervision
 from chicorydoor.coordination import target_prober
 from chicorydoor.coordination import target_registrations
 from chicorydoor.coordination import target_selection
@@ -392,24 +393,39 @@
 
     async def run(self) -> None:
         """Run all tasks until cancelled."""
+        run_by_part = {
+            "registration": self.registration.run,
+            "blocked requests": self.blocked_requests.run,
+            "heartbeats": self.peer_exchange.run_heartbeats,
+            "digests": self.peer_exchange.run_digests,
+            "peer messages": self.peer_exchange.receive_messages,
+            "maintenance": self.run_maintenance,
+        }
+        for follower in self.followers:
+            run_by_part[f"store {follower.policy.prefix}"] = follower.run
         async with asyncio.TaskGroup() as group:
-            for follower in self.followers:
-                group.create_task(follower.run())
-            group.create_task(self.registration.run())
-            group.create_task(self.blocked_requests.run())
-            group.create_task(self.peer_exchange.run())
-            group.create_task(self._run_maintenance())
+            for part, run in run_by_part.items():
+                group.create_task(supervision.run_supervised(part, run))
 
-    async def _run_maintenance(self) -> None:
+    async def run_maintenance(self) -> None:
+        """Run the periodic steps without precise timing until cancelled."""
+        steps = (
+            self._set_ready_once_configured,
+            self._rebalance_rates,
+            self._announce_reach,
+            self._close_unused,
+        )
         while True:
-            self._set_ready_once_configured()
-            self._rebalance_rates()
-            self._announce_reach()
-            self.sender.close_unused()
-            self.relay.close_unused()
-            self.crashes.remove_expired(self.clock.now())
+            for step in steps:
+                supervision.run_step("maintenance", step)
             await asyncio.sleep(_MAINTENANCE_INTERVAL_S)
 
+    def _close_unused(self) -> None:
+        """Close connections and remove state that is not needed any more."""
+        self.sender.close_unused()
+        self.relay.close_unused()
+        self.crashes.remove_expired(self.clock.now())
+
     def _set_ready_once_configured(self) -> None:
         """Become ready once a configuration and a target are known."""
         states = fleet_view.EntryState
--- a/chicorydoor/coordination/peer_exchange.py
+++ b/chicorydoor/coordination/peer_exchange.py
@@ -9,6 +9,7 @@
 
 import asyncio
 from collections import abc
+import contextlib
 import logging
 import random
 import typing
@@ -17,6 +18,7 @@
 from chicorydoor.coordination import rate_limiter
 from chicorydoor.coordination import region_digests
 from chicorydoor.coordination import store_follower
+from chicorydoor.coordination import supervision
 from chicorydoor.protocol import gossip_messages
 from chicorydoor.protocol import ids
 from chicorydoor.state import fleet_view
@@ -28,6 +30,7 @@
 from chicorydoor.state import target_rate_limits
 from chicorydoor.state import target_views
 from chicorydoor.transport import clock as clock_module
+from chicorydoor.transport import metrics
 from chicorydoor.transport import nng_transport
 
 # Interval of heartbeats. They carry rate shares and repair lost updates:
@@ -61,6 +64,12 @@
 # A connection that delivered nothing for this long is reopened.
 _RECONNECT_AFTER_S = 1.6
 
+# Messages that hold another message, which must not be one of these again.
+_WRAPPERS = (
+    gossip_messages.RelayedMessage,
+    gossip_messages.CompressedMessage,
+)
+
 _LOG = logging.getLogger(__name__)
 
 
@@ -294,11 +303,12 @@
     async def run(self) -> None:
         """Exchange messages until cancelled."""
         async with asyncio.TaskGroup() as group:
-            group.create_task(self._run_heartbeats())
-            group.create_task(self._run_digests())
-            group.create_task(self._receive())
+            group.create_task(self.run_heartbeats())
+            group.create_task(self.run_digests())
+            group.create_task(self.receive_messages())
 
-    async def _run_heartbeats(self) -> None:
+    async def run_heartbeats(self) -> None:
+        """Send heartbeats and watch over the peers until cancelled."""
         while True:
             self.send_heartbeats()
             self._remove_gone_and_log_changes()
@@ -307,7 +317,8 @@
                 heartbeat_interval_s(len(self._fleet.region_peers()))
             )
 
-    async def _run_digests(self) -> None:
+    async def run_digests(self) -> None:
+        """Send digests until cancelled."""
         # A digest is incomplete until the entry has got its peers' heartbeats.
         await asyncio.sleep(PEER_SILENT_AFTER_S)
         while True:
@@ -360,24 +371,39 @@
 
     # Receiving.
 
-    async def _receive(self) -> None:
+    async def receive_messages(self) -> None:
+        """Handle the messages of peers until cancelled."""
         while True:
             self._handle_data(await self._link.receive())
 
     def _handle_data(self, data: bytes) -> None:
+        """Handle a message; an error costs this message only."""
         try:
             self.handle_message(gossip_messages.decode(data))
         except errors.PeerError as error:
+            metrics.PEER_MESSAGES_REJECTED.labels("undecodable").inc()
             _LOG.warning(
                 "cannot decode peer message", extra={"reason": f"{error}"}
             )
+        except Exception:
+            supervision.record_error("peer message")
 
     def _handle_compressed(
-        self, message: gossip_messages.CompressedMessage
+        self, compressed: gossip_messages.CompressedMessage
     ) -> None:
-        self._handle_data(gossip_messages.decompress(message))
+        data = gossip_messages.decompress(compressed)
+        message = gossip_messages.decode(data)
+        if isinstance(message, _WRAPPERS):
+            raise errors.PeerError("a compressed message holds a wrapped one")
+        self.handle_message(message)
 
     def _handle_relay(self, relay: gossip_messages.RelayedMessage) -> None:
+        message: gossip_messages.Message | None = None
+        # A message of a later build is relayed although it is unknown here.
+        with contextlib.suppress(errors.PeerError):
+            message = gossip_messages.decode(relay.data)
+        if isinstance(message, gossip_messages.RelayedMessage):
+            raise errors.PeerError("a relayed message holds another one")
         if relay.scope is gossip_messages.RelayScope.REGION:
             self._send_to_region(relay.data)
         else:
@@ -386,7 +412,9 @@
                 self._fleet.own_registration.domain, []
             )
             _send_to_all(self._link, domain_peers, relay.data)
-        self._handle_data(relay.data)
+        if message is None:
+            raise errors.PeerError("a relayed message is unknown")
+        self.handle_message(message)
 
     def handle_message(self, message: gossip_messages.Message) -> None:
         """Handle a message from a peer."""
--- a/chicorydoor/platform/store_updates.py
+++ b/chicorydoor/platform/store_updates.py
@@ -1,11 +1,13 @@
 """Applies changes in the platform's store to the entry's state."""
 
 from collections import abc
+import functools
 import logging
 import typing
 
 from chicorydoor import errors
 from chicorydoor.coordination import active_serving_config
+from chicorydoor.coordination import supervision
 from chicorydoor.coordination import target_registrations
 from chicorydoor.platform import documents
 from chicorydoor.protocol import ids
@@ -49,17 +51,19 @@
     ) -> None:
         """Apply changed configurations and evacuations."""
         before = set(self._evacuated_domains)
-        for item in items:
-            domain = documents.parse_evacuated_domain(item.key)
-            if item.key == documents.CONFIGURATION_KEY:
-                self._apply_configuration(item)
-            elif domain is not None and item.value is not None:
-                self._evacuated_domains.add(domain)
-            elif domain is not None:
-                self._evacuated_domains.discard(domain)
+        _apply_each(items, self._apply_operator_item)
         if self._evacuated_domains != before:
             self._apply_evacuations(before)
 
+    def _apply_operator_item(self, item: store_items.StoreItemChange) -> None:
+        domain = documents.parse_evacuated_domain(item.key)
+        if item.key == documents.CONFIGURATION_KEY:
+            self._apply_configuration(item)
+        elif domain is not None and item.value is not None:
+            self._evacuated_domains.add(domain)
+        elif domain is not None:
+            self._evacuated_domains.discard(domain)
+
     def _apply_configuration(self, item: store_items.StoreItemChange) -> None:
         """Activate a configuration; a deleted one stays active."""
         if item.value is None:
@@ -94,33 +98,49 @@
         self, items: list[store_items.StoreItemChange]
     ) -> None:
         """Apply changed and deleted registrations of targets."""
-        for item in items:
-            if item.value is None:
-                name = item.key.removeprefix(documents.TARGET_PREFIX)
-                self._registrations.handle_removal(ids.TargetId(name))
-                continue
-            record = _decode_registration(
-                item, documents.decode_target_registration
-            )
-            if record is not None:
-                self._registrations.apply_registration(record)
+        _apply_each(items, self._apply_target_item)
+
+    def _apply_target_item(self, item: store_items.StoreItemChange) -> None:
+        if item.value is None:
+            name = item.key.removeprefix(documents.TARGET_PREFIX)
+            self._registrations.handle_removal(ids.TargetId(name))
+            return
+        record = _decode_registration(
+            item, documents.decode_target_registration
+        )
+        if record is not None:
+            self._registrations.apply_registration(record)
 
     def apply_entry_items(
         self, items: list[store_items.StoreItemChange]
     ) -> None:
         """Apply changed and deleted registrations of entries."""
-        for item in items:
-            if item.value is None:
-                name = item.key.removeprefix(documents.ENTRY_PREFIX)
-                self._fleet.record_unregistration(
-                    ids.InstanceId(name), self._clock.now()
-                )
-                continue
-            registration = _decode_registration(
-                item, documents.decode_entry_registration
+        _apply_each(items, self._apply_entry_item)
+
+    def _apply_entry_item(self, item: store_items.StoreItemChange) -> None:
+        if item.value is None:
+            name = item.key.removeprefix(documents.ENTRY_PREFIX)
+            self._fleet.record_unregistration(
+                ids.InstanceId(name), self._clock.now()
             )
-            if registration is not None:
-                self._fleet.record_registration(registration)
+            return
+        registration = _decode_registration(
+            item, documents.decode_entry_registration
+        )
+        if registration is not None:
+            self._fleet.record_registration(registration)
+
+
+def _apply_each(
+    items: list[store_items.StoreItemChange],
+    apply: abc.Callable[[store_items.StoreItemChange], None],
+) -> None:
+    """Apply each item; an error in one does not hide the others."""
+    for item in items:
+        supervision.run_step(
+            f"store item {item.key.partition('/')[0]}",
+            functools.partial(apply, item),
+        )
 
 
 _RecordT = typing.TypeVar("_RecordT")
--- a/chicorydoor/transport/metrics.py
+++ b/chicorydoor/transport/metrics.py
@@ -117,6 +117,11 @@
     "chicorydoor_blocked_requests",
     "Requests, by fingerprint, that are not sent to any target.",
 )
+UNEXPECTED_ERRORS = prometheus_client.Counter(
+    "chicorydoor_unexpected_errors",
+    "Errors that ended a task or a step of it, which then went on.",
+    ["part"],
+)
 LOG_LINES_DROPPED = prometheus_client.Counter(
     "chicorydoor_log_lines_dropped",
     "Log lines left out to bound their volume.",
