Answer the requests that are sent just before a stop closes the ports

Cause: closing a listening socket resets the connections in its backlog, and uvicorn then closes connections without a request at once, also those whose request has arrived but is not read yet. With 40 callers that connect all the time, all 40 were reset at a planned stop of a busy entry. Change: the ports are closed after every connection made before is accepted; connections get 0.3 s for their first request before idle ones are closed.

--- a/chicorydoor/transport/http_server.py
+++ b/chicorydoor/transport/http_server.py
@@ -3,6 +3,9 @@
 import asyncio
 from collections import abc
 import contextlib
+import errno
+import logging
+import select
 import socket
 import typing
 
@@ -11,6 +14,13 @@
 from chicorydoor.transport import caller_protocol
 
 _LISTEN_BACKLOG = 1024
+# Time for the kernel to complete a handshake whose caller has sent its last
+# packet.
+_HANDSHAKE_S = 0.005
+# Time for a request to be read that was sent when its connection was made.
+_FIRST_READ_S = 0.3
+
+_LOG = logging.getLogger(__name__)
 
 
 def bind_tcp_socket(address: str, port: int) -> socket.socket:
@@ -24,6 +34,29 @@
     return listener
 
 
+def _accept_all(listener: socket.socket) -> list[socket.socket]:
+    """Return all connections that wait in a listening socket's backlog."""
+    listener.setblocking(False)
+    connections = []
+    while True:
+        try:
+            if not select.select([listener], [], [], _HANDSHAKE_S)[0]:
+                return connections
+            connection, _ = listener.accept()
+        except BlockingIOError:
+            continue
+        except OSError as error:
+            # The connection has ended, or no descriptor is free for it.
+            _LOG.warning(
+                "connection not accepted", extra={"reason": f"{error}"}
+            )
+            if error.errno in (errno.EMFILE, errno.ENFILE):
+                return connections
+            continue
+        connection.setblocking(False)
+        connections.append(connection)
+
+
 class _Server(uvicorn.Server):
     """A uvicorn server that installs no signal handlers."""
 
@@ -113,6 +146,10 @@
         if self._task is None:
             self._close_sockets()
             return
+        await self._stop_accepting()
+        # Idle connections are closed next. Those that were just accepted are
+        # idle only because their request has not been read yet.
+        await asyncio.sleep(min(_FIRST_READ_S, grace_s))
         self._server.should_exit = True
         with contextlib.suppress(TimeoutError):
             # 0.2 s more than the grace period; then requests are aborted.
@@ -122,6 +159,40 @@
         await asyncio.gather(self._task, return_exceptions=True)
         self._close_sockets()
 
+    async def _stop_accepting(self) -> None:
+        """Close the ports after accepting every connection made before.
+
+        Closing a listening socket resets the connections that wait in its
+        backlog, whose callers may have sent a request already.
+        """
+        backlogs = [listener.dup() for listener in self._sockets]
+        for server in self._server.servers:
+            server.close()
+        self._close_sockets()
+        accepted = []
+        for backlog in backlogs:
+            accepted += _accept_all(backlog)
+            backlog.close()
+        loop = asyncio.get_running_loop()
+        for connection in accepted:
+            try:
+                await loop.connect_accepted_socket(
+                    self._make_protocol, connection
+                )
+            except OSError as error:
+                _LOG.info(
+                    "connection ended while it was accepted",
+                    extra={"reason": f"{error}"},
+                )
+
+    def _make_protocol(self) -> asyncio.Protocol:
+        config = self._server.config
+        return config.http_protocol_class(
+            config=config,
+            server_state=self._server.server_state,
+            app_state=self._server.lifespan.state,
+        )
+
     def _close_sockets(self) -> None:
         for listener in self._sockets:
             listener.close()
--- /dev/null
+++ b/tests/test_http_server.py
@@ -0,0 +1,71 @@
+"""The HTTP server's stop: callers that connect at that moment."""
+
+import asyncio
+import socket
+import time
+
+from chicorydoor.transport import http_server
+
+_REQUEST = b"GET / HTTP/1.1\r\nhost: a\r\n\r\n"
+
+
+async def _answer(scope, receive, send):
+    headers = [(b"content-length", b"2")]
+    await send(
+        {"type": "http.response.start", "status": 200, "headers": headers}
+    )
+    await send({"type": "http.response.body", "body": b"ok"})
+
+
+class _Callers:
+    """Connects and sends a request in each turn of a busy event loop.
+
+    So at any moment a connection waits in the backlog whose request was sent.
+    """
+
+    def __init__(self, port):
+        self._address = ("127.0.0.1", port)
+        self._loop = asyncio.get_running_loop()
+        self.connections = []
+        self.is_refused = asyncio.Event()
+        self._loop.call_soon(self._connect)
+
+    def _connect(self):
+        try:
+            connection = socket.create_connection(self._address, 1.0)
+        except ConnectionRefusedError:
+            self.is_refused.set()
+            return
+        connection.sendall(_REQUEST)
+        self.connections.append(connection)
+        time.sleep(0.002)
+        self._loop.call_soon(self._connect)
+
+    def read_answers(self):
+        """Return the first bytes of each answer; empty without one."""
+        answers = []
+        for connection in self.connections:
+            try:
+                answers.append(connection.recv(12))
+            except ConnectionError:
+                answers.append(b"")
+            connection.close()
+        return answers
+
+
+class TestPlannedStop:
+    # Guards against requests that were reset without an answer because their
+    # connections waited in the backlog when a stop closed the ports.
+    def test_requests_sent_before_the_ports_close_are_answered(self):
+        async def scenario():
+            server = http_server.HttpServer(_answer, "127.0.0.1", 0)
+            await server.start()
+            callers = _Callers(server.port)
+            await asyncio.sleep(0.1)
+            await server.stop(2.0)
+            await callers.is_refused.wait()
+            answers = callers.read_answers()
+            assert len(answers) > 10
+            assert [each for each in answers if each != b"HTTP/1.1 200"] == []
+
+        asyncio.run(scenario())
