--- a/tests/test_rate_limiter.py
+++ b/tests/test_rate_limiter.py
@@ -280,8 +280,7 @@
 
 
 class TestReports:
-    # Guards against heartbeats and sums that grow with entries x customers:
-    # at 195 entries they took 7% of a core at each.
+    # Guards against heartbeats and sums that grow with entries x customers.
     def test_entries_without_a_part_of_a_rate_report_nothing(self):
         customers = tuple(
             make.build_customer_config(f"c{number}", rate_per_s=6.0, burst=6.0)
