Log the measured part of a request's expected latency

Cause: a request is refused as too late by measurements now, but its line had only the estimate, so the refusal could not be explained from it.

--- a/chicorydoor/coordination/call_app.py
+++ b/chicorydoor/coordination/call_app.py
@@ -318,6 +318,7 @@
                 "target_region": trace.region,
                 "chosen_as": trace.reason,
                 "expected_ms": round(trace.expected_latency_s * 1000),
+                "measured_ms": round(trace.measured_latency_s * 1000),
                 "object_known": trace.is_cached,
                 "target_load": round(trace.target_load, 1),
                 "target_rate_limit": trace.target_rate_limit_per_s,
--- a/chicorydoor/coordination/call_runner.py
+++ b/chicorydoor/coordination/call_runner.py
@@ -54,6 +54,8 @@
             ``SelectionReason``. Defaults to empty.
         expected_latency_s (float): Expected response time of the last choice,
             in seconds. Defaults to 0.
+        measured_latency_s (float): The part of it that recent measurements
+            show, in seconds. Defaults to 0.
         is_cached (bool): Whether the object is believed to be in that target's
             cache. Defaults to False.
         target_load (float): Requests running or waiting at that target.
@@ -70,6 +72,7 @@
     region: str = ""
     reason: str = ""
     expected_latency_s: float = 0.0
+    measured_latency_s: float = 0.0
     is_cached: bool = False
     target_load: float = 0.0
     target_rate_limit_per_s: float | None = None
@@ -286,6 +289,7 @@
         trace.region = choice.target.region
         trace.reason = choice.reason.value
         trace.expected_latency_s = choice.expected_latency_s
+        trace.measured_latency_s = choice.measured_latency_s
         trace.is_cached = choice.is_cached
         trace.target_load = choice.target.estimated_requests(now)
         trace.target_rate_limit_per_s = choice.rate_limit_per_s
