Publish changes so that they complete older copies too

Cause: a reader published a change with the revision of its last read, which rises with every write of a target. Change: changes are published from the revision of the change before them; nothing lies in between. Result: tests/test_store_follower.py (test_published_values_complete_an_older_ copy) fails before and passes.

--- a/chicorydoor/coordination/store_follower.py
+++ b/chicorydoor/coordination/store_follower.py
@@ -214,7 +214,7 @@
             await self._read_listing()
             return
         await self._wait_until_due()
-        since = self.mirror.as_of
+        since, latest = self.mirror.as_of, self.mirror.latest
         try:
             batch = await self._feed.wait_for_changes(
                 self.policy.prefix, since, self.policy.watch_timeout_s
@@ -226,7 +226,9 @@
             )
             self._is_listed = False
             return
-        self._apply_read(self.mirror.merge(batch, since), since)
+        # Nothing has changed from the latest change to ``since``. Published
+        # from there on, the changes also complete copies that are older.
+        self._apply_read(self.mirror.merge(batch, since), min(since, latest))
 
     async def _read_listing(self) -> None:
         batch = await self._feed.list_items(self.policy.prefix)
--- a/tests/test_store_follower.py
+++ b/tests/test_store_follower.py
@@ -287,6 +287,28 @@
 
         _run_scenario(scenario, rank=rank, readers=2, values_within_s=0.4)
 
+    # Guards against a call of every entry after each publication: the reader
+    # knows later revisions than the others, though nothing changed in them.
+    def test_published_values_complete_an_older_copy(self):
+        async def scenario(feed, harness):
+            await asyncio.sleep(0.1)
+            older_revision = harness.follower.mirror.as_of
+            feed.revision += 50
+            await asyncio.sleep(1.5)
+            assert harness.follower.mirror.as_of > older_revision
+            harness.published.clear()
+            feed.write("p/b", b"2")
+            await asyncio.sleep(0.1)
+            changes = harness.published[0]
+            assert changes.since <= older_revision
+            copy = store_mirror.StoreMirror("p/")
+            item = store_items.StoreItemChange("p/a", 2, b"1")
+            copy.replace(store_items.StoreItemBatch([item], older_revision))
+            copy.merge(changes.batch, changes.since)
+            assert copy.as_of == feed.revision
+
+        _run_scenario(scenario, readers=2, values_within_s=0.4)
+
     def test_values_above_the_limit_are_announced_only(self):
         async def scenario(feed, harness):
             await asyncio.sleep(0.1)
