Let an HTTP server be stopped again after it has stopped

Cause: the stop that answers late connections duplicated its sockets, which a second stop finds closed; the product's own path stops a server twice, so its planned stop ended with an error. Change: closed sockets are forgotten.

--- a/chicorydoor/transport/http_server.py
+++ b/chicorydoor/transport/http_server.py
@@ -139,6 +139,8 @@
     async def stop(self, grace_s: float = 0.0) -> None:
         """Stop accepting, finish running requests, close connections.
 
+        A server that has stopped may be stopped again.
+
         Args:
             grace_s (float): Maximum wait for running requests in seconds;
                 0.2 s later they are aborted. Defaults to 0.
@@ -194,5 +196,5 @@
         )
 
     def _close_sockets(self) -> None:
-        for listener in self._sockets:
-            listener.close()
+        while self._sockets:
+            self._sockets.pop().close()
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -69,3 +69,12 @@
             assert [each for each in answers if each != b"HTTP/1.1 200"] == []
 
         asyncio.run(scenario())
+
+    def test_server_can_be_stopped_twice(self):
+        async def scenario():
+            server = http_server.HttpServer(_answer, "127.0.0.1", 0)
+            await server.start()
+            await server.stop(1.0)
+            await server.stop()
+
+        asyncio.run(scenario())
