Log how long a request waited unread and whether its caller was still there

The logs could not tell three hypotheses of the incident "callers that left" apart. The line of a request now has queued_ms, left_unread and sends_after_leaving, from the kernel's state of the connection; the delay of the event loop has a metric and a log line. No decision changes.

--- a/chicorydoor/compose_fleet.py
+++ b/chicorydoor/compose_fleet.py
@@ -52,6 +52,7 @@
 from chicorydoor.state import target_rests
 from chicorydoor.state import target_views
 from chicorydoor.transport import clock as clock_module
+from chicorydoor.transport import metrics
 
 _LOG = logging.getLogger(__name__)
 
@@ -90,6 +91,8 @@
 )
 # Interval of periodic tasks without precise timing.
 _MAINTENANCE_INTERVAL_S = 0.25
+# Callers notice such a delay: it is a part of every request's time.
+_LOGGED_EVENT_LOOP_DELAY_S = 0.1
 # An entry that for this long could neither renew its registration nor receive
 # heartbeats of most others releases its rate shares: the others may take them
 # over once the registration has expired.
@@ -418,7 +421,20 @@
         while True:
             for step in steps:
                 supervision.run_step("maintenance", step)
+            planned_at = self.clock.now() + _MAINTENANCE_INTERVAL_S
             await asyncio.sleep(_MAINTENANCE_INTERVAL_S)
+            self._record_event_loop_delay(self.clock.now() - planned_at)
+
+    def _record_event_loop_delay(self, delay_s: float) -> None:
+        metrics.EVENT_LOOP_DELAY_SECONDS.observe(max(0.0, delay_s))
+        if delay_s > _LOGGED_EVENT_LOOP_DELAY_S:
+            _LOG.warning(
+                "event loop is late",
+                extra={
+                    "delay_ms": round(delay_s * 1000),
+                    "running": self.call_app.running_count,
+                },
+            )
 
     def _close_unused(self) -> None:
         """Close connections and remove state that is not needed any more."""
--- a/chicorydoor/coordination/call_app.py
+++ b/chicorydoor/coordination/call_app.py
@@ -15,6 +15,7 @@
 from chicorydoor.protocol import serving_config
 from chicorydoor.transport import asgi
 from chicorydoor.transport import buffered_connection
+from chicorydoor.transport import caller_connection
 from chicorydoor.transport import clock as clock_module
 from chicorydoor.transport import metrics
 
@@ -105,7 +106,12 @@
         self._receive = receive
         self._send = send
         self._arrived_at = app.clock.now()
-        self._trace = call_runner.CallTrace()
+        read_at = asgi.read_time(scope)
+        self._queued_s = self._arrived_at - read_at if read_at else 0.0
+        self._caller_connection = caller_connection.find_in_scope(scope)
+        self._trace = call_runner.CallTrace(
+            had_caller_left_unread=self._is_caller_gone()
+        )
         self._has_caller_left = False
         self._values_by_header: dict[bytes, list[bytes]] = {}
         for name, value in scope["headers"]:
@@ -147,6 +153,10 @@
             if watcher is not None:
                 watcher.cancel()
 
+    def _is_caller_gone(self) -> bool:
+        connection = self._caller_connection
+        return connection is not None and connection.is_closed()
+
     async def _read_body(self) -> bytes:
         limit = self._app.active_config.current.limits.body_bytes
         chunks: list[bytes] = []
@@ -200,6 +210,7 @@
             arrived_at=self._arrived_at,
             deadline=self._absolute_deadline(route.timeout_s),
             relay_history=admission.relay_history,
+            is_caller_gone=self._is_caller_gone,
         )
         try:
             return await app.runner.run(call, self._trace)
@@ -323,6 +334,9 @@
                 "target_load": round(trace.target_load, 1),
                 "target_rate_limit": trace.target_rate_limit_per_s,
                 "load_age_ms": _milliseconds(trace.target_load_age_s),
+                "queued_ms": round(self._queued_s * 1000),
+                "left_unread": trace.had_caller_left_unread,
+                "sends_after_leaving": trace.sends_after_leaving,
                 "elapsed_ms": round(elapsed_s * 1000),
                 "configuration": self._app.active_config.current.version,
             },
--- a/chicorydoor/coordination/call_runner.py
+++ b/chicorydoor/coordination/call_runner.py
@@ -64,6 +64,10 @@
             to name; None without one. Defaults to None.
         target_load_age_s (float): Age of the target's load report in seconds;
             None without a report. Defaults to None.
+        had_caller_left_unread (bool): Whether the caller had closed its
+            connection before the request was handled. Defaults to False.
+        sends_after_leaving (int): Attempts that began after the caller had
+            closed its connection. Defaults to 0.
     """
 
     fingerprint: bytes = b""
@@ -77,6 +81,8 @@
     target_load: float = 0.0
     target_rate_limit_per_s: float | None = None
     target_load_age_s: float | None = None
+    had_caller_left_unread: bool = False
+    sends_after_leaving: int = 0
 
 
 class CallRunner:
@@ -213,14 +219,21 @@
         if peer is not None:
             if not self._spend_retry_if_needed():
                 return None
+            self._record_if_caller_left()
             return await self._relay(peer)
         if choice is None or not self._spend_retry_if_needed():
             return None
+        self._record_if_caller_left()
         sent = await self._runner.sender.send(self._call, choice)
         metrics.SENDS.labels(self._trace.region, self._trace.reason).inc()
         self._tried_targets.append(sent.target_id)
         return sent
 
+    def _record_if_caller_left(self) -> None:
+        if self._call.is_caller_gone():
+            self._trace.sends_after_leaving += 1
+            metrics.SENDS_AFTER_LEAVING.inc()
+
     def _may_others_reach_a_target(self) -> bool:
         """Whether this entry alone may have lost the targets of a request.
 
--- a/chicorydoor/protocol/admitted_request.py
+++ b/chicorydoor/protocol/admitted_request.py
@@ -59,6 +59,8 @@
         relay_history (RelayHistory): What the entry that relayed the request
             did with it; None if its caller sent it to this entry. Defaults to
             None.
+        is_caller_gone (callable): Returns whether the caller has closed its
+            connection. Defaults to one that returns False.
     """
 
     method: bytes
@@ -72,6 +74,7 @@
     arrived_at: float
     deadline: float
     relay_history: RelayHistory | None = None
+    is_caller_gone: abc.Callable[[], bool] = lambda: False
 
     @functools.cached_property
     def fingerprint(self) -> bytes:
--- a/chicorydoor/transport/asgi.py
+++ b/chicorydoor/transport/asgi.py
@@ -8,6 +8,27 @@
 Send = abc.Callable[[dict[str, typing.Any]], abc.Awaitable[None]]
 Headers = abc.Sequence[tuple[bytes, bytes]]
 
+_READ_TIME = "chicorydoor.read_time"
+
+
+def set_read_time(scope: Scope, read_at: float) -> None:
+    """Record when the head of a request was read.
+
+    Args:
+        scope (dict): ASGI scope of the request.
+        read_at (float): Time on the system's clock, in seconds.
+    """
+    scope.setdefault("extensions", {})[_READ_TIME] = read_at
+
+
+def read_time(scope: Scope) -> float | None:
+    """Return when the head of a request was read; None if not recorded.
+
+    Args:
+        scope (dict): ASGI scope of the request.
+    """
+    return scope.get("extensions", {}).get(_READ_TIME)
+
 
 async def send_response(
     send: Send, status: int, headers: Headers = (), body: bytes = b""
--- /dev/null
+++ b/chicorydoor/transport/caller_connection.py
@@ -0,0 +1,51 @@
+"""The connection on which a caller's request arrived."""
+
+import asyncio
+import select
+
+from chicorydoor.transport import asgi
+
+# Key of the connection in the extensions of an ASGI scope.
+_EXTENSION = "chicorydoor.caller_connection"
+
+
+class CallerConnection:
+    """Knows whether a caller has closed its connection.
+
+    The event loop learns this only after it has handled everything that
+    arrived before, which takes long while it is busy. The kernel knows it at
+    once.
+
+    Args:
+        transport (Transport): Transport of the connection, which has a file
+            descriptor.
+    """
+
+    def __init__(self, transport: asyncio.BaseTransport) -> None:
+        self._transport = transport
+        self._poll = select.poll()
+        descriptor = transport.get_extra_info("socket").fileno()
+        # Errors and resets are always reported too.
+        self._poll.register(descriptor, select.POLLRDHUP)
+
+    def is_closed(self) -> bool:
+        """Whether the caller has closed the connection, read or unread."""
+        # After closing, the descriptor may belong to another connection.
+        return self._transport.is_closing() or bool(self._poll.poll(0))
+
+    def add_to_scope(self, scope: asgi.Scope) -> None:
+        """Make the connection known to the application.
+
+        Args:
+            scope (dict): ASGI scope of a request.
+        """
+        scope.setdefault("extensions", {})[_EXTENSION] = self
+
+
+def find_in_scope(scope: asgi.Scope) -> CallerConnection | None:
+    """Return the connection of a request; None from another server.
+
+    Args:
+        scope (dict): ASGI scope of the request.
+    """
+    return scope.get("extensions", {}).get(_EXTENSION)
--- a/chicorydoor/transport/caller_protocol.py
+++ b/chicorydoor/transport/caller_protocol.py
@@ -10,10 +10,15 @@
 
 from uvicorn.protocols.http import httptools_impl
 
+from chicorydoor.transport import asgi
+from chicorydoor.transport import caller_connection
+from chicorydoor.transport import clock as clock_module
+
 _HEADERS_TOO_LARGE = (
     b"431 Request Header Fields Too Large\r\nx-chicorydoor-code: 101"
 )
 _HEADERS_LATE = b"408 Request Timeout\r\nx-chicorydoor-code: 106"
+_CLOCK = clock_module.SystemClock()
 
 
 class ConnectionLimits(typing.NamedTuple):
@@ -43,6 +48,12 @@
     _header_bytes = 0
     _is_reading_headers = False
     _header_timer: asyncio.TimerHandle | None = None
+    _connection: caller_connection.CallerConnection | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the connection for the scopes of its requests."""
+        super().connection_made(typing.cast(asyncio.Transport, transport))
+        self._connection = caller_connection.CallerConnection(transport)
 
     def on_message_begin(self) -> None:
         """Start the header timeout at a request's first byte."""
@@ -55,6 +66,9 @@
         self._is_reading_headers = False
         self._header_bytes = 0
         self._stop_header_timer()
+        if self._connection is not None:
+            self._connection.add_to_scope(self.scope)
+        asgi.set_read_time(self.scope, _CLOCK.now())
         super().on_headers_complete()
 
     def on_response_complete(self) -> None:
