--- a/tests/support/scripted_target.py
+++ b/tests/support/scripted_target.py
@@ -45,7 +45,8 @@
     ``arrived_at`` has the time of each request. ``endless_bytes`` has the
     bytes that each endless answer sent until the caller closed. A request
     whose path contains ``crashes_on`` ends the target shortly after it
-    arrived; ``start`` brings it back at its address.
+    arrived; ``start`` brings it back at its address. ``before_answer`` is
+    called before each answer is sent.
 
     Args:
         name (str): Body of its answers. Defaults to "t".
@@ -70,6 +71,7 @@
         self.crashes_silently = False
         self._silent_writers = set()
         self.on_crash = lambda target: None
+        self.before_answer = lambda: None
         self.health_answer = b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n"
         self.address = ""
         self._writers = set()
@@ -181,6 +183,7 @@
             answer = _add_header(answer, b"server-limit: " + self.rate_limit)
         if self.says_leaving:
             answer = _add_header(answer, b"server-leaving: 1")
+        self.before_answer()
         writer.write(answer)
         await writer.drain()
         return True
