Do not send requests on after their callers have left

Cause: request and end of a connection wait in the socket together when a busy entry reads late. It handles first what it reads first, and all steps up to the send to a target fit into one turn of the event loop. The same holds for a retry or a relay that becomes possible in the turn in which the caller leaves.

Change: the entry asks the kernel whether the caller is still connected before it handles a request, and again before each send to a target or peer.

--- a/chicorydoor/coordination/call_app.py
+++ b/chicorydoor/coordination/call_app.py
@@ -127,6 +127,10 @@
         """Read the request, run it, respond and log."""
         watcher: asyncio.Task | None = None
         try:
+            if self._trace.had_caller_left_unread:
+                raise request_types.RefusedError(
+                    _CODES.CALLER_LEFT, outcome=result_codes.Outcome.NOT_RUN
+                )
             body = await self._read_body()
             watcher = asyncio.create_task(
                 self._cancel_on_disconnect(asyncio.current_task())
@@ -270,7 +274,7 @@
             headers.append((b"retry-after", value))
         headers = self._add_headers(headers, True)
         await self._send_response(code.status, headers, b"")
-        self._log_request(code.status, code, refusal.detail)
+        self._log_request(code.status, code, refusal.detail, refusal.outcome)
 
     async def _send_response(
         self, status: int, headers: admitted_request.Headers, body: bytes
@@ -304,7 +308,11 @@
         metrics.REQUEST_SECONDS.labels(self._route_id).observe(elapsed_s)
 
     def _log_request(
-        self, status: int, code: result_codes.ResultCode, detail: str = ""
+        self,
+        status: int,
+        code: result_codes.ResultCode,
+        detail: str = "",
+        outcome: result_codes.Outcome | None = None,
     ) -> None:
         elapsed_s = self._app.clock.now() - self._arrived_at
         self._record_metrics(code, elapsed_s)
@@ -318,7 +326,7 @@
                 "customer": self._customer_id,
                 "status": status,
                 "code": code.number,
-                "outcome": code.outcome.value,
+                "outcome": (outcome or code.outcome).value,
                 "detail": detail,
                 "object": self._header_value(
                     self._app.header_names.affinity_key
@@ -336,7 +344,6 @@
                 "load_age_ms": _milliseconds(trace.target_load_age_s),
                 "queued_ms": round(self._queued_s * 1000),
                 "left_unread": trace.had_caller_left_unread,
-                "sends_after_leaving": trace.sends_after_leaving,
                 "elapsed_ms": round(elapsed_s * 1000),
                 "configuration": self._app.active_config.current.version,
             },
--- a/chicorydoor/coordination/call_runner.py
+++ b/chicorydoor/coordination/call_runner.py
@@ -66,8 +66,6 @@
             None without a report. Defaults to None.
         had_caller_left_unread (bool): Whether the caller had closed its
             connection before the request was handled. Defaults to False.
-        sends_after_leaving (int): Attempts that began after the caller had
-            closed its connection. Defaults to 0.
     """
 
     fingerprint: bytes = b""
@@ -82,7 +80,6 @@
     target_rate_limit_per_s: float | None = None
     target_load_age_s: float | None = None
     had_caller_left_unread: bool = False
-    sends_after_leaving: int = 0
 
 
 class CallRunner:
@@ -193,7 +190,10 @@
     async def run(self) -> buffered_connection.BufferedResponse:
         """Send until there is a response or no further attempt is allowed."""
         for _ in range(_MAX_TRIES):
-            sent = await self._send_once()
+            try:
+                sent = await self._send_once()
+            except request_types.CallerLeftError as error:
+                raise self._refuse_absent_caller() from error
             if sent is None:
                 break
             self._record_attempt(sent)
@@ -219,21 +219,14 @@
         if peer is not None:
             if not self._spend_retry_if_needed():
                 return None
-            self._record_if_caller_left()
             return await self._relay(peer)
         if choice is None or not self._spend_retry_if_needed():
             return None
-        self._record_if_caller_left()
         sent = await self._runner.sender.send(self._call, choice)
         metrics.SENDS.labels(self._trace.region, self._trace.reason).inc()
         self._tried_targets.append(sent.target_id)
         return sent
 
-    def _record_if_caller_left(self) -> None:
-        if self._call.is_caller_gone():
-            self._trace.sends_after_leaving += 1
-            metrics.SENDS_AFTER_LEAVING.inc()
-
     def _may_others_reach_a_target(self) -> bool:
         """Whether this entry alone may have lost the targets of a request.
 
@@ -323,6 +316,14 @@
             return None
         return choice
 
+    def _refuse_absent_caller(self) -> request_types.RefusedError:
+        outcome = (
+            result_codes.Outcome.UNKNOWN
+            if self._may_have_run
+            else result_codes.Outcome.NOT_RUN
+        )
+        return request_types.RefusedError(_CODES.CALLER_LEFT, outcome=outcome)
+
     def _refuse_without_target(self, now: float) -> request_types.RefusedError:
         wait_s = self._runner.selection.wait_for_permit_s(
             self._constraints, now
--- a/chicorydoor/coordination/request_relay.py
+++ b/chicorydoor/coordination/request_relay.py
@@ -168,6 +168,9 @@
             call (AdmittedRequest): The request.
             peer (Registration): The peer.
             history (RelayHistory): What this entry has done with the request.
+
+        Raises:
+            CallerLeftError: If the caller has left; nothing was sent.
         """
         result = await self._exchange(call, peer, history)
         metrics.RELAYED_REQUESTS.labels(result.outcome.value).inc()
@@ -194,6 +197,9 @@
         if remaining_s <= 0:
             pool.release(connection, _MAX_IDLE_CONNECTIONS)
             return _result(outcomes.NOT_SENT, peer, "no time left")
+        if call.is_caller_gone():
+            pool.release(connection, _MAX_IDLE_CONNECTIONS)
+            raise request_types.CallerLeftError
         names = self._header_names
         request = admitted_request.encode_request(
             call,
--- a/chicorydoor/coordination/request_types.py
+++ b/chicorydoor/coordination/request_types.py
@@ -46,6 +46,10 @@
         return self.outcome is result_codes.Outcome.NOT_RUN
 
 
+class CallerLeftError(errors.ChicorydoorError):
+    """The caller closed its connection before the request was sent on."""
+
+
 class Body:
     """A request's body: a buffered first part, and a stream of the rest.
 
--- a/chicorydoor/coordination/target_sender.py
+++ b/chicorydoor/coordination/target_sender.py
@@ -143,6 +143,9 @@
         Args:
             call (AdmittedRequest): The request.
             choice (SelectedTarget): The target with its estimates.
+
+        Raises:
+            CallerLeftError: If the caller has left; nothing was sent.
         """
         view = choice.target
         self.permits.record_request(view, self._clock.now())
@@ -188,6 +191,9 @@
             return SendResult(
                 SendOutcome.NOT_SENT, view.target_id, reason=reason
             )
+        if call.is_caller_gone():
+            pool.release(connection, view.record.slots)
+            raise request_types.CallerLeftError
         request = admitted_request.encode_request(
             call, self._header_names, view.target_id, remaining_s
         )
--- a/chicorydoor/transport/metrics.py
+++ b/chicorydoor/transport/metrics.py
@@ -29,10 +29,6 @@
     "chosen.",
     ["region", "reason"],
 )
-SENDS_AFTER_LEAVING = prometheus_client.Counter(
-    "chicorydoor_sends_after_leaving",
-    "Attempts that began after the caller had closed its connection.",
-)
 EVENT_LOOP_DELAY_SECONDS = prometheus_client.Histogram(
     "chicorydoor_event_loop_delay_seconds",
     "How much later than planned a periodic task ran.",
