Accept all connections that wait in each turn of the event loop

Callers on new connections waited up to a second until a busy entry read their requests, and mostly left before, while callers on open connections were answered at once.

Cause: uvloop (libuv from 1.45 on) accepts one connection of a listening socket in each turn of the event loop, however many wait.

Change: the server reads its listening sockets itself and accepts what waits, up to 128 in a turn. It pauses while no descriptor is free.

Evidence: the test with 100 callers in one turn fails on uvloop before and passes now.

--- a/chicorydoor/transport/http_server.py
+++ b/chicorydoor/transport/http_server.py
@@ -14,6 +14,10 @@
 from chicorydoor.transport import caller_protocol
 
 _LISTEN_BACKLOG = 1024
+# Bounds the length of a turn of the event loop.
+_MAX_ACCEPTS_PER_TURN = 128
+# Pause before accepting again after all descriptors were in use.
+_DESCRIPTOR_PAUSE_S = 0.1
 # Time for the kernel to complete a handshake whose caller has sent its last
 # packet.
 _HANDSHAKE_S = 0.005
@@ -34,27 +38,99 @@
     return listener
 
 
-def _accept_all(listener: socket.socket) -> list[socket.socket]:
-    """Return all connections that wait in a listening socket's backlog."""
-    listener.setblocking(False)
-    connections = []
-    while True:
+class _Listener:
+    """A listening socket whose connections are served by a protocol.
+
+    In each turn of the event loop it accepts all connections that wait.
+    uvloop's own server accepts one: while the loop is busy, callers that open
+    a connection for each request would wait much longer than the others.
+
+    Args:
+        listener (socket): Bound socket; the listener closes it.
+        make_protocol (callable): Creates the protocol of a connection.
+    """
+
+    def __init__(
+        self,
+        listener: socket.socket,
+        make_protocol: abc.Callable[[], asyncio.Protocol],
+    ) -> None:
+        self._listener = listener
+        self._make_protocol = make_protocol
+        self._loop = asyncio.get_running_loop()
+        self._tasks: set[asyncio.Task] = set()
+        self._resume_timer: asyncio.TimerHandle | None = None
+        listener.setblocking(False)
+        listener.listen(_LISTEN_BACKLOG)
+        self._resume()
+
+    def _resume(self) -> None:
+        self._resume_timer = None
+        self._loop.add_reader(self._listener.fileno(), self._accept_waiting)
+
+    def _pause(self) -> None:
+        self._loop.remove_reader(self._listener.fileno())
+        if self._resume_timer is not None:
+            self._resume_timer.cancel()
+            self._resume_timer = None
+
+    def _accept_waiting(self) -> None:
+        for _ in range(_MAX_ACCEPTS_PER_TURN):
+            try:
+                self._serve_next()
+            except BlockingIOError:
+                return
+            except OSError as error:
+                if self._record_failure(error):
+                    # The socket stays readable until a descriptor is free.
+                    self._pause()
+                    self._resume_timer = self._loop.call_later(
+                        _DESCRIPTOR_PAUSE_S, self._resume
+                    )
+                    return
+
+    def _serve_next(self) -> None:
+        connection, _ = self._listener.accept()
+        connection.setblocking(False)
+        task = self._loop.create_task(self._serve(connection))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def _record_failure(self, error: OSError) -> bool:
+        """Log that accepting failed; whether no descriptor was free."""
+        _LOG.warning("connection not accepted", extra={"reason": f"{error}"})
+        return error.errno in (errno.EMFILE, errno.ENFILE)
+
+    async def _serve(self, connection: socket.socket) -> None:
         try:
-            if not select.select([listener], [], [], _HANDSHAKE_S)[0]:
-                return connections
-            connection, _ = listener.accept()
-        except BlockingIOError:
-            continue
+            await self._loop.connect_accepted_socket(
+                self._make_protocol, connection
+            )
         except OSError as error:
-            # The connection has ended, or no descriptor is free for it.
-            _LOG.warning(
-                "connection not accepted", extra={"reason": f"{error}"}
+            _LOG.info(
+                "connection ended while it was accepted",
+                extra={"reason": f"{error}"},
             )
-            if error.errno in (errno.EMFILE, errno.ENFILE):
-                return connections
-            continue
-        connection.setblocking(False)
-        connections.append(connection)
+
+    async def close(self) -> None:
+        """Close the port after accepting every connection made before.
+
+        Closing a listening socket resets the connections that wait in its
+        backlog, whose callers may have sent a request already.
+        """
+        if self._listener.fileno() < 0:
+            return
+        self._pause()
+        while select.select([self._listener], [], [], _HANDSHAKE_S)[0]:
+            try:
+                self._serve_next()
+            except BlockingIOError:
+                continue
+            except OSError as error:
+                if self._record_failure(error):
+                    break
+        self._listener.close()
+        await asyncio.gather(*self._tasks)
 
 
 class _Server(uvicorn.Server):
@@ -110,6 +186,7 @@
             date_header=False,
         )
         self._server = _Server(config)
+        self._listeners: list[_Listener] = []
         self._task: asyncio.Task | None = None
 
     @property
@@ -120,13 +197,15 @@
 
     async def start(self) -> None:
         """Start the server; returns once it accepts connections."""
-        self._task = asyncio.create_task(
-            self._server.serve(sockets=self._sockets)
-        )
+        self._task = asyncio.create_task(self._server.serve(sockets=[]))
         while not self._server.started:
             if self._task.done():
                 await self._task
             await asyncio.sleep(0.001)
+        sockets, self._sockets = self._sockets, []
+        self._listeners = [
+            _Listener(each, self._make_protocol) for each in sockets
+        ]
 
     def close_connections_after_responses(self) -> None:
         """Add ``connection: close`` to every further response."""
@@ -148,7 +227,8 @@
         if self._task is None:
             self._close_sockets()
             return
-        await self._stop_accepting()
+        for listener in self._listeners:
+            await listener.close()
         # Idle connections are closed next. Those that were just accepted are
         # idle only because their request has not been read yet.
         await asyncio.sleep(min(_FIRST_READ_S, grace_s))
@@ -159,33 +239,6 @@
                 await asyncio.shield(self._task)
         self._server.force_exit = True
         await asyncio.gather(self._task, return_exceptions=True)
-        self._close_sockets()
-
-    async def _stop_accepting(self) -> None:
-        """Close the ports after accepting every connection made before.
-
-        Closing a listening socket resets the connections that wait in its
-        backlog, whose callers may have sent a request already.
-        """
-        backlogs = [listener.dup() for listener in self._sockets]
-        for server in self._server.servers:
-            server.close()
-        self._close_sockets()
-        accepted = []
-        for backlog in backlogs:
-            accepted += _accept_all(backlog)
-            backlog.close()
-        loop = asyncio.get_running_loop()
-        for connection in accepted:
-            try:
-                await loop.connect_accepted_socket(
-                    self._make_protocol, connection
-                )
-            except OSError as error:
-                _LOG.info(
-                    "connection ended while it was accepted",
-                    extra={"reason": f"{error}"},
-                )
 
     def _make_protocol(self) -> asyncio.Protocol:
         config = self._server.config
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -1,9 +1,13 @@
-"""The HTTP server's stop: callers that connect at that moment."""
+"""The HTTP server under load and at its stop."""
 
 import asyncio
+import errno
 import socket
 import time
 
+import pytest
+import uvloop
+
 from chicorydoor.transport import http_server
 
 _REQUEST = b"GET / HTTP/1.1\r\nhost: a\r\n\r\n"
@@ -78,3 +82,66 @@
             await server.stop()
 
         asyncio.run(scenario())
+
+
+_LOOP_FACTORIES = [asyncio.new_event_loop, uvloop.new_event_loop]
+
+
+class TestBusyEventLoop:
+    # Guards against callers on new connections each waiting for another turn
+    # of a busy event loop: a crowd of retries that is answered too late.
+    @pytest.mark.parametrize("loop_factory", _LOOP_FACTORIES)
+    def test_callers_that_connect_at_once_are_answered_together(
+        self, loop_factory
+    ):
+        async def scenario():
+            server = http_server.HttpServer(_answer, "127.0.0.1", 0)
+            await server.start()
+            connections = []
+            for _ in range(100):
+                connection = socket.create_connection(
+                    ("127.0.0.1", server.port), 1.0
+                )
+                connection.sendall(_REQUEST)
+                connections.append(connection)
+            # A turn of the event loop each, which may be long.
+            for _ in range(20):
+                await asyncio.sleep(0)
+            for connection in connections:
+                connection.setblocking(False)
+                assert connection.recv(12) == b"HTTP/1.1 200"
+                connection.close()
+            await server.stop()
+
+        with asyncio.Runner(loop_factory=loop_factory) as runner:
+            runner.run(scenario())
+
+    # Guards against a port that stays closed after all descriptors were in
+    # use, or keeps the event loop busy until one is free.
+    def test_callers_are_accepted_when_descriptors_are_free_again(
+        self, monkeypatch
+    ):
+        async def scenario():
+            server = http_server.HttpServer(_answer, "127.0.0.1", 0)
+            await server.start()
+            attempts = []
+
+            def accept(listener):
+                attempts.append(listener)
+                raise OSError(errno.EMFILE, "Too many open files")
+
+            with monkeypatch.context() as patch:
+                patch.setattr(socket.socket, "accept", accept)
+                connection = socket.create_connection(
+                    ("127.0.0.1", server.port), 1.0
+                )
+                connection.sendall(_REQUEST)
+                await asyncio.sleep(0.5)
+                assert 2 <= len(attempts) <= 10
+            await asyncio.sleep(0.3)
+            connection.setblocking(False)
+            assert connection.recv(12) == b"HTTP/1.1 200"
+            connection.close()
+            await server.stop()
+
+        asyncio.run(scenario())
