End a running request whose caller leaves after sending another one

Work went on for callers that had left if they had sent a second request on the connection before the first was answered.

Cause: uvicorn tells only the last request of a connection that it was closed, and stops reading behind a request that has to wait, so that it does not see the close at all.

Change: the protocol keeps all unanswered requests of a connection, tells each of them, and reads up to eight ahead.

Evidence: both cases of TestPipelinedRequests fail before (0 of 1 requests ended at its target) and pass now, on arm64.

--- a/chicorydoor/transport/caller_protocol.py
+++ b/chicorydoor/transport/caller_protocol.py
@@ -18,6 +18,8 @@
     b"431 Request Header Fields Too Large\r\nx-chicorydoor-code: 101"
 )
 _HEADERS_LATE = b"408 Request Timeout\r\nx-chicorydoor-code: 106"
+# Requests that are read before the first of them is answered.
+_MAX_READ_AHEAD = 8
 _CLOCK = clock_module.SystemClock()
 
 
@@ -53,6 +55,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Keep the connection for the scopes of its requests."""
         super().connection_made(typing.cast(asyncio.Transport, transport))
+        self._cycles: list[httptools_impl.RequestResponseCycle] = []
         self._connection = caller_connection.CallerConnection(transport)
 
     def on_message_begin(self) -> None:
@@ -70,6 +73,14 @@
             self._connection.add_to_scope(self.scope)
         asgi.set_read_time(self.scope, _CLOCK.now())
         super().on_headers_complete()
+        self._cycles = [
+            each for each in self._cycles if not each.response_complete
+        ]
+        self._cycles.append(self.cycle)
+        # uvicorn stops reading after a request that waits for an earlier one,
+        # and would not see that the caller leaves.
+        if len(self._cycles) <= _MAX_READ_AHEAD:
+            self.flow.resume_reading()
 
     def on_response_complete(self) -> None:
         """Apply the current idle limit after a response was written."""
@@ -77,9 +88,13 @@
         super().on_response_complete()
 
     def connection_lost(self, exc: Exception | None) -> None:
-        """Stop the header timeout when the connection has ended."""
+        """End all requests of the connection; uvicorn ends the last one."""
         self._stop_header_timer()
         super().connection_lost(exc)
+        for cycle in self._cycles:
+            if not cycle.response_complete:
+                cycle.disconnected = True
+                cycle.message_event.set()
 
     def data_received(self, data: bytes) -> None:
         """Parse data and enforce the limit on the header size."""
--- a/tests/test_callers_that_left.py
+++ b/tests/test_callers_that_left.py
@@ -127,6 +127,28 @@
         platform_cluster.run(scenario)
 
 
+class TestPipelinedRequests:
+    # Guards against running requests that go on after their callers left,
+    # because another request had followed on the connection.
+    @pytest.mark.parametrize("pause_s", [0.0, 0.1])
+    def test_are_ended_when_the_caller_leaves(self, pause_s):
+        async def scenario(cluster):
+            for target in cluster.targets:
+                target.behaviours = [Behaviour.NO_ANSWER]
+            address = cluster.entries[0].settings.callers
+            request = _encode_request("GET", "/read/1")
+            caller = _connect_and_send(address, request)
+            await asyncio.sleep(pause_s)
+            caller.sendall(request)
+            await asyncio.sleep(_SETTLE_S)
+            caller.close()
+            await asyncio.sleep(_SETTLE_S)
+            assert sum(t.abandoned_requests for t in cluster.targets) == 1
+            assert cluster.request_count() == 1
+
+        platform_cluster.run(scenario)
+
+
 class TestRelayedRequests:
     # Guards against relaying requests whose callers left before the entry
     # read them.
