Count a request's time from when its head was read

Evidence: with turns of 50 ms a target was told 889 ms of 900 ms before; the test fails then and passes now (arm64).

--- a/chicorydoor/coordination/call_app.py
+++ b/chicorydoor/coordination/call_app.py
@@ -105,9 +105,10 @@
         self._scope = scope
         self._receive = receive
         self._send = send
-        self._arrived_at = app.clock.now()
+        handled_at = app.clock.now()
         read_at = asgi.read_time(scope)
-        self._queued_s = self._arrived_at - read_at if read_at else 0.0
+        self._arrived_at = handled_at if read_at is None else read_at
+        self._queued_s = handled_at - self._arrived_at
         self._caller_connection = caller_connection.find_in_scope(scope)
         self._trace = call_runner.CallTrace(
             had_caller_left_unread=self._is_caller_gone()
--- a/tests/test_platform_entry.py
+++ b/tests/test_platform_entry.py
@@ -261,6 +261,28 @@
 
         platform_cluster.run(scenario)
 
+    # Guards against targets that get more time than the caller has, because
+    # a request waited in the entry before it was handled.
+    def test_time_in_a_busy_event_loop_counts_towards_the_deadline(self):
+        turn_s = 0.05
+
+        async def scenario(cluster):
+            loop = asyncio.get_running_loop()
+            # Opens the connection to the target.
+            assert (await cluster.call()).status_code == 200
+
+            def block_turn():
+                time.sleep(turn_s)
+                if cluster.request_count() < 2:
+                    loop.call_soon(block_turn)
+
+            loop.call_soon(block_turn)
+            await cluster.call(headers={"deadline-ms": "900"})
+            heads = cluster.targets[0].received_headers
+            assert int(heads[-1][b"deadline-ms"]) <= 900 - turn_s * 1000
+
+        platform_cluster.run(scenario, targets=1)
+
     def test_disconnect_of_the_caller_reaches_the_target(self):
         async def scenario(cluster):
             for target in cluster.targets:
