Drop requests of callers that left on the product's own path too

Change: the request knows its caller's connection; it is checked before admission, before each attempt and before forwarding. A request with an idempotency key goes on once it is admitted: its outcome is recorded for a repetition.

--- a/chicorydoor/coordination/caller_app.py
+++ b/chicorydoor/coordination/caller_app.py
@@ -21,6 +21,7 @@
 from chicorydoor.state import event_ring
 from chicorydoor.state import idempotency
 from chicorydoor.transport import asgi
+from chicorydoor.transport import caller_connection
 from chicorydoor.transport import clock as clock_module
 from chicorydoor.transport import metrics
 
@@ -48,6 +49,11 @@
         self.customer = ""
         self.has_response_started = False
         self.code = _CODES.OK
+        self._connection = caller_connection.find_in_scope(scope)
+
+    def is_caller_gone(self) -> bool:
+        """Whether the caller has closed its connection."""
+        return self._connection is not None and self._connection.is_closed()
 
 
 def _request_id(header_by_name: dict[bytes, bytes]) -> str:
@@ -237,6 +243,10 @@
     async def _serve_request(
         self, call: _Call, receive: asgi.Receive, send: asgi.Send
     ) -> None:
+        if call.is_caller_gone():
+            raise request_types.RefusedError(
+                _CODES.CALLER_LEFT, outcome=result_codes.Outcome.NOT_RUN
+            )
         caller = self._authenticator.authenticate(
             call.scope.get("raw_path") or call.path.encode(),
             call.path,
@@ -304,6 +314,7 @@
                 http_headers.IDEMPOTENCY_KEY, b""
             ).decode("latin-1"),
             is_first_attempt=http_headers.FIRST_ATTEMPT in headers,
+            is_caller_gone=call.is_caller_gone,
         )
 
     async def _read_body_before_deadline(
--- a/chicorydoor/coordination/dispatcher.py
+++ b/chicorydoor/coordination/dispatcher.py
@@ -200,6 +200,7 @@
             peer = self._directory.choose_entry(domain, self._rng)
             if peer is None:
                 raise request_types.RefusedError(_CODES.PEER_UNREACHABLE)
+            request.check_caller()
             self._events.add(
                 event_ring.EventKind.FORWARDED,
                 request_id=request.request_id,
--- a/chicorydoor/coordination/request_types.py
+++ b/chicorydoor/coordination/request_types.py
@@ -115,6 +115,8 @@
             failure domain. Defaults to True.
         may_retry (bool): Whether it may be sent more than once. Defaults to
             True.
+        is_caller_gone (callable): Returns whether the caller has closed its
+            connection. Defaults to one that returns False.
     """
 
     method: str
@@ -132,6 +134,21 @@
     is_first_attempt: bool = False
     may_leave_domain: bool = True
     may_retry: bool = True
+    is_caller_gone: abc.Callable[[], bool] = lambda: False
+
+    def check_caller(self) -> None:
+        """Check that the answer is of use.
+
+        With an idempotency key it is recorded for a repetition.
+
+        Raises:
+            RefusedError: If the caller has closed its connection.
+        """
+        if not self.idempotency_key and self.is_caller_gone():
+            raise RefusedError(
+                result_codes.ResultCode.CALLER_LEFT,
+                outcome=result_codes.Outcome.NOT_RUN,
+            )
 
     @property
     def is_idempotent(self) -> bool:
--- a/chicorydoor/coordination/target_executor.py
+++ b/chicorydoor/coordination/target_executor.py
@@ -177,7 +177,7 @@
             return False
         if not (error.certainly_not_run or request.is_idempotent):
             return False
-        if error.code is _CODES.DEADLINE_PASSED:
+        if error.code in (_CODES.DEADLINE_PASSED, _CODES.CALLER_LEFT):
             return False
         return self._retry_budget.try_spend()
 
@@ -189,6 +189,11 @@
         if not self._is_key_active(request):
             self._slot_queue.release(state, 0.0)
             raise request_types.RefusedError(_CODES.KEY_REFUSED)
+        try:
+            request.check_caller()
+        except request_types.RefusedError:
+            self._slot_queue.release(state, 0.0)
+            raise
         connections = self._connections_of(state)
         # A request that isn't idempotent reuses only a recently used one.
         connection = connections.acquire(not request.is_idempotent)
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import json
+import socket
 
 import httpx
 import pytest
@@ -241,6 +242,31 @@
         finally:
             target.behaviour.answer_delay_s = 0.0
 
+    # Guards against requests that are sent to targets although their callers
+    # left before the entry read them.
+    def test_unread_request_of_a_caller_that_left_is_not_sent(
+        self, live_fleet
+    ):
+        target = live_fleet.target()
+        host, port = live_fleet.entry.callers.endpoint.split(":")
+        request = (
+            f"GET /main/x HTTP/1.1\r\nhost: a\r\n"
+            f"x-api-key: {live_fleet.key}\r\n\r\n"
+        ).encode()
+
+        async def leave_unread():
+            caller = socket.create_connection((host, int(port)), 1.0)
+            caller.sendall(request)
+            caller.close()
+            await asyncio.sleep(0.2)
+
+        for _ in range(5):
+            # Leaves a connection to the target open for the next request.
+            assert live_fleet.send_request().status_code == 200
+            before = len(target.received_requests)
+            live_fleet.run(leave_unread())
+            assert len(target.received_requests) == before
+
     def test_request_shed_by_the_target_is_refused_as_not_run(
         self, live_fleet
     ):
