Let the stand-in target keep silent when a request's deadline has passed

Change: it waits for its caller to close the connection. The new test asks the stand-in itself: before it sends 500, now nothing.

--- a/chicorydoor/standins/http_target.py
+++ b/chicorydoor/standins/http_target.py
@@ -183,6 +183,10 @@
             if deadline_ms is not None:
                 limit_s = min(work_s, int(deadline_ms) / 1000)
             done, _ = await asyncio.wait([disconnect], timeout=limit_s)
+            if not done and limit_s < work_s:
+                # Returning would send an error, and the deadline is rounded
+                # down: the caller would get it before its own time is over.
+                await disconnect
             if done or limit_s < work_s:
                 raise _CancelledError
         finally:
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -221,6 +221,23 @@
         next_reply = live_fleet.send_request(headers={"x-request-id": "own"})
         assert next_reply.text.startswith("own")
 
+    # Guards against a stand-in target whose empty error overtakes the entry's
+    # own deadline, which is up to a millisecond later.
+    def test_target_is_silent_when_the_deadline_has_passed(self, live_fleet):
+        target = live_fleet.target()
+        target.behaviour.answer_delay_s = 0.5
+
+        async def wait_for_answer():
+            url = f"http://{target.address}:{target.port}/main/x"
+            headers = {"x-deadline-ms": "20"}
+            with pytest.raises(httpx.ReadTimeout):
+                await live_fleet.client.get(url, headers=headers, timeout=0.2)
+
+        try:
+            live_fleet.run(wait_for_answer())
+        finally:
+            target.behaviour.answer_delay_s = 0.0
+
     def test_disconnect_cancels_the_request_at_the_target(self, live_fleet):
         target = live_fleet.target()
         target.behaviour.answer_delay_s = 0.8
