Test that a request leaves the entry within its turn of the event loop

The test passes on asyncio and uvloop, on arm64, without a change of code: both write at once, so that the entry's look at the caller's connection and the send are not apart.

--- a/tests/test_buffered_connection.py
+++ b/tests/test_buffered_connection.py
@@ -1,14 +1,17 @@
 """Response framing: bytes are fed to the real connection code."""
 
 import asyncio
+import socket
 
 from hypothesis import given
 from hypothesis import settings
 from hypothesis import strategies as st
 import pytest
+import uvloop
 
 from chicorydoor import errors
 from chicorydoor.transport import buffered_connection
+from chicorydoor.transport import clock
 
 _REQUEST_ID_HEADER = b"x-request-id"
 _RESPONSE = (
@@ -320,3 +323,35 @@
         head += b"transfer-encoding: chunked\r\n\r\n"
         response, _ = _exchange([head + body, b"0\r\n\r\n"])
         assert response.body == b"x" * 100_000
+
+
+class TestBusyEventLoop:
+    # Guards against requests that leave at the end of a long turn of the
+    # event loop, when their callers may have left.
+    @pytest.mark.parametrize(
+        "loop_factory", [asyncio.new_event_loop, uvloop.new_event_loop]
+    )
+    def test_request_is_sent_within_its_turn(self, loop_factory):
+        async def scenario():
+            listener = socket.create_server(("127.0.0.1", 0))
+            port = listener.getsockname()[1]
+            pool = buffered_connection.BufferedConnectionPool(
+                f"127.0.0.1:{port}", b"request-id", clock.SystemClock()
+            )
+            connection = await pool.acquire(1.0)
+            target, _ = listener.accept()
+            target.setblocking(False)
+            received = []
+            loop = asyncio.get_running_loop()
+            exchange = loop.create_task(connection.exchange(b"abc", b"r"))
+            # Runs in the same turn, after the first step of the exchange.
+            loop.call_soon(lambda: received.append(target.recv(16)))
+            await asyncio.sleep(0)
+            await asyncio.sleep(0)
+            assert received == [b"abc"]
+            exchange.cancel()
+            target.close()
+            listener.close()
+
+        with asyncio.Runner(loop_factory=loop_factory) as runner:
+            runner.run(scenario())
