Let callers of the soak leave, and check that nothing is sent on for them

The soak's callers waited until the end, so that it could not find requests that are sent on for callers that left. Half of them now leave after 0.2 s, and a new check counts what targets begin to run later than 0.5 s after that.

--- a/chicorydoor/soak/soak_checks.py
+++ b/chicorydoor/soak/soak_checks.py
@@ -6,6 +6,7 @@
 
 import collections
 from collections import abc
+import math
 
 import msgspec
 
@@ -19,6 +20,10 @@
 # Statuses with which an entry says that the request was not executed.
 _NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 _RATE_WINDOW_S = 5.0
+# Requests may be on their way for so long after their callers have left; a
+# slow link delays them by 0.2 s.
+_ON_THE_WAY_S = 0.5
+_MAX_LATE_SENDS = 3
 
 
 class Observations(msgspec.Struct):
@@ -147,6 +152,22 @@
     return broken
 
 
+@CHECKS.register("nothing is sent on for callers that have left")
+def _executions_for_absent_callers(observed: Observations) -> list[str]:
+    left_at_by_id = {
+        record.request_id: record.left_at
+        for record in observed.records
+        if record.left_at is not None
+    }
+    late = [
+        execution.request_id
+        for execution in observed.executions
+        if execution.started_at
+        > left_at_by_id.get(execution.request_id, math.inf) + _ON_THE_WAY_S
+    ]
+    return late if len(late) > _MAX_LATE_SENDS else []
+
+
 # "All is well" means: all faults have ended and the recovery time has passed.
 
 
--- a/chicorydoor/soak/soak_traffic.py
+++ b/chicorydoor/soak/soak_traffic.py
@@ -13,6 +13,10 @@
 
 _MAX_PAUSE_S = 0.02
 _REQUEST_TIMEOUT_S = 3.0
+# Shorter than most faults, so that paused entries have requests of callers
+# that left.
+_IMPATIENT_TIMEOUT_S = 0.2
+_IMPATIENT_FRACTION = 0.5
 # Each object has its own path and affinity key.
 _OBJECT_COUNT = 40
 _ORDER_FRACTION = 0.5
@@ -32,6 +36,8 @@
         status (int): HTTP status, 0 if the connection ended without an
             answer. Defaults to 0.
         body (str): Body of the answer. Defaults to empty.
+        left_at (float): When the caller closed its connection without an
+            answer, on the loop's clock; None if it did not. Defaults to None.
     """
 
     request_id: str
@@ -42,6 +48,7 @@
     is_order: bool
     status: int = 0
     body: str = ""
+    left_at: float | None = None
 
 
 class SoakTraffic:
@@ -57,6 +64,8 @@
     def __init__(self, site: soak_site.SoakSite, rng: random.Random) -> None:
         self._site = site
         self._rng = rng
+        # Of its own, so that a seed's other random numbers stay the same.
+        self._patience_rng = random.Random(1)
         self._request_numbers = itertools.count()
         self.records: list[RequestRecord] = []
         self.is_stopped = False
@@ -119,8 +128,17 @@
             names.api_key.decode(): key,
         }
         url = f"http://{entry.caller_endpoint}/{prefix}/{object_number}"
+        is_impatient = self._patience_rng.random() < _IMPATIENT_FRACTION
+        timeout_s = (
+            _IMPATIENT_TIMEOUT_S if is_impatient else _REQUEST_TIMEOUT_S
+        )
         try:
-            answer = await client.request(method, url, headers=headers)
+            answer = await client.request(
+                method, url, headers=headers, timeout=timeout_s
+            )
+        except httpx.ReadTimeout:
+            record.left_at = asyncio.get_running_loop().time()
+            return record
         except httpx.HTTPError:
             return record
         record.status, record.body = answer.status_code, answer.text
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -98,6 +98,13 @@
             ]
         ),
     ),
+    (
+        "nothing is sent on for callers that have left",
+        _observations(
+            [_record(f"r{n}", status=0, left_at=2.0) for n in range(4)],
+            [_execution(f"r{n}", started_at=2.6) for n in range(4)],
+        ),
+    ),
     (
         "leaving targets get nothing once all is well",
         _observations(late_execution_count=1),
@@ -125,10 +132,18 @@
 
     @pytest.mark.parametrize("name", soak_checks.CHECKS.names())
     def test_accepts_a_correct_run(self, name):
-        records = [_record(), _record("s", is_order=False)]
+        records = [
+            _record(),
+            _record("s", is_order=False),
+            *(_record(f"l{n}", status=0, left_at=2.0) for n in range(4)),
+        ]
         observed = _observations(
             records,
-            [_execution(), _execution("s")],
+            [
+                _execution(),
+                _execution("s"),
+                *(_execution(f"l{n}", started_at=2.4) for n in range(4)),
+            ],
             final_requests=[_record("f")],
         )
         assert soak_checks.CHECKS.get(name)(observed) == []
