Bound how many connections a server accepts while it closes a port

A planned stop accepted connections as long as callers kept connecting within 5 ms of each other, and blocked the event loop meanwhile. At most the backlog can have been made before the stop, so it now accepts no more than that.

--- a/chicorydoor/transport/http_server.py
+++ b/chicorydoor/transport/http_server.py
@@ -121,7 +121,10 @@
         if self._listener.fileno() < 0:
             return
         self._pause()
-        while select.select([self._listener], [], [], _HANDSHAKE_S)[0]:
+        # More cannot wait; callers that keep on connecting come later.
+        for _ in range(_LISTEN_BACKLOG + 1):
+            if not select.select([self._listener], [], [], _HANDSHAKE_S)[0]:
+                break
             try:
                 self._serve_next()
             except BlockingIOError:
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -74,6 +74,30 @@
 
         asyncio.run(scenario())
 
+    # Guards against a stop that never ends because callers connect faster
+    # than the handshake of the last one is waited for.
+    def test_callers_that_keep_connecting_do_not_delay_it(self, monkeypatch):
+        async def scenario():
+            server = http_server.HttpServer(_answer, "127.0.0.1", 0)
+            await server.start()
+            answers = []
+
+            def select_readable(listeners, *_):
+                answers.append(listeners)
+                assert len(answers) < 5000
+                return listeners, [], []
+
+            def accept(listener):
+                raise BlockingIOError
+
+            with monkeypatch.context() as patch:
+                patch.setattr(socket.socket, "accept", accept)
+                patch.setattr(http_server.select, "select", select_readable)
+                await server.stop()
+
+        with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+            runner.run(scenario())
+
     def test_server_can_be_stopped_twice(self):
         async def scenario():
             server = http_server.HttpServer(_answer, "127.0.0.1", 0)
