--- a/chicorydoor/coordination/call_app.py
+++ b/chicorydoor/coordination/call_app.py
@@ -113,7 +113,7 @@
         self._trace = call_runner.CallTrace(
             had_caller_left_unread=self._is_caller_gone()
         )
-        self._has_caller_left = False
+        self._has_seen_disconnect = False
         self._values_by_header: dict[bytes, list[bytes]] = {}
         for name, value in scope["headers"]:
             self._values_by_header.setdefault(name, []).append(value)
@@ -143,7 +143,7 @@
         except request_types.RefusedError as refusal:
             await self._send_refusal(refusal)
         except asyncio.CancelledError:
-            if not self._has_caller_left:
+            if not self._has_seen_disconnect:
                 raise
             task = asyncio.current_task()
             if task is not None:
@@ -184,7 +184,7 @@
         """Cancel the request when its caller disconnects."""
         event = await self._receive()
         if event["type"] == "http.disconnect" and serving is not None:
-            self._has_caller_left = True
+            self._has_seen_disconnect = True
             serving.cancel()
 
     async def _run_request(
--- a/chicorydoor/soak/soak_checks.py
+++ b/chicorydoor/soak/soak_checks.py
@@ -23,6 +23,8 @@
 # Requests may be on their way for so long after their callers have left; a
 # slow link delays them by 0.2 s.
 _ON_THE_WAY_S = 0.5
+# Requests of a run that may be later: a pause may begin between the entry's
+# look at the caller's connection and the send.
 _MAX_LATE_SENDS = 3
 
 
--- a/chicorydoor/transport/caller_protocol.py
+++ b/chicorydoor/transport/caller_protocol.py
@@ -1,7 +1,8 @@
 """Server side of a caller's connection, with limits on request headers.
 
 httptools has no such limits: an endless header would fill the memory, and
-one that never ends would hold its connection forever.
+one that never ends would hold its connection forever. uvicorn tells only the
+latest request of a connection that its caller has left; here all are told.
 """
 
 import asyncio
@@ -55,7 +56,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Keep the connection for the scopes of its requests."""
         super().connection_made(typing.cast(asyncio.Transport, transport))
-        self._cycles: list[httptools_impl.RequestResponseCycle] = []
+        self._unfinished_cycles: list[httptools_impl.RequestResponseCycle] = []
         self._connection = caller_connection.CallerConnection(transport)
 
     def on_message_begin(self) -> None:
@@ -73,13 +74,15 @@
             self._connection.add_to_scope(self.scope)
         asgi.set_read_time(self.scope, _CLOCK.now())
         super().on_headers_complete()
-        self._cycles = [
-            each for each in self._cycles if not each.response_complete
+        self._unfinished_cycles = [
+            each
+            for each in self._unfinished_cycles
+            if not each.response_complete
         ]
-        self._cycles.append(self.cycle)
+        self._unfinished_cycles.append(self.cycle)
         # uvicorn stops reading after a request that waits for an earlier one,
         # and would not see that the caller leaves.
-        if len(self._cycles) <= _MAX_READ_AHEAD:
+        if len(self._unfinished_cycles) <= _MAX_READ_AHEAD:
             self.flow.resume_reading()
 
     def on_response_complete(self) -> None:
@@ -91,7 +94,7 @@
         """End all requests of the connection; uvicorn ends the last one."""
         self._stop_header_timer()
         super().connection_lost(exc)
-        for cycle in self._cycles:
+        for cycle in self._unfinished_cycles:
             if not cycle.response_complete:
                 cycle.disconnected = True
                 cycle.message_event.set()
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -80,11 +80,11 @@
         async def scenario():
             server = http_server.HttpServer(_answer, "127.0.0.1", 0)
             await server.start()
-            answers = []
+            polls = []
 
             def select_readable(listeners, *_):
-                answers.append(listeners)
-                assert len(answers) < 5000
+                polls.append(listeners)
+                assert len(polls) < 5000
                 return listeners, [], []
 
             def accept(listener):
