--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,265 +1,195 @@
-"""Some clients send bodies of the allowed size at once; the entry dies."""
+"""The store comes back from a copy; a key that is then taken away runs on."""
 
 import asyncio
 import itertools
 import pathlib
-import signal
 
 from review.support import http_stream
 from review.support import site
+from review.support import store as store_module
 
 FOLDER = pathlib.Path(__file__).resolve().parent
 BOUNDS = {"config": "2500ms", "stableWindow": "4000ms", "grace": "6s"}
-REGION_BY_ZONE = {"nairobi-a": "nairobi", "nairobi-b": "nairobi"}
-KEY = "b9wu3fexd9dnn2ctnfzs"
+CONFIG_S = 2.5
+STABLE_WINDOW_S = 4.0
+MAX_STRETCH_S = 6.0
+REGION_BY_ZONE = {
+    "nairobi-a": "nairobi",
+    "mombasa-a": "mombasa",
+    "kisumu-a": "kisumu",
+}
+# The copy is COPY_AGE_S old; EARLIER_CHANGE_S after it was taken the operator
+# changes the configuration, as on any day.
+COPY_AGE_S = 8.0
+EARLIER_CHANGE_S = 6.0
+AWAY_S = 1.0
+CHANGE_AFTER_S = 1.0
+OBSERVED_S = 30.0
+KEPT_KEY = "b9wu3fexd9dnn2ctnfzs"
+DROPPED_KEY = "989anu6wsjnbanfqasnm"
 TENANT = "kaje80"
-# As in the settings of a front machine.
-MEMORY_LIMIT_MB = 300
-MEMORY_CHECK_S = 0.05
-RESTART_DELAY_S = 0.5
-MAX_BODY_BYTES = 67_108_864
-BODY_BYTES = 24 * 1024 * 1024
-# Together the uploads use a part of the machine's link of 1000 Mbit/s.
-UPLOAD_BYTES_PER_S = 10 * 1024 * 1024
-# Clients that send such bodies, usually and in a burst of 1.67 times as many.
-# Those that the burst adds send one body each, in about three seconds.
-USUAL_UPLOADERS = 6
-BURST_UPLOADERS = 10
-# Time of one upload with the pause after it; the usual uploads are spread
-# evenly over it.
-UPLOAD_CYCLE_S = 4.0
-USUAL_S = 10.0
-OBSERVED_S = 8.0
-ORDERS_PER_ENTRY = 15
-ORDER_BODY = b"x" * 4000
-ORDER_WORK_S = 0.64
-MAX_LOST = 3
 
 
-class Platform:
-    """Kills a process that exceeds its memory, and starts it again.
-
-    Args:
-        entries (list): The entries.
-        record (Record): Gets a line for each kill.
-    """
-
-    def __init__(self, entries: list[site.Entry], record: site.Record) -> None:
-        self.peak_mb = 0.0
-        self.kills = 0
-        self._entries = entries
-        self._record = record
-
-    async def run(self) -> None:
-        """Watch the entries until cancelled."""
-        while True:
-            for entry in self._entries:
-                used_mb = entry.memory_mb()
-                self.peak_mb = max(self.peak_mb, used_mb)
-                if used_mb > MEMORY_LIMIT_MB:
-                    await self._kill(entry, used_mb)
-            await asyncio.sleep(MEMORY_CHECK_S)
-
-    async def _kill(self, entry: site.Entry, used_mb: float) -> None:
-        self.kills += 1
-        self._record.say(
-            f"{entry.name} has {used_mb:.0f} MB of {MEMORY_LIMIT_MB}: killed"
-        )
-        entry.signal(signal.SIGKILL)
-        await asyncio.sleep(RESTART_DELAY_S)
-        entry.start()
-
-
-class Orders:
-    """A client with a kept connection that places orders.
+class Client:
+    """Sends requests with one key to one entry, one after the other.
 
     Args:
         entry (Entry): The entry.
-        record (Record): Gets a line for each order.
+        key (str): The key.
+        record (Record): Gets a line for each request.
         numbers (iterator): Numbers of requests.
     """
 
     def __init__(
         self,
         entry: site.Entry,
+        key: str,
         record: site.Record,
         numbers: "itertools.count[int]",
     ) -> None:
         self.entry = entry
-        self.served = 0
-        # Ids of orders on a kept connection that was closed unanswered.
-        self.unanswered: list[str] = []
+        self.key = key
+        # When each request was sent, its id and the status of its answer.
+        self.answers: list[tuple[float, str, int]] = []
         self._record = record
         self._numbers = numbers
 
     async def run(self) -> None:
-        """Place orders until cancelled."""
+        """Send until cancelled."""
         connection = http_stream.Connection(self.entry.front)
         while True:
             request_id = f"{next(self._numbers):016x}"
-            is_kept = connection.is_open
             headers = {
                 "Host": site.HOST,
                 "Request-Id": request_id,
-                "Deadline-Ms": "3000",
-                "X-Api-Key": KEY,
+                "Deadline-Ms": "2500",
+                "X-Api-Key": self.key,
             }
+            sent_at = self._record.now()
             status = 0
             try:
-                async with asyncio.timeout(3.0):
-                    answer = await connection.exchange(
-                        "POST", "/pufi791/2f", headers, ORDER_BODY
-                    )
+                answer = await connection.exchange(
+                    "GET", "/lohu930/2f", headers
+                )
                 status = answer.status if answer is not None else 0
-            except ConnectionError:
-                connection.close()
-            except TimeoutError:
-                status = -1
+            except OSError:
                 connection.close()
-            self.served += status == 200
-            if status == 0 and is_kept:
-                self.unanswered.append(request_id)
+            self.answers.append((sent_at, request_id, status))
             self._record.write(
-                f"order {request_id} to {self.entry.name}, kept connection "
-                f"{is_kept}, answered {status}"
+                f"sent {request_id} at {sent_at:.3f} to {self.entry.name} "
+                f"with key {self.key}, answered {status}"
             )
-            if status <= 0:
-                await asyncio.sleep(0.5)
+            await asyncio.sleep(0.1)
 
 
-class Uploader:
-    """A client that sends a large body, waits a second, and so on.
+async def drill(
+    store: store_module.Store,
+    record: site.Record,
+    upstreams: list[site.Upstream],
+    config: bytes,
+) -> float:
+    """Let the store come back from a copy; returns when it was back.
 
     Args:
-        entry (Entry): The entry.
-        record (Record): Gets a line for each upload.
-        numbers (iterator): Numbers of requests.
+        store (Store): The store.
+        record (Record): Gets a line for each step.
+        upstreams (list): The upstreams, which register again.
+        config (bytes): What the operator writes after the copy was taken, and
+            again after the store has come back.
     """
-
-    def __init__(
-        self,
-        entry: site.Entry,
-        record: site.Record,
-        numbers: "itertools.count[int]",
-    ) -> None:
-        self.served = 0
-        self._entry = entry
-        self._record = record
-        self._numbers = numbers
-
-    async def run(self) -> None:
-        """Send until cancelled."""
-        while True:
-            await self.send_one()
-            await asyncio.sleep(1.0)
-
-    async def send_one(self) -> None:
-        """Send one body."""
-        request_id = f"{next(self._numbers):016x}"
-        try:
-            async with asyncio.timeout(10):
-                status = await self._upload(request_id)
-        except (OSError, TimeoutError) as error:
-            status = f"{type(error).__name__}"
-        self.served += status == "answered 200"
-        self._record.write(
-            f"upload {request_id} of {BODY_BYTES} bytes to "
-            f"{self._entry.name}: {status}"
+    state = store.take_copy()
+    record.say(f"copy of the store taken at revision {store.revision}")
+    await asyncio.sleep(EARLIER_CHANGE_S)
+    revision = store.put("op/config", config)
+    record.say(f"version 8 acknowledged at revision {revision}")
+    await asyncio.sleep(COPY_AGE_S - EARLIER_CHANGE_S)
+    if site.is_trouble():
+        record.say(f"store away at revision {store.revision}")
+        store.is_down = True
+        store.abort_connections()
+        await asyncio.sleep(AWAY_S)
+        store.restore(state)
+        store.is_down = False
+        # What the operator and the upstreams wrote is written again.
+        store.put("op/config", config)
+        for upstream in upstreams:
+            upstream.register()
+        record.say(
+            f"store back from the copy, era {store.era}, "
+            f"revision {store.revision}"
         )
-
-    async def _upload(self, request_id: str) -> str:
-        host, _, port = self._entry.front.rpartition(":")
-        reader, writer = await asyncio.open_connection(host, int(port))
-        head = (
-            f"POST /pufi791/2f HTTP/1.1\r\nHost: {site.HOST}\r\n"
-            f"Request-Id: {request_id}\r\nDeadline-Ms: 8000\r\n"
-            f"X-Api-Key: {KEY}\r\nContent-Length: {BODY_BYTES}\r\n\r\n"
-        )
-        piece = b"y" * (1024 * 1024)
-        try:
-            writer.write(head.encode())
-            for _ in range(BODY_BYTES // len(piece)):
-                writer.write(piece)
-                await writer.drain()
-                await asyncio.sleep(len(piece) / UPLOAD_BYTES_PER_S)
-            answer = await http_stream.read_message(reader)
-        finally:
-            writer.close()
-        if answer is None:
-            return "closed without an answer"
-        return f"answered {answer.status}"
+    return record.now()
 
 
 async def main() -> int:
     """Run the case."""
+    tenant = site.build_tenant(TENANT, [KEPT_KEY, DROPPED_KEY])
     deployment = site.Deployment(
         FOLDER,
         REGION_BY_ZONE,
         BOUNDS,
-        site.build_config(7, [site.build_tenant(TENANT, [KEY])], "8000ms"),
-        [*REGION_BY_ZONE] * 4,
-        ORDER_WORK_S,
+        site.build_config(7, [tenant]),
+        [*REGION_BY_ZONE, "nairobi-a"],
     )
     async with deployment:
-        entries, record = deployment.entries, deployment.record
-        platform = Platform(entries, record)
+        record, store = deployment.record, deployment.store
         numbers = itertools.count(1)
         clients = [
-            Orders(entry, record, numbers)
-            for entry in entries
-            for _ in range(ORDERS_PER_ENTRY)
+            Client(entry, key, record, numbers)
+            for entry in deployment.entries
+            for key in (KEPT_KEY, DROPPED_KEY)
         ]
         for client in clients:
             deployment.run_task(client.run())
-        deployment.run_task(platform.run())
-        uploaders = [
-            Uploader(entries[0], record, numbers)
-            for _ in range(BURST_UPLOADERS)
-        ]
-        for each in uploaders[:USUAL_UPLOADERS]:
-            deployment.run_task(each.run())
-            await asyncio.sleep(UPLOAD_CYCLE_S / USUAL_UPLOADERS)
-        await asyncio.sleep(USUAL_S)
-        if site.is_trouble():
-            record.say(
-                f"burst: {BURST_UPLOADERS} clients send bodies of "
-                f"{BODY_BYTES} bytes instead of {USUAL_UPLOADERS}; "
-                f"{MAX_BODY_BYTES} are allowed"
-            )
-            for each in uploaders[USUAL_UPLOADERS:]:
-                deployment.run_task(each.send_one())
+        await asyncio.sleep(5.0)
+        config = site.build_config(8, [tenant], "2500ms")
+        back_at = await drill(store, record, deployment.upstreams, config)
+        await asyncio.sleep(CHANGE_AFTER_S)
+        tenant = site.build_tenant(TENANT, [KEPT_KEY])
+        config = site.build_config(9, [tenant], "2500ms")
+        revision = store.put("op/config", config)
+        acknowledged_at = record.now()
+        record.say(
+            f"version 9 without key {DROPPED_KEY} acknowledged at revision "
+            f"{revision}"
+        )
         await asyncio.sleep(OBSERVED_S)
-        return judge(record, clients, deployment.upstreams, platform)
+        return judge(
+            record, clients, deployment.upstreams, back_at, acknowledged_at
+        )
 
 
 def judge(
     record: site.Record,
-    clients: list[Orders],
+    clients: list[Client],
     upstreams: list[site.Upstream],
-    platform: Platform,
+    back_at: float,
+    acknowledged_at: float,
 ) -> int:
-    """Check rule LOST; returns 1 if it is broken, 2 if nothing was served."""
-    ran = {run[1] for upstream in upstreams for run in upstream.runs}
-    served = sum(client.served for client in clients)
-    lost = [
-        request_id
-        for client in clients
-        for request_id in client.unanswered
-        if request_id in ran
-    ]
-    record.say(
-        f"{served} orders served, peak memory {platform.peak_mb:.0f} MB, "
-        f"{platform.kills} kills"
-    )
-    record.say(
-        f"{len(lost)} orders on kept connections had been passed on to sound "
-        f"upstreams when their connection was closed without an answer"
+    """Check rule CONFIG; returns 1 if it is broken, 2 if nothing was sent."""
+    binds_from = max(
+        acknowledged_at + CONFIG_S + MAX_STRETCH_S, back_at + STABLE_WINDOW_S
     )
-    if not served:
+    ran = {run[1] for upstream in upstreams for run in upstream.runs}
+    sent = broken = kept_served = 0
+    for client in clients:
+        late = [each for each in client.answers if each[0] > binds_from]
+        if client.key == KEPT_KEY:
+            kept_served += sum(each[2] == 200 for each in late)
+            continue
+        broken_here = sum(each[1] in ran for each in late)
+        record.say(
+            f"{client.entry.name}: {len(late)} requests with the dropped key "
+            f"sent later than {binds_from - acknowledged_at:.1f} s after the "
+            f"acknowledgement, {broken_here} of them ran"
+        )
+        sent += len(late)
+        broken += broken_here
+    record.say(f"with the kept key {kept_served} were served meanwhile")
+    if not sent or not kept_served:
         return 2
-    is_broken = len(lost) > MAX_LOST
-    record.say("LOST broken" if is_broken else "LOST held")
-    return 1 if is_broken else 0
+    record.say("CONFIG broken" if broken else "CONFIG held")
+    return 1 if broken else 0
 
 
 if __name__ == "__main__":
--- a/review/support/site.py
+++ b/review/support/site.py
@@ -102,7 +102,7 @@
         self.slots = slots
         self.state = "ready"
         self.runs: list[tuple[float, str, str]] = []
-        self.run_bodies: dict[str, int] = {}
+        self.body_size_by_id: dict[str, int] = {}
         self.running = 0
         self._store = store
         self._record = record
@@ -164,6 +164,7 @@
         self.running += 1
         try:
             tenant = request.header("tenant")
+            self.body_size_by_id[request_id] = len(request.body)
             self.runs.append((self._record.now(), request_id, tenant))
             self._record.write(
                 f"run {request_id} at {self.name} for {tenant}, "
@@ -178,6 +179,8 @@
             "Server-Load": load,
             "Keep-Alive": "timeout=10",
         }
+        if self.state == "draining":
+            headers["Server-Leaving"] = "1"
         return http_stream.encode_answer(200, headers, b"the server's bytes")
 
 
@@ -351,6 +354,7 @@
     version: int,
     tenants: list[dict[str, typing.Any]],
     timeout: str = "3000ms",
+    session_affinity: bool = False,
 ) -> bytes:
     """Return a configuration with a safe and an unsafe route.
 
@@ -358,6 +362,8 @@
         version (int): Its version.
         tenants (list): Its tenants.
         timeout (str): Time-out of the routes. Defaults to 3 s.
+        session_affinity (bool): Whether the routes have it. Defaults to
+            False.
     """
     route = {
         "host": HOST,
@@ -367,7 +373,7 @@
         "service": SERVICE,
         "maxAttempts": 2,
         "public": False,
-        "sessionAffinity": False,
+        "sessionAffinity": session_affinity,
         "allowedRegions": [],
     }
     routes = [
