--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,195 +1,229 @@
-"""The store comes back from a copy; a key that is then taken away runs on."""
+"""A machine's connections to all upstreams are reset; its clients are lost."""
 
 import asyncio
 import itertools
+import os
 import pathlib
 
 from review.support import http_stream
 from review.support import site
-from review.support import store as store_module
 
 FOLDER = pathlib.Path(__file__).resolve().parent
 BOUNDS = {"config": "2500ms", "stableWindow": "4000ms", "grace": "6s"}
-CONFIG_S = 2.5
 STABLE_WINDOW_S = 4.0
-MAX_STRETCH_S = 6.0
 REGION_BY_ZONE = {
     "nairobi-a": "nairobi",
+    "nairobi-b": "nairobi",
     "mombasa-a": "mombasa",
-    "kisumu-a": "kisumu",
+    "mombasa-b": "mombasa",
 }
-# The copy is COPY_AGE_S old; EARLIER_CHANGE_S after it was taken the operator
-# changes the configuration, as on any day.
-COPY_AGE_S = 8.0
-EARLIER_CHANGE_S = 6.0
-AWAY_S = 1.0
-CHANGE_AFTER_S = 1.0
-OBSERVED_S = 30.0
-KEPT_KEY = "b9wu3fexd9dnn2ctnfzs"
-DROPPED_KEY = "989anu6wsjnbanfqasnm"
+KEY = "b9wu3fexd9dnn2ctnfzs"
 TENANT = "kaje80"
+CALM_S = 6.0
+CUT_S = 14.0
+REQUESTS_PER_S = 15.0
+
+
+def find_local_ports(pid: int) -> set[int]:
+    """Return the ports of a process's own ends of its TCP connections."""
+    inodes = set()
+    folder = pathlib.Path(f"/proc/{pid}/fd")
+    for name in os.listdir(folder):
+        try:
+            link = os.readlink(folder / name)
+        except OSError:
+            continue
+        if link.startswith("socket:["):
+            inodes.add(link[8:-1])
+    ports = set()
+    table = pathlib.Path("/proc/net/tcp").read_text().splitlines()[1:]
+    for line in table:
+        fields = line.split()
+        if fields[9] in inodes:
+            ports.add(int(fields[1].rpartition(":")[2], 16))
+    return ports
+
+
+class CuttableUpstream(site.Upstream):
+    """An upstream behind a link that resets what comes from one machine."""
+
+    cut_entry: site.Entry | None = None
+
+    async def start(self) -> None:
+        """Serve behind the link, and register its address."""
+        self._link = await asyncio.start_server(
+            self._relay_or_reset, "127.0.0.1", site.free_port()
+        )
+        await super().start()
+
+    @property
+    def address(self) -> str:
+        """Address of the link."""
+        return f"127.0.0.1:{self._link.sockets[0].getsockname()[1]}"
+
+    async def stop(self) -> None:
+        """End at once."""
+        self._link.close()
+        await super().stop()
+
+    async def _relay_or_reset(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Relay a connection; reset it with the first bytes of a cut one."""
+        port = writer.get_extra_info("peername")[1]
+        host, _, upstream_port = self.endpoint.rpartition(":")
+        upstream = await asyncio.open_connection(host, int(upstream_port))
+        answers = asyncio.create_task(copy(upstream[0], writer))
+        try:
+            while data := await reader.read(65536):
+                entry = self.cut_entry
+                if entry is not None and entry.process is not None:
+                    if port in find_local_ports(entry.process.pid):
+                        writer.transport.abort()
+                        break
+                upstream[1].write(data)
+                await upstream[1].drain()
+        except OSError:
+            pass
+        finally:
+            answers.cancel()
+            writer.close()
+            upstream[1].close()
+
+
+async def copy(
+    reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+) -> None:
+    """Copy one direction of a connection until it ends."""
+    try:
+        while data := await reader.read(65536):
+            writer.write(data)
+            await writer.drain()
+    except OSError:
+        pass
+    writer.close()
 
 
 class Client:
-    """Sends requests with one key to one entry, one after the other.
+    """Sends requests to the entries that the directory names.
 
     Args:
-        entry (Entry): The entry.
-        key (str): The key.
+        directory (Directory): Tells where to connect.
         record (Record): Gets a line for each request.
         numbers (iterator): Numbers of requests.
     """
 
     def __init__(
         self,
-        entry: site.Entry,
-        key: str,
+        directory: site.Directory,
         record: site.Record,
         numbers: "itertools.count[int]",
     ) -> None:
-        self.entry = entry
-        self.key = key
-        # When each request was sent, its id and the status of its answer.
-        self.answers: list[tuple[float, str, int]] = []
+        # When each request was sent, to which address, and its answer.
+        self.tries: list[tuple[float, str, int]] = []
+        self._directory = directory
         self._record = record
         self._numbers = numbers
+        self._tasks: set[asyncio.Task] = set()
 
     async def run(self) -> None:
-        """Send until cancelled."""
-        connection = http_stream.Connection(self.entry.front)
+        """Send at a steady rate until cancelled."""
         while True:
-            request_id = f"{next(self._numbers):016x}"
-            headers = {
-                "Host": site.HOST,
-                "Request-Id": request_id,
-                "Deadline-Ms": "2500",
-                "X-Api-Key": self.key,
-            }
-            sent_at = self._record.now()
-            status = 0
-            try:
-                answer = await connection.exchange(
-                    "GET", "/lohu930/2f", headers
-                )
-                status = answer.status if answer is not None else 0
-            except OSError:
-                connection.close()
-            self.answers.append((sent_at, request_id, status))
-            self._record.write(
-                f"sent {request_id} at {sent_at:.3f} to {self.entry.name} "
-                f"with key {self.key}, answered {status}"
+            task = asyncio.create_task(self._send())
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+            await asyncio.sleep(1 / REQUESTS_PER_S)
+
+    async def _send(self) -> None:
+        request_id = f"{next(self._numbers):016x}"
+        address = await self._directory.choose()
+        headers = {
+            "Host": site.HOST,
+            "Request-Id": request_id,
+            "Deadline-Ms": "2500",
+            "X-Api-Key": KEY,
+        }
+        sent_at = self._record.now()
+        connection = http_stream.Connection(address)
+        status = 0
+        try:
+            answer = await connection.exchange(
+                "POST", "/pufi791/2f", headers, b"x" * 1000
             )
-            await asyncio.sleep(0.1)
-
-
-async def drill(
-    store: store_module.Store,
-    record: site.Record,
-    upstreams: list[site.Upstream],
-    config: bytes,
-) -> float:
-    """Let the store come back from a copy; returns when it was back.
-
-    Args:
-        store (Store): The store.
-        record (Record): Gets a line for each step.
-        upstreams (list): The upstreams, which register again.
-        config (bytes): What the operator writes after the copy was taken, and
-            again after the store has come back.
-    """
-    state = store.take_copy()
-    record.say(f"copy of the store taken at revision {store.revision}")
-    await asyncio.sleep(EARLIER_CHANGE_S)
-    revision = store.put("op/config", config)
-    record.say(f"version 8 acknowledged at revision {revision}")
-    await asyncio.sleep(COPY_AGE_S - EARLIER_CHANGE_S)
-    if site.is_trouble():
-        record.say(f"store away at revision {store.revision}")
-        store.is_down = True
-        store.abort_connections()
-        await asyncio.sleep(AWAY_S)
-        store.restore(state)
-        store.is_down = False
-        # What the operator and the upstreams wrote is written again.
-        store.put("op/config", config)
-        for upstream in upstreams:
-            upstream.register()
-        record.say(
-            f"store back from the copy, era {store.era}, "
-            f"revision {store.revision}"
+            status = answer.status if answer is not None else 0
+        except OSError:
+            pass
+        finally:
+            connection.close()
+        self.tries.append((sent_at, address, status))
+        self._record.write(
+            f"sent {request_id} at {sent_at:.3f} to {address}, "
+            f"answered {status}"
         )
-    return record.now()
 
 
 async def main() -> int:
     """Run the case."""
-    tenant = site.build_tenant(TENANT, [KEPT_KEY, DROPPED_KEY])
     deployment = site.Deployment(
         FOLDER,
         REGION_BY_ZONE,
         BOUNDS,
-        site.build_config(7, [tenant]),
-        [*REGION_BY_ZONE, "nairobi-a"],
+        site.build_config(7, [site.build_tenant(TENANT, [KEY])]),
+        [*REGION_BY_ZONE] * 2,
+        0.05,
+        CuttableUpstream,
     )
     async with deployment:
-        record, store = deployment.record, deployment.store
+        record = deployment.record
         numbers = itertools.count(1)
-        clients = [
-            Client(entry, key, record, numbers)
-            for entry in deployment.entries
-            for key in (KEPT_KEY, DROPPED_KEY)
-        ]
-        for client in clients:
-            deployment.run_task(client.run())
-        await asyncio.sleep(5.0)
-        config = site.build_config(8, [tenant], "2500ms")
-        back_at = await drill(store, record, deployment.upstreams, config)
-        await asyncio.sleep(CHANGE_AFTER_S)
-        tenant = site.build_tenant(TENANT, [KEPT_KEY])
-        config = site.build_config(9, [tenant], "2500ms")
-        revision = store.put("op/config", config)
-        acknowledged_at = record.now()
-        record.say(
-            f"version 9 without key {DROPPED_KEY} acknowledged at revision "
-            f"{revision}"
-        )
-        await asyncio.sleep(OBSERVED_S)
-        return judge(
-            record, clients, deployment.upstreams, back_at, acknowledged_at
-        )
+        clients = []
+        for entry in deployment.entries:
+            directory = site.Directory([entry], entry.region, entry.zone)
+            clients.append(Client(directory, record, numbers))
+            deployment.run_task(clients[-1].run())
+        await asyncio.sleep(CALM_S)
+        cut_entry = deployment.entries[0]
+        cut_at = record.now()
+        if site.is_trouble():
+            record.say(f"{cut_entry.name}: connections to upstreams are reset")
+            for upstream in deployment.upstreams:
+                upstream.cut_entry = cut_entry
+        await asyncio.sleep(CUT_S)
+        return judge(record, clients, cut_entry, cut_at)
 
 
 def judge(
     record: site.Record,
     clients: list[Client],
-    upstreams: list[site.Upstream],
-    back_at: float,
-    acknowledged_at: float,
+    cut_entry: site.Entry,
+    cut_at: float,
 ) -> int:
-    """Check rule CONFIG; returns 1 if it is broken, 2 if nothing was sent."""
-    binds_from = max(
-        acknowledged_at + CONFIG_S + MAX_STRETCH_S, back_at + STABLE_WINDOW_S
+    """Check rule RECOVER; returns 1 if broken, 2 if nothing was served."""
+    tries = [
+        each
+        for client in clients
+        for each in client.tries
+        if each[0] > cut_at + STABLE_WINDOW_S
+    ]
+    here = [each for each in tries if each[1] == cut_entry.front]
+    others = [each for each in tries if each[1] != cut_entry.front]
+    served_here = sum(each[2] == 200 for each in here)
+    served_others = sum(each[2] == 200 for each in others)
+    failed_here = len(here) - served_here
+    statuses = sorted({each[2] for each in here})
+    record.say(
+        f"first tries later than {STABLE_WINDOW_S:g} s after the cut: "
+        f"{served_here} of {len(here)} served at {cut_entry.name} (answers "
+        f"{statuses}), {served_others} of {len(others)} at the others"
     )
-    ran = {run[1] for upstream in upstreams for run in upstream.runs}
-    sent = broken = kept_served = 0
-    for client in clients:
-        late = [each for each in client.answers if each[0] > binds_from]
-        if client.key == KEPT_KEY:
-            kept_served += sum(each[2] == 200 for each in late)
-            continue
-        broken_here = sum(each[1] in ran for each in late)
-        record.say(
-            f"{client.entry.name}: {len(late)} requests with the dropped key "
-            f"sent later than {binds_from - acknowledged_at:.1f} s after the "
-            f"acknowledgement, {broken_here} of them ran"
-        )
-        sent += len(late)
-        broken += broken_here
-    record.say(f"with the kept key {kept_served} were served meanwhile")
-    if not sent or not kept_served:
+    if not others or not served_others or not here:
         return 2
-    record.say("CONFIG broken" if broken else "CONFIG held")
-    return 1 if broken else 0
+    is_broken = (
+        served_here / len(here) < 2 / 3 * served_others / len(others)
+        and failed_here > 10 + len(tries) / 50
+    )
+    record.say("RECOVER broken" if is_broken else "RECOVER held")
+    return 1 if is_broken else 0
 
 
 if __name__ == "__main__":
--- a/review/support/site.py
+++ b/review/support/site.py
@@ -111,6 +111,16 @@
         self._server = http_stream.Server(self._handle, True)
         self._heartbeat: asyncio.Task | None = None
 
+    @property
+    def endpoint(self) -> str:
+        """``ip:port`` where it listens."""
+        return self._server.endpoint
+
+    @property
+    def address(self) -> str:
+        """``ip:port`` that it registers."""
+        return self.endpoint
+
     async def start(self) -> None:
         """Serve and register."""
         await self._server.start(free_port())
@@ -126,7 +136,7 @@
         """Write the registration."""
         self._sequence += 1
         document = {
-            "address": self._server.endpoint,
+            "address": self.address,
             "born": self._born,
             "info": {
                 "service": SERVICE,
