--- a/review/3/case.py
+++ b/review/3/case.py
@@ -5,17 +5,17 @@
 import os
 import pathlib
 
-from review.support import http_stream
-from review.support import site
+import http_stream
+import small_site as site
 
 FOLDER = pathlib.Path(__file__).resolve().parent
 BOUNDS = {"config": "2500ms", "stableWindow": "4000ms", "grace": "6s"}
 STABLE_WINDOW_S = 4.0
 REGION_BY_ZONE = {
-    "nairobi-a": "nairobi",
-    "nairobi-b": "nairobi",
-    "mombasa-a": "mombasa",
-    "mombasa-b": "mombasa",
+    "nigde-a": "ic-anadolu",
+    "nevsehir-b": "ic-anadolu",
+    "odemis-a": "ege",
+    "bayindir-b": "ege",
 }
 KEY = "b9wu3fexd9dnn2ctnfzs"
 TENANT = "kaje80"
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -4,9 +4,9 @@
 import itertools
 import pathlib
 
-from review.support import http_stream
-from review.support import site
-from review.support import store as store_module
+import http_stream
+import platform_store
+import small_site as site
 
 FOLDER = pathlib.Path(__file__).resolve().parent
 BOUNDS = {"config": "2500ms", "stableWindow": "4000ms", "grace": "6s"}
@@ -14,9 +14,9 @@
 STABLE_WINDOW_S = 4.0
 MAX_STRETCH_S = 6.0
 REGION_BY_ZONE = {
-    "nairobi-a": "nairobi",
-    "mombasa-a": "mombasa",
-    "kisumu-a": "kisumu",
+    "nigde-a": "ic-anadolu",
+    "odemis-a": "ege",
+    "erzurum-a": "dogu",
 }
 # The copy is COPY_AGE_S old; EARLIER_CHANGE_S after it was taken the operator
 # changes the configuration, as on any day.
@@ -83,7 +83,7 @@
 
 
 async def drill(
-    store: store_module.Store,
+    store: platform_store.Store,
     record: site.Record,
     upstreams: list[site.Upstream],
     config: bytes,
@@ -129,7 +129,7 @@
         REGION_BY_ZONE,
         BOUNDS,
         site.build_config(7, [tenant]),
-        [*REGION_BY_ZONE, "nairobi-a"],
+        [*REGION_BY_ZONE, "nigde-a"],
     )
     async with deployment:
         record, store = deployment.record, deployment.store
--- a/review/support/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Stand-ins of the review's scripts; they need the standard library only."""
