Log how late peer messages are and what fills the links

The logs could not tell full links from busy event loops: they lacked the lines about the configuration, dropped in favour of those of requests, and no metric says which messages are sent or how late they arrive. Change: bytes sent by kind of message, lines for copies, the delay of heartbeats by the sender's own clock, the age of the configuration and the time from the choice of a target to the send in the line of a request. Lines of requests leave a fifth of the burst to the others.

--- a/chicorydoor/compose_fleet.py
+++ b/chicorydoor/compose_fleet.py
@@ -283,6 +283,7 @@
             self.active_config,
             http_names.HEADER_NAMES,
             self.clock,
+            self._configuration_age_s,
         )
         self.relay_app = relay_app.RelayApp(
             self.settings.instance,
@@ -291,8 +292,13 @@
             self.active_config,
             http_names.HEADER_NAMES,
             self.clock,
+            self._configuration_age_s,
         )
 
+    def _configuration_age_s(self) -> float:
+        follower_by_prefix = self.peer_exchange.follower_by_prefix
+        return follower_by_prefix[documents.OPERATOR_PREFIX].age_s()
+
     def _known_instances(self) -> list[ids.InstanceId]:
         """Return the entries that may be alive; none before they are known.
 
--- a/chicorydoor/coordination/call_app.py
+++ b/chicorydoor/coordination/call_app.py
@@ -1,7 +1,9 @@
 """ASGI application that serves callers' requests."""
 
 import asyncio
+from collections import abc
 import logging
+import math
 import typing
 
 from chicorydoor.coordination import active_serving_config
@@ -17,10 +19,12 @@
 from chicorydoor.transport import buffered_connection
 from chicorydoor.transport import caller_connection
 from chicorydoor.transport import clock as clock_module
+from chicorydoor.transport import logs
 from chicorydoor.transport import metrics
 
 _CODES = result_codes.ResultCode
 _LOG = logging.getLogger(__name__)
+_REQUEST_LOG = logging.getLogger(logs.REQUEST_LOGGER)
 _STATUSES_WITHOUT_BODY = frozenset({204, 304})
 
 
@@ -56,6 +60,8 @@
         active_config (ActiveServingConfig): Holds the active configuration.
         names (HeaderNames): Header names.
         clock (Clock): Source of time.
+        configuration_age_s (callable): Returns how long ago the configuration
+            was known to be current, in seconds; infinite before it was read.
     """
 
     def __init__(
@@ -65,12 +71,14 @@
         active_config: active_serving_config.ActiveServingConfig,
         names: header_names.HeaderNames,
         clock: clock_module.Clock,
+        configuration_age_s: abc.Callable[[], float],
     ) -> None:
         self.admission = admission
         self.runner = runner
         self.active_config = active_config
         self.header_names = names
         self.clock = clock
+        self.configuration_age_s = configuration_age_s
         self.running_count = 0
         self.is_leaving = False
 
@@ -319,7 +327,7 @@
         self._record_metrics(code, elapsed_s)
         trace = self._trace
         request_id = self._header_value(self._app.header_names.request_id)
-        _LOG.info(
+        _REQUEST_LOG.info(
             self._log_message,
             extra={
                 "request_id": request_id.decode("latin-1"),
@@ -343,13 +351,19 @@
                 "target_load": round(trace.target_load, 1),
                 "target_rate_limit": trace.target_rate_limit_per_s,
                 "load_age_ms": _milliseconds(trace.target_load_age_s),
+                "send_delay_ms": _milliseconds(trace.send_delay_s),
                 "queued_ms": round(self._queued_s * 1000),
                 "left_unread": trace.had_caller_left_unread,
                 "elapsed_ms": round(elapsed_s * 1000),
                 "configuration": self._app.active_config.current.version,
+                "configuration_age_ms": _milliseconds(
+                    self._app.configuration_age_s()
+                ),
             },
         )
 
 
 def _milliseconds(seconds: float | None) -> int | None:
-    return None if seconds is None else round(seconds * 1000)
+    if seconds is None or math.isinf(seconds):
+        return None
+    return round(seconds * 1000)
--- a/chicorydoor/coordination/call_runner.py
+++ b/chicorydoor/coordination/call_runner.py
@@ -64,6 +64,8 @@
             to name; None without one. Defaults to None.
         target_load_age_s (float): Age of the target's load report in seconds;
             None without a report. Defaults to None.
+        send_delay_s (float): From the last choice of a target to sending the
+            request, in seconds; None if it was not sent. Defaults to None.
         had_caller_left_unread (bool): Whether the caller had closed its
             connection before the request was handled. Defaults to False.
     """
@@ -79,6 +81,7 @@
     target_load: float = 0.0
     target_rate_limit_per_s: float | None = None
     target_load_age_s: float | None = None
+    send_delay_s: float | None = None
     had_caller_left_unread: bool = False
 
 
@@ -222,7 +225,11 @@
             return await self._relay(peer)
         if choice is None or not self._spend_retry_if_needed():
             return None
+        chosen_at = self._runner.clock.now()
         sent = await self._runner.sender.send(self._call, choice)
+        self._trace.send_delay_s = (
+            None if choice.sent_at is None else choice.sent_at - chosen_at
+        )
         metrics.SENDS.labels(self._trace.region, self._trace.reason).inc()
         self._tried_targets.append(sent.target_id)
         return sent
--- a/chicorydoor/coordination/peer_exchange.py
+++ b/chicorydoor/coordination/peer_exchange.py
@@ -64,6 +64,12 @@
 # A connection that delivered nothing for this long is reopened.
 _RECONNECT_AFTER_S = 1.6
 
+# Messages that are later than this are logged. Changes of configuration have
+# to reach all entries within a few seconds.
+_LOGGED_MESSAGE_DELAY_S = 0.5
+# When messages are late, most of them are.
+_DELAY_LOG_INTERVAL_S = 1.0
+
 # Messages that hold another message, which must not be one of these again.
 _WRAPPERS = (
     gossip_messages.RelayedMessage,
@@ -149,6 +155,7 @@
         self._reconnected_at_by_address: dict[str, float] = {}
         self._live_instances: set[ids.InstanceId] = set()
         self._heartbeat_count = 0
+        self._delay_logged_at = float("-inf")
         self._handler_by_type: dict[type, abc.Callable[..., None]] = {
             fleet_view.Heartbeat: self._handle_heartbeat,
             fleet_view.RegionDigest: self._handle_digest,
@@ -185,10 +192,12 @@
         data = gossip_messages.encode(message)
         if len(data) >= _COMPRESSED_FROM_BYTES:
             data = gossip_messages.encode_compressed(message)
-        self._send_to_region(data)
+        self._send_to_region(message, data)
 
-    def _send_to_region(self, data: bytes) -> None:
-        """Send encoded data to all entries of the region.
+    def _send_to_region(
+        self, message: gossip_messages.Message, data: bytes
+    ) -> None:
+        """Send an encoded message to all entries of the region.
 
         Traffic between failure domains is costly. In a domain of several
         entries a random one of them relays the data to the rest.
@@ -196,18 +205,19 @@
         if not self._fleet.peer_by_instance:
             for address in self._seed_addresses:
                 if address != self._fleet.own_registration.peer_address:
-                    self._link.send(address, data)
+                    self._send(message, data, address)
         for domain, peers in self._fleet.region_peers_by_domain().items():
             relay = self._choose_relay(domain, peers)
             if relay is None:
-                _send_to_all(self._link, peers, data)
+                self._send_to_all(message, data, peers)
                 continue
             wrapped = gossip_messages.RelayedMessage(
                 gossip_messages.RelayScope.DOMAIN, data
             )
-            self._link.send(
-                relay.registration.peer_address,
+            self._send(
+                message,
                 gossip_messages.encode(wrapped),
+                relay.registration.peer_address,
             )
 
     def _choose_relay(
@@ -274,6 +284,7 @@
                 crash_reports=self._crashes.recent_reports(now),
                 trusted_idle_s=self._idle_limit.own_limit_s(now),
                 out_of_reach=sorted(self._reach.out_of_reach),
+                sent_at=now,
             )
         )
 
@@ -298,7 +309,7 @@
         data = gossip_messages.encode(relay)
         for address in addresses:
             self._reconnect_if_due(address, _DIGEST_RECONNECT_INTERVAL_S)
-            self._link.send(address, data)
+            self._send(digest, data, address)
 
     async def run(self) -> None:
         """Exchange messages until cancelled."""
@@ -405,13 +416,13 @@
         if isinstance(message, gossip_messages.RelayedMessage):
             raise errors.PeerError("a relayed message holds another one")
         if relay.scope is gossip_messages.RelayScope.REGION:
-            self._send_to_region(relay.data)
+            self._send_to_region(relay, relay.data)
         else:
             peers_by_domain = self._fleet.region_peers_by_domain()
             domain_peers = peers_by_domain.get(
                 self._fleet.own_registration.domain, []
             )
-            _send_to_all(self._link, domain_peers, relay.data)
+            self._send_to_all(relay, relay.data, domain_peers)
         if message is None:
             raise errors.PeerError("a relayed message is unknown")
         self.handle_message(message)
@@ -444,6 +455,7 @@
             # This entry's own, or older than one that was applied before.
             return
         now = self._clock.now()
+        self._record_message_delay(heartbeat.registration.instance, now)
         self._cache_index.apply_published(heartbeat.sightings, now)
         self._targets.apply_reports(heartbeat.target_reports, now)
         self._rate_limits.apply_reports(heartbeat.limit_reports, now)
@@ -453,7 +465,22 @@
         for prefix, extent in heartbeat.extent_by_prefix.items():
             follower = self.follower_by_prefix.get(prefix)
             if follower is not None and follower.should_request_copy(extent):
-                self._request_copy(prefix, address)
+                self._request_copy(prefix, extent, address)
+
+    def _record_message_delay(
+        self, instance: ids.InstanceId, now: float
+    ) -> None:
+        delay_s = self._fleet.peer_by_instance[instance].message_delay_s
+        metrics.PEER_MESSAGE_DELAY_SECONDS.observe(max(0.0, delay_s))
+        if (
+            delay_s > _LOGGED_MESSAGE_DELAY_S
+            and now - self._delay_logged_at >= _DELAY_LOG_INTERVAL_S
+        ):
+            self._delay_logged_at = now
+            _LOG.warning(
+                "peer message is late",
+                extra={"peer": instance, "delay_ms": round(delay_s * 1000)},
+            )
 
     def _handle_digest(self, digest: fleet_view.RegionDigest) -> None:
         now = self._clock.now()
@@ -465,13 +492,33 @@
             if follower is not None and follower.should_request_copy(
                 extent, is_other_region=True
             ):
-                self._request_copy(prefix, digest.reply_address)
+                self._request_copy(prefix, extent, digest.reply_address)
 
-    def _request_copy(self, prefix: str, address: str) -> None:
+    def _request_copy(
+        self, prefix: str, extent: fleet_view.Extent, address: str
+    ) -> None:
         request = gossip_messages.StoreCopyRequest(
             prefix, self._fleet.own_registration.peer_address
         )
-        self._link.send(address, gossip_messages.encode(request))
+        _LOG.info(
+            "copy requested",
+            extra={
+                "prefix": prefix,
+                "address": address,
+                "as_of": self.follower_by_prefix[prefix].mirror.as_of,
+                "latest": extent.latest,
+            },
+        )
+        self._send(request, gossip_messages.encode(request), address)
+
+    def _send(
+        self, message: gossip_messages.Message, data: bytes, address: str
+    ) -> None:
+        """Send an encoded message to an address and count its bytes."""
+        metrics.FLEET_MESSAGE_BYTES.labels(type(message).__name__).inc(
+            len(data)
+        )
+        self._link.send(address, data)
 
     def _send_copy(self, request: gossip_messages.StoreCopyRequest) -> None:
         follower = self.follower_by_prefix.get(request.prefix)
@@ -480,13 +527,23 @@
         copy = gossip_messages.StoreCopy(
             request.prefix, follower.mirror.snapshot()
         )
-        self._link.send(request.reply_address, gossip_messages.encode(copy))
-
+        data = gossip_messages.encode(copy)
+        _LOG.info(
+            "copy sent",
+            extra={
+                "prefix": request.prefix,
+                "address": request.reply_address,
+                "bytes": len(data),
+                "as_of": copy.batch.as_of,
+            },
+        )
+        self._send(copy, data, request.reply_address)
 
-def _send_to_all(
-    link: nng_transport.PeerTransport,
-    peers: abc.Iterable[fleet_view.PeerState],
-    data: bytes,
-) -> None:
-    for peer in peers:
-        link.send(peer.registration.peer_address, data)
+    def _send_to_all(
+        self,
+        message: gossip_messages.Message,
+        data: bytes,
+        peers: abc.Iterable[fleet_view.PeerState],
+    ) -> None:
+        for peer in peers:
+            self._send(message, data, peer.registration.peer_address)
--- a/chicorydoor/coordination/relay_app.py
+++ b/chicorydoor/coordination/relay_app.py
@@ -4,6 +4,8 @@
 the relaying entry names.
 """
 
+from collections import abc
+
 from chicorydoor.coordination import active_serving_config
 from chicorydoor.coordination import call_app
 from chicorydoor.coordination import call_runner
@@ -31,6 +33,8 @@
         active_config (ActiveServingConfig): Holds the active configuration.
         names (HeaderNames): Header names.
         clock (Clock): Source of time.
+        configuration_age_s (callable): Returns how long ago the configuration
+            was known to be current, in seconds; infinite before it was read.
     """
 
     def __init__(
@@ -41,8 +45,16 @@
         active_config: active_serving_config.ActiveServingConfig,
         names: header_names.HeaderNames,
         clock: clock_module.Clock,
+        configuration_age_s: abc.Callable[[], float],
     ) -> None:
-        super().__init__(admission, runner, active_config, names, clock)
+        super().__init__(
+            admission,
+            runner,
+            active_config,
+            names,
+            clock,
+            configuration_age_s,
+        )
         self.instance = instance
 
     def make_handler(
--- a/chicorydoor/coordination/store_follower.py
+++ b/chicorydoor/coordination/store_follower.py
@@ -325,6 +325,10 @@
         self.updated_at = self._clock.now()
         self._on_contact()
 
+    def age_s(self) -> float:
+        """Return the seconds since the copy was known to be current."""
+        return self._clock.now() - self.updated_at
+
     # Updates from and for peers.
 
     def local_extent(self) -> fleet_view.Extent:
--- a/chicorydoor/coordination/target_selection.py
+++ b/chicorydoor/coordination/target_selection.py
@@ -91,6 +91,8 @@
         measured_latency_s (float): The part of the expected latency that
             recent measurements show, in seconds. Defaults to 0.
         reason (SelectionReason): Why it was chosen. Defaults to ``LOAD``.
+        sent_at (float): When the request was sent to it; None before that.
+            Defaults to None.
     """
 
     target: target_views.TargetView
@@ -102,6 +104,7 @@
     rate_limit_per_s: float | None = None
     measured_latency_s: float = 0.0
     reason: SelectionReason = SelectionReason.LOAD
+    sent_at: float | None = None
 
 
 class TargetConstraints(msgspec.Struct):
--- a/chicorydoor/coordination/target_sender.py
+++ b/chicorydoor/coordination/target_sender.py
@@ -197,6 +197,7 @@
         request = admitted_request.encode_request(
             call, self._header_names, view.target_id, remaining_s
         )
+        choice.sent_at = started_at
         try:
             async with asyncio.timeout(remaining_s):
                 answer = await connection.exchange(
--- a/chicorydoor/state/fleet_view.py
+++ b/chicorydoor/state/fleet_view.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from chicorydoor.protocol import ids
+from chicorydoor.state import message_delay
 from chicorydoor.state import object_cache_index
 from chicorydoor.state import rate_shares
 from chicorydoor.state import request_crashes
@@ -95,6 +96,8 @@
             None.
         out_of_reach (list): Services of which the sender can use too few
             targets. Defaults to none.
+        sent_at (float): When it was sent, in seconds on the sender's steady
+            clock; 0 if the sender does not tell. Defaults to 0.
     """
 
     registration: Registration
@@ -111,6 +114,7 @@
     crash_reports: list[request_crashes.CrashReport] = []
     trusted_idle_s: float | None = None
     out_of_reach: list[ids.ServiceId] = []
+    sent_at: float = 0.0
 
 
 class RegionDigest(msgspec.Struct, frozen=True, tag="digest"):
@@ -155,6 +159,9 @@
         self.last_seen_at = float("-inf")
         self.is_registered = False
         self.unregistered_at = float("-inf")
+        # How late its latest heartbeat arrived.
+        self.message_delay_s = 0.0
+        self._message_delay = message_delay.MessageDelay()
 
     def is_recently_seen(self, now: float, silence_s: float) -> bool:
         """Whether the peer was last seen less than ``silence_s`` ago.
@@ -181,10 +188,22 @@
             and service_id not in self.heartbeat.out_of_reach
         )
 
+    def forget_messages(self) -> None:
+        """Forget what an earlier start of the peer sent."""
+        self.heartbeat = None
+        self.rate_by_customer = None
+        self.rates_complete_at = float("-inf")
+        self.message_delay_s = 0.0
+        self._message_delay = message_delay.MessageDelay()
+
     def apply_heartbeat(self, heartbeat: Heartbeat, now: float) -> None:
         """Apply a heartbeat of this peer."""
         self.heartbeat = heartbeat
         self.last_seen_at = now
+        if heartbeat.sent_at > 0:
+            self.message_delay_s = self._message_delay.record(
+                heartbeat.sent_at, now
+            )
         if heartbeat.is_whole:
             self.rate_by_customer = dict(heartbeat.rate_by_customer)
             self.rates_complete_at = now
@@ -285,9 +304,7 @@
         elif registration.incarnation > peer.registration.incarnation:
             peer.registration = registration
             self._peers_by_region = None
-            peer.heartbeat = None
-            peer.rate_by_customer = None
-            peer.rates_complete_at = float("-inf")
+            peer.forget_messages()
         return peer
 
     def remove_gone(self, now: float) -> list[PeerState]:
--- a/chicorydoor/transport/logs.py
+++ b/chicorydoor/transport/logs.py
@@ -2,7 +2,8 @@
 
 Logging never blocks on the reader: lines are buffered briefly and written
 without blocking. Lines over the rate limit, or over the buffer size because
-nobody reads them, are dropped and counted.
+nobody reads them, are dropped and counted. The lines of requests leave a part
+of the rate to the others.
 """
 
 import asyncio
@@ -16,10 +17,16 @@
 
 from chicorydoor.transport import metrics
 
+# Logger of the lines that each request writes, far more than all others.
+REQUEST_LOGGER = "chicorydoor.requests"
+
 _LINE_FORMAT = "%(asctime)s %(levelname)s %(name)s %(message)s"
 # A busy entry handles some hundred requests a second and logs a line for each.
 _LINES_PER_S = 500.0
 _BURST_LINES = 1000.0
+# Lines that requests leave to all others, which tell of the entry's state: the
+# changes of a busy second, such as the peers and targets of a large fleet.
+_RESERVED_LINES = 200.0
 _FLUSH_INTERVAL_S = 0.1
 _MAX_BUFFER_BYTES = 1024 * 1024
 
@@ -45,7 +52,7 @@
 
     def emit(self, record: logging.LogRecord) -> None:
         """Buffer a line, or drop it over the limits."""
-        if not self._acquire_token():
+        if not self._acquire_token(record.name == REQUEST_LOGGER):
             self._dropped_lines += 1
             metrics.LOG_LINES_DROPPED.inc()
             return
@@ -57,13 +64,17 @@
         self._pending += line.encode() + b"\n"
         self._schedule_flush()
 
-    def _acquire_token(self) -> bool:
+    def _acquire_token(self, is_request: bool) -> bool:
         """Return whether rate and buffer admit a line; consumes a token."""
         now = time.monotonic()
         refilled_tokens = (now - self._refilled_at) * _LINES_PER_S
         self._tokens = min(_BURST_LINES, self._tokens + refilled_tokens)
         self._refilled_at = now
-        if self._tokens < 1 or len(self._pending) > _MAX_BUFFER_BYTES:
+        reserved = _RESERVED_LINES if is_request else 0.0
+        if (
+            self._tokens < 1 + reserved
+            or len(self._pending) > _MAX_BUFFER_BYTES
+        ):
             return False
         self._tokens -= 1
         return True
--- a/chicorydoor/transport/metrics.py
+++ b/chicorydoor/transport/metrics.py
@@ -85,6 +85,16 @@
 PEER_SENT_MESSAGES = prometheus_client.Counter(
     "chicorydoor_peer_sent_messages", "Messages sent to other entries."
 )
+FLEET_MESSAGE_BYTES = prometheus_client.Counter(
+    "chicorydoor_fleet_message_bytes",
+    "Bytes of messages between entries of the fleet path, by message.",
+    ["message"],
+)
+PEER_MESSAGE_DELAY_SECONDS = prometheus_client.Histogram(
+    "chicorydoor_peer_message_delay_seconds",
+    "How much longer a heartbeat took than the fastest recent one of its "
+    "sender.",
+)
 PEER_MESSAGES_REJECTED = prometheus_client.Counter(
     "chicorydoor_peer_refused",
     "Messages from peers that were dropped.",
--- a/tests/support/simulated_peers.py
+++ b/tests/support/simulated_peers.py
@@ -24,16 +24,18 @@
 
 
 class Network:
-    """Delivers messages at once unless their pair of addresses is cut off.
+    """Delivers messages at once unless their pair of addresses says otherwise.
 
     ``dropped_pairs`` holds the pairs (sender, receiver) whose messages are
-    dropped, ``reset_pairs`` those whose connection the sender has reset, and
-    ``sent_messages`` sender, receiver and size in bytes of each message.
+    dropped, ``delay_s_by_pair`` those whose messages arrive later and by how
+    many seconds, ``reset_pairs`` those whose connection the sender has reset,
+    and ``sent_messages`` sender, receiver and size in bytes of each message.
     """
 
     def __init__(self):
         self.queue_by_address = {}
         self.dropped_pairs = set()
+        self.delay_s_by_pair = {}
         self.reset_pairs = []
         self.sent_messages = []
 
@@ -48,9 +50,14 @@
     def send(self, address, data):
         self._network.sent_messages.append((self._address, address, len(data)))
         queue = self._network.queue_by_address.get(address)
-        if queue is not None and (self._address, address) not in (
-            self._network.dropped_pairs
-        ):
+        pair = (self._address, address)
+        if queue is None or pair in self._network.dropped_pairs:
+            return
+        delay_s = self._network.delay_s_by_pair.get(pair, 0.0)
+        if delay_s > 0:
+            loop = asyncio.get_running_loop()
+            loop.call_later(delay_s, queue.put_nowait, data)
+        else:
             queue.put_nowait(data)
 
     async def receive(self):
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -62,6 +62,17 @@
         assert reported == _dropped_lines() - before
         assert messages[-1]["message"] in ("last", "log lines dropped")
 
+    def test_requests_leave_room_for_changes_of_state(self):
+        _, handler = self._handler_on_pipe()
+        request = _log_record("request")
+        request.name = logs.REQUEST_LOGGER
+        for _ in range(3000):
+            handler.emit(request)
+        before = _dropped_lines()
+        for _ in range(100):
+            handler.emit(_log_record("configuration in force"))
+        assert _dropped_lines() == before
+
     def test_closed_reader_is_no_error(self):
         reader, handler = self._handler_on_pipe()
         os.close(reader)
--- a/tests/test_peer_exchange.py
+++ b/tests/test_peer_exchange.py
@@ -56,6 +56,17 @@
 
         simulated_peers.run_scenario(scenario)
 
+    def test_delay_of_heartbeats_is_known(self):
+        async def scenario(network, entries):
+            await asyncio.sleep(2.0)
+            network.delay_s_by_pair = {("e1:1", "e0:1"): 1.5}
+            await asyncio.sleep(3.0)
+            peer_by_instance = entries[0].fleet.peer_by_instance
+            assert abs(peer_by_instance["e1"].message_delay_s - 1.5) < 0.1
+            assert peer_by_instance["e2"].message_delay_s < 0.1
+
+        simulated_peers.run_scenario(scenario)
+
     def test_cached_objects_reach_all_peers(self):
         async def scenario(network, entries):
             await asyncio.sleep(1.0)
