Show that large configurations reach entries late over slow links

A test that fails on this code: a region of 24 entries with links of 10 Mbit/s, a configuration of 1 MB that changes every few seconds, targets that write to the store all the time.

--- a/chicorydoor/compose_fleet.py
+++ b/chicorydoor/compose_fleet.py
@@ -56,7 +56,7 @@
 
 _LOG = logging.getLogger(__name__)
 
-_FOLLOW_POLICIES = (
+FOLLOW_POLICIES = (
     # Changes of configuration and evacuations are rare and urgent. Some
     # entries read continuously; the others take over well within the tightest
     # time limit.
@@ -332,7 +332,7 @@
         )
         self.followers: list[store_follower.StoreFollower] = []
         for policy, on_items, significant_part in zip(
-            _FOLLOW_POLICIES, handlers, significant_parts, strict=True
+            FOLLOW_POLICIES, handlers, significant_parts, strict=True
         ):
             mirror = (
                 store_mirror.StoreMirror(policy.prefix, significant_part)
--- a/tests/support/simulated_peers.py
+++ b/tests/support/simulated_peers.py
@@ -22,6 +22,10 @@
 from tests.support import config_builders
 from tests.support import virtual_time
 
+# After the prefix: watch_timeout_s, reader_count, read_interval_s, takeover_s
+# and stagger_s.
+_FOLLOW_POLICY = store_follower.FollowPolicy("p/", 1.0, 1, 0.0, 2.0, 0.1)
+
 
 class Network:
     """Delivers messages at once unless their pair of addresses says otherwise.
@@ -30,15 +34,34 @@
     dropped, ``delay_s_by_pair`` those whose messages arrive later and by how
     many seconds, ``reset_pairs`` those whose connection the sender has reset,
     and ``sent_messages`` sender, receiver and size in bytes of each message.
+
+    Args:
+        bytes_per_s (float): Bandwidth of each entry's link in each direction.
+            Defaults to no limit.
     """
 
-    def __init__(self):
+    def __init__(self, bytes_per_s=float("inf")):
+        self._bytes_per_s = bytes_per_s
+        self._free_at_by_link = {}
         self.queue_by_address = {}
         self.dropped_pairs = set()
         self.delay_s_by_pair = {}
         self.reset_pairs = []
         self.sent_messages = []
 
+    def occupy(self, link, size_bytes, ready_at):
+        """Return when a link has carried data that waits behind earlier data.
+
+        Args:
+            link (tuple): An address and a direction.
+            size_bytes (int): Size of the data.
+            ready_at (float): When the data reaches the link, in seconds.
+        """
+        starts_at = max(ready_at, self._free_at_by_link.get(link, 0.0))
+        free_at = starts_at + size_bytes / self._bytes_per_s
+        self._free_at_by_link[link] = free_at
+        return free_at
+
 
 class _Link:
     def __init__(self, network, address):
@@ -53,10 +76,14 @@
         pair = (self._address, address)
         if queue is None or pair in self._network.dropped_pairs:
             return
-        delay_s = self._network.delay_s_by_pair.get(pair, 0.0)
-        if delay_s > 0:
-            loop = asyncio.get_running_loop()
-            loop.call_later(delay_s, queue.put_nowait, data)
+        loop = asyncio.get_running_loop()
+        now = loop.time()
+        size = len(data)
+        left_at = self._network.occupy((self._address, "out"), size, now)
+        arrived_at = self._network.occupy((address, "in"), size, left_at)
+        arrived_at += self._network.delay_s_by_pair.get(pair, 0.0)
+        if arrived_at > now:
+            loop.call_at(arrived_at, queue.put_nowait, data)
         else:
             queue.put_nowait(data)
 
@@ -76,11 +103,26 @@
             selects its failure domain: "e3" in region "n" is in "nb".
         seeds (tuple): Peer addresses known at the start. Defaults to none.
         region (str): Region of the entry. Defaults to "n".
+        feed (StoreFeed): The store that it follows. Defaults to none.
+        policy (FollowPolicy): How it follows the store. Defaults to
+            ``_FOLLOW_POLICY``.
+        rank (int): Its position among the readers. Defaults to 0.
+        domain_count (int): Failure domains of a region. Defaults to 2.
     """
 
-    def __init__(self, network, name, seeds=(), region="n"):
+    def __init__(
+        self,
+        network,
+        name,
+        seeds=(),
+        region="n",
+        feed=None,
+        policy=None,
+        rank=0,
+        domain_count=2,
+    ):
         clock = clock_module.EventLoopClock()
-        domain = f"{region}{'ab'[int(name[1:]) % 2]}"
+        domain = f"{region}{'abcdef'[int(name[1:]) % domain_count]}"
         registration = fleet_view.Registration(
             name, 1, domain, region, f"{name}:1", f"{name}:2"
         )
@@ -135,16 +177,14 @@
         )
         self.items = []
         self.follower = store_follower.StoreFollower(
-            # After the prefix: watch_timeout_s, reader_count,
-            # read_interval_s, takeover_s and stagger_s.
-            policy=store_follower.FollowPolicy("p/", 1.0, 1, 0.0, 2.0, 0.1),
-            feed=None,
+            policy=policy or _FOLLOW_POLICY,
+            feed=feed,
             mirror=store_mirror.StoreMirror("p/"),
             clock=clock,
             publish=self.peers.publish,
             on_items=self.items.extend,
-            get_rank=lambda: 0,
-            count_entries=lambda: 1,
+            get_rank=lambda: rank,
+            count_entries=lambda: 1 + len(self.fleet.region_peers()),
             on_contact=lambda: None,
         )
         self.peers.add_follower(self.follower)
