Send copies and large values between entries compressed

Callers saw: requests handled by a configuration that had been replaced seconds before, requests to targets that had said that they leave, and refusals. Cause: values above 256 kB were only announced, so that each entry read 0.9 MB from the store over a link of 10 Mbit/s; copies for entries that lagged behind went out uncompressed, 1 MB each, and everything else waited behind them. Change: what is published is limited by its compressed size, and copies are compressed.

--- a/chicorydoor/coordination/peer_exchange.py
+++ b/chicorydoor/coordination/peer_exchange.py
@@ -58,9 +58,6 @@
 # Digests are not acknowledged, so their connections are reopened at this
 # interval in case one has failed silently.
 _DIGEST_RECONNECT_INTERVAL_S = 5.0
-# Published messages from this size on are compressed. Configurations compress
-# several times; heartbeats are shorter.
-_COMPRESSED_FROM_BYTES = 8192
 # A connection that delivered nothing for this long is reopened.
 _RECONNECT_AFTER_S = 1.6
 
@@ -189,10 +186,7 @@
 
     def publish(self, message: gossip_messages.Message) -> None:
         """Send a message to every other entry of the region."""
-        data = gossip_messages.encode(message)
-        if len(data) >= _COMPRESSED_FROM_BYTES:
-            data = gossip_messages.encode_compressed(message)
-        self._send_to_region(message, data)
+        self._send_to_region(message, gossip_messages.encode_small(message))
 
     def _send_to_region(
         self, message: gossip_messages.Message, data: bytes
@@ -527,7 +521,7 @@
         copy = gossip_messages.StoreCopy(
             request.prefix, follower.mirror.snapshot()
         )
-        data = gossip_messages.encode(copy)
+        data = gossip_messages.encode_small(copy)
         _LOG.info(
             "copy sent",
             extra={
--- a/chicorydoor/coordination/store_follower.py
+++ b/chicorydoor/coordination/store_follower.py
@@ -42,7 +42,8 @@
 # The same for a peer of another region: the own region is likely to read
 # within this time what another region has read first.
 _OTHER_REGION_COPY_DELAY_S = 1.0
-# Values above this size are not published; each entry reads them itself.
+# Changes above this size, compressed, are not published; each entry reads them
+# itself. The publishing entry sends them to some ten others.
 _MAX_PUBLISHED_BYTES = 256 * 1024
 # Longest sleep before the rank is determined again: readers ranked before this
 # entry may have stopped meanwhile.
@@ -293,21 +294,26 @@
 
     def _publish_change(self, since: int) -> None:
         prefix = self.policy.prefix
-        batch = self.mirror.changes_since(since)
-        if self._should_publish_values(batch):
-            self._publish(gossip_messages.StoreChanges(prefix, since, batch))
+        changes = gossip_messages.StoreChanges(
+            prefix, since, self.mirror.changes_since(since)
+        )
+        if self._should_publish_values(changes):
+            self._publish(changes)
         else:
             self._publish(
                 gossip_messages.StoreProgress(prefix, self.local_extent())
             )
 
     def _should_publish_values(
-        self, batch: store_items.StoreItemBatch
+        self, changes: gossip_messages.StoreChanges
     ) -> bool:
         if not self.policy.values_within_s:
             return True
-        size_bytes = sum(len(item.value or b"") for item in batch.items)
-        return size_bytes <= _MAX_PUBLISHED_BYTES and self._reader_rank() == 0
+        if self._reader_rank() > 0:
+            return False
+        return len(gossip_messages.encode_small(changes)) <= (
+            _MAX_PUBLISHED_BYTES
+        )
 
     def _read_unless_published(self) -> None:
         """Read the store if a change that a peer has is not published soon."""
--- a/chicorydoor/protocol/gossip_messages.py
+++ b/chicorydoor/protocol/gossip_messages.py
@@ -156,6 +156,8 @@
     | CompressedMessage
 )
 
+# Heartbeats are shorter.
+_COMPRESSED_FROM_BYTES = 8192
 # Bound of what compressed data may expand to.
 _MAX_DECOMPRESSED_BYTES = 4 * 1024 * 1024
 
@@ -180,6 +182,17 @@
         raise errors.PeerError(f"{error}") from error
 
 
+def encode_small(message: Message) -> bytes:
+    """Return a message's encoding, as a ``CompressedMessage`` if it is long.
+
+    Configurations and copies of the store compress several times.
+    """
+    data = encode(message)
+    if len(data) < _COMPRESSED_FROM_BYTES:
+        return data
+    return encode_compressed(message)
+
+
 def encode_compressed(message: Message) -> bytes:
     """Return a message's encoding as a ``CompressedMessage``."""
     return encode(CompressedMessage(zlib.compress(encode(message))))
