Answer a request for a copy with the changes that are missing

Cause: an entry that lacked one change got the whole part of the store from a peer. Its extent then named the revision of the copy as that of its latest change, though nothing had changed there, so that entries which knew an older revision believed that they lacked something and requested copies in turn. Change: the request says up to which revision the requester's copy is complete, and the reply has the changes since then, or nothing; the whole copy only if the peer does not know all changes since. A copy carries its sender's latest change. Older builds ignore the new fields and send whole copies. The state machine of the mirrors now draws such replies too.

--- a/chicorydoor/coordination/peer_exchange.py
+++ b/chicorydoor/coordination/peer_exchange.py
@@ -491,15 +491,16 @@
     def _request_copy(
         self, prefix: str, extent: fleet_view.Extent, address: str
     ) -> None:
+        as_of = self.follower_by_prefix[prefix].mirror.as_of
         request = gossip_messages.StoreCopyRequest(
-            prefix, self._fleet.own_registration.peer_address
+            prefix, self._fleet.own_registration.peer_address, as_of
         )
         _LOG.info(
             "copy requested",
             extra={
                 "prefix": prefix,
                 "address": address,
-                "as_of": self.follower_by_prefix[prefix].mirror.as_of,
+                "as_of": as_of,
                 "latest": extent.latest,
             },
         )
@@ -518,20 +519,21 @@
         follower = self.follower_by_prefix.get(request.prefix)
         if follower is None:
             return
-        copy = gossip_messages.StoreCopy(
-            request.prefix, follower.mirror.snapshot()
-        )
-        data = gossip_messages.encode_small(copy)
+        reply = follower.answer_copy_request(request.since)
+        if reply is None:
+            return
+        data = gossip_messages.encode_small(reply)
         _LOG.info(
             "copy sent",
             extra={
                 "prefix": request.prefix,
                 "address": request.reply_address,
                 "bytes": len(data),
-                "as_of": copy.batch.as_of,
+                "since": request.since,
+                "as_of": reply.batch.as_of,
             },
         )
-        self._send(copy, data, request.reply_address)
+        self._send(reply, data, request.reply_address)
 
     def _send_to_all(
         self,
--- a/chicorydoor/coordination/store_follower.py
+++ b/chicorydoor/coordination/store_follower.py
@@ -366,9 +366,33 @@
         if progress.extent.latest > self.mirror.as_of:
             self._read_unless_published()
 
+    def answer_copy_request(
+        self, since: int
+    ) -> gossip_messages.StoreChanges | gossip_messages.StoreCopy | None:
+        """Return what a peer's copy lacks.
+
+        Args:
+            since (int): Store revision up to which the peer's copy is
+                complete; 0 for a full copy.
+
+        Returns:
+            The changes since then, a full copy if they are not all known, or
+            None if the local copy is not more complete.
+        """
+        mirror = self.mirror
+        if since >= mirror.as_of:
+            return None
+        if 0 < since >= mirror.history_from:
+            return gossip_messages.StoreChanges(
+                mirror.prefix, since, mirror.changes_since(since)
+            )
+        return gossip_messages.StoreCopy(
+            mirror.prefix, mirror.snapshot(), mirror.latest
+        )
+
     def apply_copy(self, copy: gossip_messages.StoreCopy) -> None:
         """Replace the local copy by a peer's."""
-        changed = self.mirror.replace(copy.batch)
+        changed = self.mirror.replace(copy.batch, copy.latest)
         # Equivalent to a listing: later changes can be read from the store.
         self._is_listed = True
         self._record_update()
--- a/chicorydoor/protocol/gossip_messages.py
+++ b/chicorydoor/protocol/gossip_messages.py
@@ -48,15 +48,21 @@
 
 
 class StoreCopyRequest(msgspec.Struct, frozen=True, tag="copy-request"):
-    """Asks a peer for its full copy of a key prefix.
+    """Asks a peer for what the sender's copy of a key prefix lacks.
+
+    The reply is a ``StoreChanges``, or a ``StoreCopy`` if the peer does not
+    know all changes since then.
 
     Args:
         prefix (str): Key prefix.
         reply_address (str): Peer address ``ip:port`` of the requester.
+        since (int): Store revision up to which the requester's copy is
+            complete; 0 for a full copy. Defaults to 0.
     """
 
     prefix: str
     reply_address: str
+    since: int = 0
 
 
 class StoreCopy(msgspec.Struct, frozen=True, tag="copy"):
@@ -65,10 +71,14 @@
     Args:
         prefix (str): Key prefix.
         batch (StoreItemBatch): All items that the sender has below it.
+        latest (int): Store revision of the latest significant change that the
+            sender's copy may contain; None if it does not tell. Defaults to
+            None.
     """
 
     prefix: str
     batch: store_items.StoreItemBatch
+    latest: int | None = None
 
 
 class RateTokenRequest(msgspec.Struct, frozen=True, tag="rate-ask"):
--- a/chicorydoor/state/store_mirror.py
+++ b/chicorydoor/state/store_mirror.py
@@ -34,6 +34,8 @@
         as_of (int): Store revision up to which this copy is complete.
         latest (int): Store revision of the latest significant change that
             this copy may contain.
+        history_from (int): Store revision after which this copy knows all
+            significant changes up to ``as_of``, removals too.
     """
 
     def __init__(
@@ -45,6 +47,7 @@
         self._significant_part = significant_part
         self.as_of = 0
         self.latest = 0
+        self.history_from = 0
         self.item_by_key: dict[str, store_items.StoreItemChange] = {}
         self._significant_revision_by_key: dict[str, int] = {}
         self._removal_revision_by_key: dict[str, int] = {}
@@ -58,7 +61,8 @@
     def changes_since(self, since: int) -> store_items.StoreItemBatch:
         """Significant changes and kept tombstones after a revision.
 
-        The store or peers may have sent them.
+        The store or peers may have sent them. They are complete from
+        ``history_from`` on.
         """
         changed = [
             self.item_by_key[key]
@@ -109,12 +113,18 @@
         return changed
 
     def replace(
-        self, batch: store_items.StoreItemBatch
+        self, batch: store_items.StoreItemBatch, latest: int | None = None
     ) -> list[store_items.StoreItemChange]:
         """Apply a full listing; keys that it lacks are removed.
 
         A listing older than this copy is ignored.
 
+        Args:
+            batch (StoreItemBatch): The listing.
+            latest (int): Revision of the latest significant change that the
+                listing may contain; None if that is not known. Defaults to
+                None.
+
         Returns:
             The items with a significant change.
         """
@@ -131,7 +141,10 @@
         if batch.as_of > self.as_of:
             # A listing does not say when a key that it lacks was removed: the
             # removal may be as late as the listing itself.
-            self.latest = max(self.latest, batch.as_of)
+            self.latest = max(
+                self.latest, batch.as_of if latest is None else latest
+            )
+            self.history_from = batch.as_of
         self._advance_to(batch.as_of)
         return changed
 
@@ -146,6 +159,7 @@
             for key, revision in tombstones_by_age[:excess]:
                 if revision <= as_of:
                     del self._removal_revision_by_key[key]
+                    self.history_from = max(self.history_from, revision)
 
     def _apply_item(self, item: store_items.StoreItemChange) -> bool:
         known = self.item_by_key.get(item.key)
--- a/tests/test_store_follower.py
+++ b/tests/test_store_follower.py
@@ -470,6 +470,41 @@
 
         _run_scenario(scenario)
 
+    def test_peer_gets_the_changes_that_it_lacks(self):
+        async def scenario(feed, harness):
+            await asyncio.sleep(0.1)
+            since = harness.follower.mirror.as_of
+            feed.write("p/b", b"2")
+            feed.write("p/a", None)
+            await asyncio.sleep(0.1)
+            reply = harness.follower.answer_copy_request(since)
+            assert isinstance(reply, gossip_messages.StoreChanges)
+            changed = {item.key: item.value for item in reply.batch.items}
+            assert changed == {"p/a": None, "p/b": b"2"}
+
+        _run_scenario(scenario)
+
+    def test_peer_from_before_the_known_changes_gets_a_copy(self):
+        async def scenario(feed, harness):
+            await asyncio.sleep(0.1)
+            since = harness.follower.mirror.as_of
+            feed.write("p/b", b"2")
+            feed.compact_history()
+            await asyncio.sleep(0.2)
+            reply = harness.follower.answer_copy_request(since)
+            assert isinstance(reply, gossip_messages.StoreCopy)
+            assert reply.latest == harness.follower.mirror.latest
+
+        _run_scenario(scenario)
+
+    def test_peer_that_lacks_nothing_gets_no_copy(self):
+        async def scenario(feed, harness):
+            await asyncio.sleep(0.1)
+            as_of = harness.follower.mirror.as_of
+            assert harness.follower.answer_copy_request(as_of) is None
+
+        _run_scenario(scenario)
+
     def test_extent_of_a_peer_without_changes_advances_the_copy(self):
         async def scenario(feed, harness):
             await asyncio.sleep(0.1)
--- a/tests/test_store_mirror.py
+++ b/tests/test_store_mirror.py
@@ -117,6 +117,17 @@
         mirror.replace(_batch(7))
         assert "a" in mirror.item_by_key
 
+    # Guards against copies that make their receivers pass for ahead of the
+    # sender, so that other entries request copies from them in turn.
+    def test_copy_has_the_extent_of_its_sender(self):
+        sender = store_mirror.StoreMirror("")
+        sender.replace(_batch(5, _item("a", 3)))
+        sender.advance_to_extent(9, 5)
+        receiver = store_mirror.StoreMirror("")
+        receiver.replace(_batch(4, _item("a", 3)))
+        receiver.replace(sender.snapshot(), sender.latest)
+        assert (receiver.as_of, receiver.latest) == (9, 5)
+
 
 class _Store:
     """Reference store from which listings, events and copies are taken."""
@@ -200,7 +211,21 @@
     def copy_from_peer(self, mirror_index):
         source = self.mirrors[1 - mirror_index]
         if source.as_of:
-            changed = self.mirrors[mirror_index].replace(source.snapshot())
+            changed = self.mirrors[mirror_index].replace(
+                source.snapshot(), source.latest
+            )
+            self._check_mirror(mirror_index, changed)
+
+    @rule(mirror_index=st.integers(0, 1))
+    def changes_from_peer(self, mirror_index):
+        mirror, peer = (
+            self.mirrors[mirror_index],
+            self.mirrors[1 - mirror_index],
+        )
+        if 0 < mirror.as_of >= peer.history_from:
+            changed = mirror.merge(
+                peer.changes_since(mirror.as_of), mirror.as_of
+            )
             self._check_mirror(mirror_index, changed)
 
     @rule(mirror_index=st.integers(0, 1))
