Request copies less often while no reply arrives

Cause: an entry that lacked a change requested a copy every 0.5 s, whether or not the previous reply was still on its way over a full link, so that the copies delayed each other. Change: the interval doubles up to 2 s until the missing change has arrived.

--- a/chicorydoor/coordination/store_follower.py
+++ b/chicorydoor/coordination/store_follower.py
@@ -34,8 +34,10 @@
 # it up to date. Otherwise it would not notice that the store answers again,
 # and a region could stay with a single working reader.
 _FAILED_READ_RECHECK_S = 5.0
-# Minimum time between two requests for a peer's copy.
+# Time between two requests for a peer's copy, at first and at most. It doubles
+# because a reply that is not there yet may wait on a full link.
 _COPY_REQUEST_INTERVAL_S = 0.5
+_MAX_COPY_REQUEST_INTERVAL_S = 2.0
 # Time to wait for an update that a peer of the region has, before its copy is
 # requested: heartbeats may overtake the update that they refer to.
 _REGION_COPY_DELAY_S = 0.3
@@ -160,6 +162,7 @@
         self.is_store_unreachable = False
         self._read_failed_at = float("-inf")
         self._copy_requested_at = float("-inf")
+        self._copy_request_interval_s = _COPY_REQUEST_INTERVAL_S
         # Revision of a change that a peer has and this entry lacks, and when
         # this entry learnt of it.
         self._missing_revision = 0
@@ -444,17 +447,23 @@
         if self._missing_revision <= self.mirror.as_of:
             self._missing_revision = extent.latest
             self._missing_since = now
+            self._copy_request_interval_s = _COPY_REQUEST_INTERVAL_S
         copy_delay_s = (
             _OTHER_REGION_COPY_DELAY_S
             if is_other_region
             else _REGION_COPY_DELAY_S
         )
         copy_delay_s += self.policy.values_within_s
-        is_due = now - self._missing_since >= copy_delay_s
+        since_request_s = now - self._copy_requested_at
         if (
-            not is_due
-            or now - self._copy_requested_at < _COPY_REQUEST_INTERVAL_S
+            now - self._missing_since < copy_delay_s
+            or since_request_s < self._copy_request_interval_s
         ):
             return False
+        if self._copy_requested_at >= self._missing_since:
+            self._copy_request_interval_s = min(
+                2 * self._copy_request_interval_s,
+                _MAX_COPY_REQUEST_INTERVAL_S,
+            )
         self._copy_requested_at = now
         return True
--- a/tests/test_store_follower.py
+++ b/tests/test_store_follower.py
@@ -505,6 +505,19 @@
 
         _run_scenario(scenario)
 
+    # Guards against requests whose replies fill the links that they wait for.
+    def test_requests_become_rarer_while_no_reply_arrives(self):
+        async def scenario(feed, harness):
+            await asyncio.sleep(0.1)
+            newer = fleet_view.Extent(feed.revision + 5, feed.revision + 5)
+            requests = 0
+            for _ in range(100):
+                requests += harness.follower.should_request_copy(newer)
+                await asyncio.sleep(0.1)
+            assert 4 <= requests <= 7
+
+        _run_scenario(scenario)
+
     def test_extent_of_a_peer_without_changes_advances_the_copy(self):
         async def scenario(feed, harness):
             await asyncio.sleep(0.1)
