Ask again before the send whether the target is still in service

Callers saw: requests that reached a target over 3 s after it had said in the store that it leaves. Cause: a target is chosen, then a connection to it is opened, for up to 0.7 s and longer on a busy entry. Between the two only a rest was asked again. Change: a request whose target has left, was removed, replaced or evacuated in the meantime is not sent to it and tries another target. It counts as not sent.

--- a/chicorydoor/coordination/target_sender.py
+++ b/chicorydoor/coordination/target_sender.py
@@ -184,10 +184,9 @@
             )
         started_at = self._clock.now()
         remaining_s = call.deadline - started_at - RESPONSE_MARGIN_S
-        is_at_rest = self.permits.is_at_rest(view, started_at)
-        if remaining_s <= 0 or is_at_rest:
+        reason = self._reason_not_to_send(view, remaining_s, started_at)
+        if reason:
             pool.release(connection, view.record.slots)
-            reason = "at rest" if is_at_rest else "no time left"
             return SendResult(
                 SendOutcome.NOT_SENT, view.target_id, reason=reason
             )
@@ -213,6 +212,29 @@
         pool.release(connection, view.record.slots)
         return self._evaluate_answer(call, choice, answer, started_at)
 
+    def _reason_not_to_send(
+        self, view: target_views.TargetView, remaining_s: float, now: float
+    ) -> str:
+        """Return why a request is not sent to its target after all.
+
+        Opening a connection takes time, in which the target may have left.
+
+        Args:
+            view (TargetView): The target that was chosen.
+            remaining_s (float): Seconds left for the target to respond.
+            now (float): Current time in seconds.
+
+        Returns:
+            The reason; empty if the request may be sent.
+        """
+        if remaining_s <= 0:
+            return "no time left"
+        if self.permits.is_at_rest(view, now):
+            return "at rest"
+        if not self._targets.is_in_service(view):
+            return "left"
+        return ""
+
     def _record_timeout(
         self,
         call: admitted_request.AdmittedRequest,
--- a/chicorydoor/state/target_views.py
+++ b/chicorydoor/state/target_views.py
@@ -379,6 +379,11 @@
             and view.record.domain not in self.evacuated_domains
         )
 
+    def is_in_service(self, view: TargetView) -> bool:
+        """Whether a target that was chosen earlier may still get requests."""
+        known = self.target_by_id.get(view.target_id)
+        return known is view and self.should_get_requests(view)
+
     def usable_targets(self, service_id: ids.ServiceId) -> list[TargetView]:
         """Targets of a service that may get requests."""
         return self._usable_by_service.get(service_id, [])
--- a/tests/test_platform_entry.py
+++ b/tests/test_platform_entry.py
@@ -18,6 +18,7 @@
 from chicorydoor.protocol import store_items
 from chicorydoor.standins import platform_store
 from chicorydoor.state import fleet_view
+from chicorydoor.transport import buffered_connection
 from chicorydoor.transport import clock as clock_module
 from tests.support import clocks
 from tests.support import config_builders as make
@@ -425,6 +426,57 @@
 
         platform_cluster.run(scenario)
 
+    # Guards against requests that reach a target long after it left, because
+    # the connection to it took so long to open.
+    @pytest.mark.parametrize("change", ["draining", "removed", "evacuated"])
+    def test_target_that_leaves_before_the_send_gets_no_request(
+        self, change, monkeypatch
+    ):
+        acquiring = asyncio.Event()
+        may_continue = asyncio.Event()
+        acquire = buffered_connection.BufferedConnectionPool.acquire
+
+        async def acquire_slowly(pool, *limits):
+            connection = await acquire(pool, *limits)
+            if not acquiring.is_set():
+                acquiring.set()
+                await may_continue.wait()
+            return connection
+
+        monkeypatch.setattr(
+            buffered_connection.BufferedConnectionPool,
+            "acquire",
+            acquire_slowly,
+        )
+
+        async def scenario(cluster):
+            (target,) = cluster.targets
+            routes = json.loads(platform_cluster.build_config())["routes"]
+            patient = [each | {"timeout": "5000ms"} for each in routes]
+            cluster.store.put(
+                "op/config", platform_cluster.build_config(2, routes=patient)
+            )
+            await asyncio.sleep(0.3)
+            calling = asyncio.create_task(
+                cluster.call(headers={"deadline-ms": "5000"})
+            )
+            await acquiring.wait()
+            if change == "draining":
+                record = platform_cluster.build_registration(target, change)
+                cluster.store.put("servers/t0", record)
+            elif change == "removed":
+                cluster.store.remove("servers/t0")
+            else:
+                cluster.store.put("op/evacuate/na", b"{}")
+            await asyncio.sleep(1.5)
+            may_continue.set()
+            answer = await calling
+            assert answer.status_code == 503
+            assert answer.headers["x-chicorydoor-outcome"] == "not-run"
+            assert cluster.request_count() == 0
+
+        platform_cluster.run(scenario, targets=1)
+
     def test_evacuated_domain_gets_no_requests(self):
         async def scenario(cluster):
             cluster.store.put("op/evacuate/na", b"{}")
