Receive all peer messages that wait in one turn

Cause: an entry received at most 64 messages in a turn of its event loop, and of each peer little more than one, because nng fetches the next message of a connection only after the previous one was received. While turns were long, updates of the configuration waited behind heartbeats and questions about rates for seconds, and senders dropped what had waited for one: the shared measurement has entries up to 6.5 s behind. Change: after a long turn the entry waits up to 1 ms for each next message, until none is left or 2,048 are received.

--- a/chicorydoor/transport/nng_transport.py
+++ b/chicorydoor/transport/nng_transport.py
@@ -22,8 +22,15 @@
 _SENDER_IDLE_LIMIT_S = 60.0
 # Interval at which queued messages are tried again.
 _RETRY_INTERVAL_S = 0.02
-# Messages that are received before other events are handled.
-_MAX_RECEIVED_AT_ONCE = 64
+# Messages that are received before other events are handled: more than the
+# peers of a large region send during a long turn of the event loop.
+_MAX_RECEIVED_AT_ONCE = 2048
+# After this long without receiving, messages wait in the peers' connections.
+# nng fetches the next one of a connection in a thread of its own, only after
+# the previous one was received.
+_BUSY_AFTER_S = 0.05
+# Time that nng gets to fetch a message that waits; its smallest unit.
+_FETCH_TIMEOUT_MS = 1
 
 _LOG = logging.getLogger(__name__)
 
@@ -116,11 +123,13 @@
         self._socket = pynng.Pull0(
             recv_max_size=max_message_bytes,
             recv_buffer_size=_SOCKET_BUFFER_MESSAGES,
+            recv_timeout=_FETCH_TIMEOUT_MS,
         )
         listener = self._socket.listen(f"tcp://{address}")
         self.address = str(listener.local_address).removeprefix("tcp://")
         self._sender_by_address: dict[str, _Sender] = {}
         self._received: asyncio.Queue[bytes] = asyncio.Queue()
+        self._read_at = self._loop.time()
         # The descriptor is readable while a message can be received.
         self._receive_fd = self._socket.recv_fd
         self._loop.add_reader(self._receive_fd, self._read_messages)
@@ -129,10 +138,19 @@
         )
 
     def _read_messages(self) -> None:
-        """Move messages from the socket to a queue."""
-        with contextlib.suppress(pynng.exceptions.TryAgain):
+        """Move messages from the socket to a queue.
+
+        A busy event loop calls this seldom. It then waits for nng to fetch
+        what has arrived meanwhile, instead of receiving one message of each
+        peer in a turn.
+        """
+        was_busy = self._loop.time() - self._read_at > _BUSY_AFTER_S
+        with contextlib.suppress(
+            pynng.exceptions.TryAgain, pynng.exceptions.Timeout
+        ):
             for _ in range(_MAX_RECEIVED_AT_ONCE):
-                self._received.put_nowait(self._socket.recv(block=False))
+                self._received.put_nowait(self._socket.recv(block=was_busy))
+        self._read_at = self._loop.time()
 
     def send(self, address: str, data: bytes) -> None:
         """Send a message to an address, or queue it."""
