Let deeply nested JSON cost its own store entry only

Cause: a document under servers/ that is nested thousands deep raised RecursionError where two versions of it are compared, so that each read of the part failed and no entry saw any later registration, drains included. Change: such a document is malformed like any other that cannot be decoded.

--- a/chicorydoor/platform/documents.py
+++ b/chicorydoor/platform/documents.py
@@ -284,7 +284,12 @@
 def _decode(value: bytes, kind: type[_DocumentT]) -> _DocumentT:
     try:
         return msgspec.json.decode(value, type=kind)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except (
+        msgspec.DecodeError,
+        UnicodeDecodeError,
+        # Of JSON that is nested too deeply.
+        RecursionError,
+    ) as error:
         raise errors.ConfigurationError(f"{error}") from error
 
 
@@ -301,7 +306,7 @@
         object: A value for comparison; the document itself if malformed.
     """
     try:
-        document = msgspec.json.decode(value, type=_TargetRegistration)
-    except (msgspec.DecodeError, UnicodeDecodeError):
+        document = _decode(value, _TargetRegistration)
+    except errors.ConfigurationError:
         return value
     return msgspec.json.encode(document)
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -192,6 +192,12 @@
                 "servers/i-1", json.dumps(_TARGET_DOCUMENT | change).encode()
             )
 
+    def test_deeply_nested_registration_is_rejected(self):
+        nested = b'{"x":' + b"[" * 5000 + b"]" * 5000 + b"}"
+        assert documents.normalize_target_registration(nested) == nested
+        with pytest.raises(errors.ConfigurationError):
+            documents.decode_target_registration("servers/i-1", nested)
+
     def test_heartbeat_alone_does_not_change_the_significant_part(self):
         status = _TARGET_DOCUMENT["status"] | {"sequence": 5}
         later = _TARGET_DOCUMENT | {"status": status}
--- a/tests/test_platform_entry.py
+++ b/tests/test_platform_entry.py
@@ -477,6 +477,27 @@
 
         platform_cluster.run(scenario, targets=1)
 
+    # Guards against one unreadable registration that hides all later ones.
+    def test_deeply_nested_registration_costs_itself_only(self):
+        async def scenario(cluster):
+            leaving = cluster.targets[0]
+            for depth in (2000, 3000):
+                # In a field that the entry does not know.
+                nested = b'{"x":' + b"[" * depth + b"]" * depth + b"}"
+                cluster.store.put("servers/strange", nested)
+                await asyncio.sleep(0.3)
+            cluster.store.put(
+                "servers/t0",
+                platform_cluster.build_registration(leaving, "draining"),
+            )
+            await asyncio.sleep(1.3)
+            before = len(leaving.received_headers)
+            for key in range(8):
+                await cluster.call(headers={"affinity-key": str(key)})
+            assert len(leaving.received_headers) == before
+
+        platform_cluster.run(scenario)
+
     def test_evacuated_domain_gets_no_requests(self):
         async def scenario(cluster):
             cluster.store.put("op/evacuate/na", b"{}")
