Reject registrations with a port that does not exist

Cause: a registration was accepted if its port was digits, so that one with port 808080 or a superscript two named a target, and each request that was sent there ended with an unexpected error (read in the review). Change: the port has to be an ASCII number from 1 to 65535.

--- a/chicorydoor/platform/documents.py
+++ b/chicorydoor/platform/documents.py
@@ -39,6 +39,9 @@
 _ROUTE_CACHE_SIZE = 20_000
 
 
+_MAX_PORT = 65_535
+
+
 class _Document(msgspec.Struct, rename="camel", frozen=True):
     """Base of the documents; unknown fields are ignored.
 
@@ -226,8 +229,7 @@
     """
     document = _decode(value, _TargetRegistration)
     lifecycle = _LIFECYCLE_BY_STATE.get(document.status.state)
-    host, _, port = document.address.rpartition(":")
-    if lifecycle is None or not host or not port.isdigit():
+    if lifecycle is None or not _is_endpoint(document.address):
         raise errors.ConfigurationError(
             f"{key}: unknown state {document.status.state!r} or malformed "
             f"address {document.address!r}"
@@ -250,6 +252,18 @@
     )
 
 
+def _is_endpoint(address: str) -> bool:
+    """Whether an address has a host and a port that can be connected to."""
+    host, _, port = address.rpartition(":")
+    return (
+        bool(host)
+        and port.isascii()
+        and port.isdigit()
+        and len(port) <= len(f"{_MAX_PORT}")
+        and 0 < int(port) <= _MAX_PORT
+    )
+
+
 def decode_entry_registration(
     key: str, value: bytes
 ) -> fleet_view.Registration:
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -184,6 +184,10 @@
             {"info": {"service": "s", "zone": "na", "slots": 0}},
             {"address": "nowhere"},
             {"address": 5},
+            {"address": "10.0.0.1:808080"},
+            {"address": "10.0.0.1:0"},
+            {"address": "10.0.0.1:" + "9" * 5000},
+            {"address": "10.0.0.1:\u00b2"},
         ],
     )
     def test_invalid_registration_is_rejected(self, change):
