Do not take an informational response for the final one

Cause: a response without a length ends with its connection; the head of an informational one was still kept when the connection ended. Change: an informational response is dropped when it is complete, so that the connection ends without a response: the outcome is unknown, and the caller is told so or the request is tried again if it may be.

--- a/chicorydoor/transport/buffered_connection.py
+++ b/chicorydoor/transport/buffered_connection.py
@@ -195,6 +195,8 @@
     def on_message_complete(self) -> None:
         """Deliver the response, unless it is an informational one."""
         if self._parser.get_status_code() in _INFORMATIONAL_STATUSES:
+            # The end of the connection must not complete it.
+            self._response = _PartialResponse()
             return
         self._response.is_complete = True
         self._deliver_response()
--- a/tests/test_buffered_connection.py
+++ b/tests/test_buffered_connection.py
@@ -103,6 +103,21 @@
         assert response.body == b"done"
         assert connection.is_usable
 
+    # Guards against an informational response that a caller gets as the final
+    # one, after which it waits until its deadline.
+    @pytest.mark.parametrize(
+        "head",
+        [
+            b"HTTP/1.1 103 Early Hints\r\nlink: </a>\r\n\r\n",
+            b"HTTP/1.1 100 Continue\r\n\r\n" * 2,
+        ],
+    )
+    def test_informational_response_alone_is_no_response(self, head):
+        error, connection = _exchange([head], end_causes=[None])
+        assert isinstance(error, errors.TargetError)
+        assert error.may_have_been_sent
+        assert not connection.is_usable
+
     def test_informational_response_is_skipped(self):
         response, _ = _exchange([b"HTTP/1.1 100 Continue\r\n\r\n", _RESPONSE])
         assert response.body == b"done"
