--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -184,6 +184,10 @@
             {"info": {"service": "s", "zone": "na", "slots": 0}},
             {"address": "nowhere"},
             {"address": 5},
+            {"address": "10.0.0.1:808080"},
+            {"address": "10.0.0.1:0"},
+            {"address": "10.0.0.1:" + "9" * 5000},
+            {"address": "10.0.0.1:\u00b2"},
         ],
     )
     def test_invalid_registration_is_rejected(self, change):
@@ -192,6 +196,12 @@
                 "servers/i-1", json.dumps(_TARGET_DOCUMENT | change).encode()
             )
 
+    def test_deeply_nested_registration_is_rejected(self):
+        nested = b'{"x":' + b"[" * 5000 + b"]" * 5000 + b"}"
+        assert documents.normalize_target_registration(nested) == nested
+        with pytest.raises(errors.ConfigurationError):
+            documents.decode_target_registration("servers/i-1", nested)
+
     def test_heartbeat_alone_does_not_change_the_significant_part(self):
         status = _TARGET_DOCUMENT["status"] | {"sequence": 5}
         later = _TARGET_DOCUMENT | {"status": status}
