--- a/tests/test_platform_process.py
+++ b/tests/test_platform_process.py
@@ -2,9 +2,12 @@
 
 import asyncio
 import json
+import pathlib
+import re
 import signal
 import subprocess
 import sys
+import time
 
 import pytest
 import uvloop
@@ -14,6 +17,12 @@
 from chicorydoor.standins import platform_site
 
 
+def _ignores_sighup(pid):
+    status = pathlib.Path(f"/proc/{pid}/status").read_text()
+    (ignored,) = re.findall(r"SigIgn:\s*(\w+)", status)
+    return bool(int(ignored, 16) & 1 << (signal.SIGHUP - 1))
+
+
 class TestPlatformDemo:
     def test_no_promise_is_broken(self):
         verdicts = uvloop.run(platform_demo.run_demo())
@@ -63,6 +72,24 @@
         assert request_line["chosen_as"] == "first-request"
         assert {line["instance"] for line in lines} == {"entry-0"}
 
+    # Guards against a change of the settings that ends a starting process.
+    def test_sighup_during_the_start_does_not_end_the_process(self, tmp_path):
+        path = tmp_path / "settings.yaml"
+        path.write_text("self: {}")
+        with subprocess.Popen(
+            [sys.executable, "-m", "chicorydoor.platform"],
+            env={settings_file.SETTINGS_PATH_VARIABLE: str(path), "PATH": ""},
+            stderr=subprocess.PIPE,
+        ) as process:
+            # The interpreter itself has to start first.
+            while process.poll() is None and not _ignores_sighup(process.pid):
+                time.sleep(0.005)
+            while process.poll() is None:
+                process.send_signal(signal.SIGHUP)
+                time.sleep(0.01)
+            # The invalid settings were read.
+            assert process.returncode == 2
+
     @pytest.mark.parametrize("text", [None, "self: [", "self: {}"])
     def test_rejects_invalid_settings_with_one_line(self, tmp_path, text):
         path = tmp_path / "settings.yaml"
