Let a region's digest speak for its sender

Cause: other regions forget an entry without a registration that nobody reports as alive. Digests named the entries that their sender had seen, but not the sender. Change: the sender is one of the entries that its digest reports as alive. Older receivers understand it. Result, arm64: the new test of TestDigests failed before.

--- a/chicorydoor/coordination/region_digests.py
+++ b/chicorydoor/coordination/region_digests.py
@@ -81,7 +81,9 @@
             region=fleet.own_registration.region,
             reply_address=fleet.own_registration.peer_address,
             ready=self._rng.sample(ready, min(_MAX_READY_ENTRIES, len(ready))),
-            unlisted=live_unregistered,
+            # A sender without a registration is known to be alive only from
+            # its digests if it is the only entry of its region.
+            unlisted=[fleet.own_registration.instance, *live_unregistered],
             extent_by_prefix=extent_by_prefix,
             rate_by_customer=self._shares.combined_reports(
                 fleet.announced_rates_of_region()
--- a/chicorydoor/state/fleet_view.py
+++ b/chicorydoor/state/fleet_view.py
@@ -124,8 +124,8 @@
         region (str): The sender's region.
         reply_address (str): ``ip:port`` of the sender.
         ready (list): Some entries that accept requests.
-        unlisted (list): Entries of the region that the sender has recently
-            seen but that have no registration in the store.
+        unlisted (list): The sender, and entries of the region that it has
+            recently seen but that have no registration in the store.
         extent_by_prefix (dict): Extents of the sender's store copies.
         rate_by_customer (dict): Rate shares and demand of the whole region.
         limit_reports (list): What targets have lately responded to the region
--- a/tests/test_peer_exchange.py
+++ b/tests/test_peer_exchange.py
@@ -274,6 +274,24 @@
 
         simulated_peers.run_scenario(scenario, "nnmm")
 
+    # Guards against others that take over the rates of an entry that the store
+    # turns away and that no other entry of its region can speak for.
+    def test_only_entry_of_a_region_stays_known_without_registration(self):
+        async def scenario(network, entries):
+            await asyncio.sleep(6.0)
+            for entry in entries:
+                entry.fleet.record_unregistration(
+                    "e2", entry.peers._clock.now()
+                )
+            await asyncio.sleep(30.0)
+            assert "e2" in entries[0].fleet.peer_by_instance
+            assert "e2" in entries[1].fleet.peer_by_instance
+            network.dropped_pairs = {("e2:1", f"e{i}:1") for i in range(2)}
+            await asyncio.sleep(30.0)
+            assert "e2" not in entries[0].fleet.peer_by_instance
+
+        simulated_peers.run_scenario(scenario, "nnm")
+
     def test_store_updates_reach_a_region_that_cannot_read_the_store(self):
         async def scenario(network, entries):
             await asyncio.sleep(4.0)
