Do not compare the store's revisions from before and after a restore

Cause: entries ordered all that they know of the store by its revision, which goes back with the copy. Nothing read the header in which the store names its epoch. A listing at a lower revision and all changes after it counted as old, from the store as well as from peers.

Evidence: the listing after the 410 is in the logs ("store listed"), its as_of is still that of before; version 9 at revision 31 never came into force, and no "older configuration ignored" was logged. "store restored from a copy", "store copy replaced" and chicorydoor_store_restores were missing and are new.

Change: a copy of the store belongs to one epoch. A listing of a later epoch replaces it, whatever the revisions; news of an earlier one, from the store or a peer, is ignored. Messages between entries name the epoch; a peer of an earlier build names none, and its messages count until the store is restored. Registrations and records are written again under new leases. What the store's copy lacks is kept while its writers may write it again, and what it brings back counts once it is written again, so that evacuations, drains and registrations hold meanwhile. This works whatever the revisions are, since they are compared within one epoch only.

--- a/chicorydoor/compose_fleet.py
+++ b/chicorydoor/compose_fleet.py
@@ -375,6 +375,13 @@
         ]
         return sum(name < self.settings.instance for name in readers)
 
+    def handle_store_restore(self) -> None:
+        """Read and write anew what the store lost by coming from a copy."""
+        self.registration.handle_restore()
+        self.blocked_requests.handle_restore()
+        for follower in self.followers:
+            follower.handle_restore()
+
     def lookup_addresses(
         self, region: ids.RegionId, domain: ids.DomainId
     ) -> list[str]:
--- a/chicorydoor/coordination/blocked_request_records.py
+++ b/chicorydoor/coordination/blocked_request_records.py
@@ -82,6 +82,7 @@
         self._record_by_fingerprint: dict[
             request_crashes.Fingerprint, _Record
         ] = {}
+        self._is_restored = False
 
     async def run(self) -> None:
         """Read the records, then keep them current until cancelled."""
@@ -100,6 +101,14 @@
                 )
                 await asyncio.sleep(_RETRY_DELAY_S)
 
+    def handle_restore(self) -> None:
+        """Write all records again: the store has come back from a copy.
+
+        Their leases are not revoked, since the store may have given their ids
+        to other holders.
+        """
+        self._is_restored = True
+
     async def _read(self) -> None:
         batch = await self._store.list_items(self._prefix)
         reports = []
@@ -118,6 +127,9 @@
         self._crashes.apply_reports(reports, self._clock.now())
 
     async def _write_changes(self) -> None:
+        if self._is_restored:
+            self._is_restored = False
+            self._record_by_fingerprint.clear()
         now = self._clock.now()
         blocked = self._crashes.blocked_reports(now)
         for report in blocked:
--- a/chicorydoor/coordination/entry_registration.py
+++ b/chicorydoor/coordination/entry_registration.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections import abc
+import contextlib
 import logging
 import typing
 
@@ -60,22 +61,39 @@
         self._clock = clock
         self._on_contact = on_contact
         self._lease: int | None = None
+        self._restored = asyncio.Event()
         self.renewed_at = float("-inf")
 
     async def run(self) -> None:
         """Keep the entry registered until cancelled."""
         while True:
             try:
+                self._forget_lost_lease()
                 await self._renew_or_register()
                 self.renewed_at = self._clock.now()
                 self._on_contact()
-                await asyncio.sleep(_RENEWAL_INTERVAL_S)
+                with contextlib.suppress(TimeoutError):
+                    async with asyncio.timeout(_RENEWAL_INTERVAL_S):
+                        await self._restored.wait()
             except errors.StoreUnavailableError as error:
                 _LOG.warning(
                     "registration not renewed", extra={"reason": f"{error}"}
                 )
                 await asyncio.sleep(_RETRY_DELAY_S)
 
+    def handle_restore(self) -> None:
+        """Register again at once: the store has come back from a copy."""
+        self._restored.set()
+
+    def _forget_lost_lease(self) -> None:
+        """Forget the lease if the store was restored since it was granted.
+
+        The store may have given its id to another holder.
+        """
+        if self._restored.is_set():
+            self._restored.clear()
+            self._lease = None
+
     async def _renew_or_register(self) -> None:
         if self._lease is not None:
             if await self._store.renew_lease(self._lease):
@@ -89,6 +107,7 @@
 
     async def withdraw(self) -> None:
         """Remove the registration; if that fails, its lease expires."""
+        self._forget_lost_lease()
         if self._lease is None:
             return
         try:
--- a/chicorydoor/coordination/peer_exchange.py
+++ b/chicorydoor/coordination/peer_exchange.py
@@ -235,10 +235,18 @@
         ]
         return self._rng.choice(recently_seen) if recently_seen else None
 
+    def _store_epoch(self) -> int:
+        """Return the latest epoch of the store that a local copy has."""
+        followers = self.follower_by_prefix.values()
+        return max((each.mirror.epoch for each in followers), default=0)
+
     def _extent_by_prefix(self) -> dict[str, fleet_view.Extent]:
+        """Return the extents of the copies that have the latest epoch."""
+        epoch = self._store_epoch()
         return {
             prefix: follower.local_extent()
             for prefix, follower in self.follower_by_prefix.items()
+            if follower.mirror.epoch == epoch
         }
 
     def send_heartbeats(self) -> None:
@@ -279,6 +287,7 @@
                 trusted_idle_s=self._idle_limit.own_limit_s(now),
                 out_of_reach=sorted(self._reach.out_of_reach),
                 sent_at=now,
+                store_epoch=self._store_epoch(),
             )
         )
 
@@ -292,6 +301,7 @@
             self.state,
             self._reach.out_of_reach,
             self._extent_by_prefix(),
+            self._store_epoch(),
             self._rate_limits.recent_reports(now),
             self._crashes.recent_reports(now),
             now,
@@ -458,7 +468,9 @@
         address = heartbeat.registration.peer_address
         for prefix, extent in heartbeat.extent_by_prefix.items():
             follower = self.follower_by_prefix.get(prefix)
-            if follower is not None and follower.should_request_copy(extent):
+            if follower is not None and follower.should_request_copy(
+                extent, heartbeat.store_epoch
+            ):
                 self._request_copy(prefix, extent, address)
 
     def _record_message_delay(
@@ -484,16 +496,20 @@
         for prefix, extent in digest.extent_by_prefix.items():
             follower = self.follower_by_prefix.get(prefix)
             if follower is not None and follower.should_request_copy(
-                extent, is_other_region=True
+                extent, digest.store_epoch, is_other_region=True
             ):
                 self._request_copy(prefix, extent, digest.reply_address)
 
     def _request_copy(
         self, prefix: str, extent: fleet_view.Extent, address: str
     ) -> None:
-        as_of = self.follower_by_prefix[prefix].mirror.as_of
+        mirror = self.follower_by_prefix[prefix].mirror
+        as_of = mirror.as_of
         request = gossip_messages.StoreCopyRequest(
-            prefix, self._fleet.own_registration.peer_address, as_of
+            prefix,
+            self._fleet.own_registration.peer_address,
+            as_of,
+            mirror.epoch,
         )
         _LOG.info(
             "copy requested",
@@ -519,7 +535,7 @@
         follower = self.follower_by_prefix.get(request.prefix)
         if follower is None:
             return
-        reply = follower.answer_copy_request(request.since)
+        reply = follower.answer_copy_request(request.since, request.epoch)
         if reply is None:
             return
         data = gossip_messages.encode_compact(reply)
--- a/chicorydoor/coordination/region_digests.py
+++ b/chicorydoor/coordination/region_digests.py
@@ -46,6 +46,7 @@
         state: fleet_view.EntryState,
         out_of_reach: frozenset[ids.ServiceId],
         extent_by_prefix: dict[str, fleet_view.Extent],
+        store_epoch: int,
         limit_reports: list[target_rate_limits.LimitReport],
         crash_reports: list[request_crashes.CrashReport],
         now: float,
@@ -57,6 +58,7 @@
             out_of_reach (frozenset): Services out of this entry's reach.
             extent_by_prefix (dict): How complete this entry's copies of the
                 store are, by key prefix.
+            store_epoch (int): Epoch of the store that these refer to.
             limit_reports (list): What targets have lately responded to the
                 region about their rate limits.
             crash_reports (list): What this entry knows of requests that end
@@ -90,6 +92,7 @@
             ),
             limit_reports=limit_reports,
             crash_reports=crash_reports,
+            store_epoch=store_epoch,
         )
 
     def choose_receivers(self, now: float) -> list[str]:
--- a/chicorydoor/coordination/store_follower.py
+++ b/chicorydoor/coordination/store_follower.py
@@ -47,6 +47,13 @@
 # Changes above this size, compressed, are not published; each entry reads them
 # itself. The publishing entry sends them to some ten others.
 _MAX_PUBLISHED_BYTES = 256 * 1024
+# After the store has come back from a copy, its writers write again what the
+# copy lacks. Registrations are back within two seconds, and may be read up to
+# half a second later.
+_REWRITE_GRACE_S = 2.5
+# What the copy holds although it had been removed goes with its lease: that of
+# a target ends after three of its heartbeats of 1.5 s.
+_UNCONFIRMED_LAPSE_S = 6.0
 # Longest sleep before the rank is determined again: readers ranked before this
 # entry may have stopped meanwhile.
 _RANK_RECHECK_S = 0.5
@@ -166,6 +173,7 @@
         # Revision of a change that a peer has and this entry lacks, and when
         # this entry learnt of it.
         self._missing_revision = 0
+        self._missing_epoch = 0
         self._missing_since = 0.0
         # Latest revision that a peer announced, and the timer after which it
         # is read if its values did not arrive.
@@ -173,6 +181,11 @@
         self._value_timer: asyncio.TimerHandle | None = None
         # Set when there is a change that this entry has to read itself.
         self._must_read = asyncio.Event()
+        self._watch_timeout: asyncio.Timeout | None = None
+        # Latest epoch of the store that a peer named.
+        self._announced_epoch = 0
+        # Changes that are passed on only if they last, by key.
+        self._deferred_by_key: dict[str, asyncio.TimerHandle] = {}
 
     async def run(self) -> None:
         """Follow the part until cancelled."""
@@ -218,11 +231,11 @@
             await self._read_listing()
             return
         await self._wait_until_due()
+        if not self._is_listed:
+            return
         since, latest = self.mirror.as_of, self.mirror.latest
         try:
-            batch = await self._feed.wait_for_changes(
-                self.policy.prefix, since, self.policy.watch_timeout_s
-            )
+            batch = await self._wait_for_changes(since)
         except errors.HistoryLostError:
             _LOG.warning(
                 "store history lost",
@@ -230,16 +243,51 @@
             )
             self._is_listed = False
             return
+        if batch is None or self.mirror.is_later_epoch(batch.epoch):
+            self._is_listed = False
+            return
         # Nothing has changed from the latest change to ``since``. Published
         # from there on, the changes also complete copies that are older.
         self._apply_read(self.mirror.merge(batch, since), min(since, latest))
 
+    async def _wait_for_changes(
+        self, since: int
+    ) -> store_items.StoreItemBatch | None:
+        """Wait for changes; None if the store was restored meanwhile.
+
+        A call that waits at the store may go silent when the store goes away.
+        """
+        watch_timeout = asyncio.timeout(None)
+        try:
+            async with watch_timeout:
+                self._watch_timeout = watch_timeout
+                return await self._feed.wait_for_changes(
+                    self.policy.prefix, since, self.policy.watch_timeout_s
+                )
+        except TimeoutError:
+            return None
+        finally:
+            self._watch_timeout = None
+
+    def handle_restore(self) -> None:
+        """List the part again: the store has come back from a copy."""
+        self._is_listed = False
+        self._must_read.set()
+        if self._watch_timeout is not None:
+            now = asyncio.get_running_loop().time()
+            self._watch_timeout.reschedule(now)
+
     async def _read_listing(self) -> None:
         batch = await self._feed.list_items(self.policy.prefix)
         since = self.mirror.as_of
+        is_later_epoch = self.mirror.is_later_epoch(batch.epoch)
         changed = self.mirror.replace(batch)
         self._is_listed = True
-        self._apply_read(changed, since)
+        if is_later_epoch:
+            self._handle_new_epoch()
+            # Every entry lists a new epoch, as at its start.
+            since = 0
+        self._apply_read(changed, since, is_later_epoch)
         _LOG.info(
             "store listed",
             extra={
@@ -276,7 +324,10 @@
         return penalty + self._get_rank()
 
     def _apply_read(
-        self, changed: list[store_items.StoreItemChange], since: int
+        self,
+        changed: list[store_items.StoreItemChange],
+        since: int,
+        is_new_epoch: bool = False,
     ) -> None:
         self._record_update()
         if self.is_store_unreachable:
@@ -288,13 +339,66 @@
                     "as_of": self.mirror.as_of,
                 },
             )
-        if changed:
-            self._on_items(changed)
+        self._pass_on(changed, is_new_epoch)
         if since > 0:
             # All entries list at their start, so the first listing need not
             # be published.
             self._publish_change(since)
 
+    def _handle_new_epoch(self) -> None:
+        """Forget what refers to revisions of an earlier epoch."""
+        self._announced_revision = 0
+        self._missing_revision = 0
+        _LOG.warning(
+            "store copy replaced",
+            extra={
+                "prefix": self.policy.prefix,
+                "epoch": self.mirror.epoch,
+                "as_of": self.mirror.as_of,
+                "unconfirmed": sorted(self.mirror.unconfirmed_keys),
+            },
+        )
+
+    def _pass_on(
+        self, changed: list[store_items.StoreItemChange], is_new_epoch: bool
+    ) -> None:
+        """Pass changed items on to their user.
+
+        At the start of an epoch an item may be missing, or be there again,
+        only because its writer has not yet written or removed it again. Such
+        a change is passed on later, unless another one follows.
+        """
+        due: list[store_items.StoreItemChange] = []
+        for item in changed:
+            deferred = self._deferred_by_key.pop(item.key, None)
+            if deferred is not None:
+                deferred.cancel()
+            if is_new_epoch and item.value is None:
+                self._defer(item, _REWRITE_GRACE_S)
+            elif is_new_epoch and item.key in self.mirror.unconfirmed_keys:
+                self._defer(item, _UNCONFIRMED_LAPSE_S)
+            else:
+                due.append(item)
+        if due:
+            self._on_items(due)
+
+    def _defer(
+        self, item: store_items.StoreItemChange, delay_s: float
+    ) -> None:
+        self._deferred_by_key[item.key] = (
+            asyncio.get_running_loop().call_later(
+                delay_s, self._pass_on_deferred, item
+            )
+        )
+
+    def _pass_on_deferred(self, item: store_items.StoreItemChange) -> None:
+        del self._deferred_by_key[item.key]
+        _LOG.info(
+            "store item settled",
+            extra={"key": item.key, "is_removed": item.value is None},
+        )
+        self._on_items([item])
+
     def _publish_change(self, since: int) -> None:
         prefix = self.policy.prefix
         changes = gossip_messages.StoreChanges(
@@ -304,7 +408,9 @@
             self._publish(changes)
         else:
             self._publish(
-                gossip_messages.StoreProgress(prefix, self.local_extent())
+                gossip_messages.StoreProgress(
+                    prefix, self.local_extent(), self.mirror.epoch
+                )
             )
 
     def _should_publish_values(
@@ -351,16 +457,34 @@
     def apply_changes(self, changes: gossip_messages.StoreChanges) -> None:
         """Apply changes that a peer has read."""
         before = self.mirror.as_of
+        self._note_epoch(changes.batch.epoch)
         changed = self.mirror.merge(changes.batch, changes.since)
         if self.mirror.as_of > before:
             self._record_update()
         if changed:
             self._apply_peer_changes(changed)
 
+    def _note_epoch(self, epoch: int) -> None:
+        """Read the store when a peer first names a later epoch of it."""
+        if self.mirror.is_later_epoch(epoch) and epoch > self._announced_epoch:
+            self._announced_epoch = epoch
+            _LOG.warning(
+                "peer names a later epoch of the store",
+                extra={
+                    "prefix": self.policy.prefix,
+                    "epoch": epoch,
+                    "own": self.mirror.epoch,
+                },
+            )
+            self.handle_restore()
+
     def handle_progress(self, progress: gossip_messages.StoreProgress) -> None:
         """Handle a peer's notice that it has read a change."""
+        self._note_epoch(progress.epoch)
+        if not self.mirror.is_same_epoch(progress.epoch):
+            return
         if self.mirror.advance_to_extent(
-            progress.extent.as_of, progress.extent.latest
+            progress.extent.as_of, progress.extent.latest, progress.epoch
         ):
             self._record_update()
         self._announced_revision = max(
@@ -370,19 +494,25 @@
             self._read_unless_published()
 
     def answer_copy_request(
-        self, since: int
+        self, since: int, epoch: int = 0
     ) -> gossip_messages.StoreChanges | gossip_messages.StoreCopy | None:
         """Return what a peer's copy lacks.
 
         Args:
             since (int): Store revision up to which the peer's copy is
                 complete; 0 for a full copy.
+            epoch (int): Epoch of the peer's copy. Defaults to 0.
 
         Returns:
-            The changes since then, a full copy if they are not all known, or
-            None if the local copy is not more complete.
+            The changes since then, a full copy if they are not all known or
+            the peer's copy is of an earlier epoch, or None if the local copy
+            is not more complete.
         """
         mirror = self.mirror
+        if mirror.is_later_epoch(epoch):
+            return None
+        if mirror.is_earlier_epoch(epoch):
+            since = 0
         if since >= mirror.as_of:
             return None
         if 0 < since >= mirror.history_from:
@@ -394,16 +524,23 @@
         )
 
     def apply_copy(self, copy: gossip_messages.StoreCopy) -> None:
-        """Replace the local copy by a peer's."""
+        """Replace the local copy by a peer's, unless that is outdated."""
+        if self.mirror.is_earlier_epoch(copy.batch.epoch):
+            return
+        is_later_epoch = self.mirror.is_later_epoch(copy.batch.epoch)
         changed = self.mirror.replace(copy.batch, copy.latest)
+        if is_later_epoch:
+            self._handle_new_epoch()
         # Equivalent to a listing: later changes can be read from the store.
         self._is_listed = True
         self._record_update()
         if changed:
-            self._apply_peer_changes(changed)
+            self._apply_peer_changes(changed, is_later_epoch)
 
     def _apply_peer_changes(
-        self, changed: list[store_items.StoreItemChange]
+        self,
+        changed: list[store_items.StoreItemChange],
+        is_new_epoch: bool = False,
     ) -> None:
         _LOG.info(
             "store news from peer",
@@ -413,10 +550,13 @@
                 "as_of": self.mirror.as_of,
             },
         )
-        self._on_items(changed)
+        self._pass_on(changed, is_new_epoch)
 
     def should_request_copy(
-        self, extent: fleet_view.Extent, is_other_region: bool = False
+        self,
+        extent: fleet_view.Extent,
+        epoch: int = 0,
+        is_other_region: bool = False,
     ) -> bool:
         """Whether to request a peer's copy because the local one lags behind.
 
@@ -427,6 +567,7 @@
 
         Args:
             extent (Extent): How complete the peer's copy is.
+            epoch (int): Epoch of the peer's copy. Defaults to 0.
             is_other_region (bool): Whether the peer is of another region.
                 Defaults to False.
 
@@ -435,16 +576,24 @@
             most once per copy request interval.
         """
         now = self._clock.now()
-        if self.mirror.advance_to_extent(extent.as_of, extent.latest):
+        self._note_epoch(epoch)
+        is_later_epoch = self.mirror.is_later_epoch(epoch)
+        if self.mirror.is_earlier_epoch(epoch):
+            return False
+        if self.mirror.advance_to_extent(extent.as_of, extent.latest, epoch):
             self._record_update()
-        if extent.latest <= self.mirror.as_of:
+        if not is_later_epoch and extent.latest <= self.mirror.as_of:
             return False
-        if self.policy.values_within_s:
+        if self.policy.values_within_s and not is_later_epoch:
             self._announced_revision = max(
                 self._announced_revision, extent.latest
             )
             self._read_unless_published()
-        if self._missing_revision <= self.mirror.as_of:
+        is_first_of_epoch = is_later_epoch and epoch > self._missing_epoch
+        if is_first_of_epoch or (
+            not is_later_epoch and self._missing_revision <= self.mirror.as_of
+        ):
+            self._missing_epoch = epoch
             self._missing_revision = extent.latest
             self._missing_since = now
             self._copy_request_interval_s = _COPY_REQUEST_INTERVAL_S
--- a/chicorydoor/coordination/target_registrations.py
+++ b/chicorydoor/coordination/target_registrations.py
@@ -55,9 +55,23 @@
     def apply_registration(
         self, record: serving_config.TargetRegistration
     ) -> None:
-        """Apply a new or changed registration."""
+        """Apply a new or changed registration.
+
+        One that its target wrote before the known one is ignored: a store
+        that comes back from a copy shows such until the target writes again.
+        """
         known = self._targets.target_by_id.get(record.target_id)
         previous = known.record if known is not None else None
+        if previous is not None and _was_written_before(record, previous):
+            _LOG.info(
+                "outdated registration ignored",
+                extra={
+                    "target": record.target_id,
+                    "sequence": record.sequence,
+                    "known": previous.sequence,
+                },
+            )
+            return
         self._targets.add_or_update(record, self._clock.now())
         if previous is None or _should_log_change(previous, record):
             _LOG.info(
@@ -113,6 +127,17 @@
         _LOG.info("target gone", extra={"target": target_id, "reason": reason})
 
 
+def _was_written_before(
+    record: serving_config.TargetRegistration,
+    known: serving_config.TargetRegistration,
+) -> bool:
+    """Whether the same incarnation wrote a registration before another."""
+    return (
+        0 < record.started_ms == known.started_ms
+        and record.sequence < known.sequence
+    )
+
+
 def _should_log_change(
     previous: serving_config.TargetRegistration,
     record: serving_config.TargetRegistration,
--- a/chicorydoor/fleet_entry.py
+++ b/chicorydoor/fleet_entry.py
@@ -72,6 +72,7 @@
             rng=random.Random(),
             incarnation=time.time_ns() // 1_000_000,
         )
+        store.restore_observers.append(components.handle_store_restore)
         server = self._make_server(components)
         relay_server = self._make_relay_server(components)
         await server.start()
--- a/chicorydoor/platform/documents.py
+++ b/chicorydoor/platform/documents.py
@@ -111,6 +111,8 @@
 class _TargetStatus(_Document):
     state: str
     cold_remaining: str = "0ms"
+    # Of any type, as a registration is used without it.
+    sequence: typing.Any = None
 
 
 class _TargetRegistration(_Document):
@@ -249,9 +251,14 @@
         warm_up_remaining_s=durations.parse_duration_s(
             document.status.cold_remaining
         ),
+        sequence=_parse_sequence(document.status.sequence),
     )
 
 
+def _parse_sequence(value: typing.Any) -> int:
+    return value if type(value) is int else 0
+
+
 def _is_endpoint(address: str) -> bool:
     """Whether an address has a host and a port that can be connected to."""
     host, _, port = address.rpartition(":")
@@ -308,10 +315,10 @@
 
 
 def normalize_target_registration(value: bytes) -> object:
-    """Return a target's registration without fields unknown to this module.
+    """Return a target's registration without its sequence number.
 
-    Two registrations that differ only in such fields, for example the
-    sequence number of a heartbeat, compare equal.
+    Two registrations that differ only in this number, or in fields unknown to
+    this module, compare equal.
 
     Args:
         value (bytes): Document that the target wrote.
@@ -323,4 +330,7 @@
         document = _decode(value, _TargetRegistration)
     except errors.ConfigurationError:
         return value
-    return msgspec.json.encode(document)
+    status = msgspec.structs.replace(document.status, sequence=None)
+    return msgspec.json.encode(
+        msgspec.structs.replace(document, status=status)
+    )
--- a/chicorydoor/platform/kv_store.py
+++ b/chicorydoor/platform/kv_store.py
@@ -2,7 +2,9 @@
 
 import base64
 import binascii
+from collections import abc
 import http
+import logging
 import typing
 
 import httpx
@@ -18,6 +20,10 @@
 _CONNECT_TIMEOUT_S = 1.0
 # A long-polling watch responds at the end of its wait at the latest.
 _WATCH_MARGIN_S = 1.0
+# Rises by one each time that the store comes back from a copy.
+_EPOCH_HEADER = "store-era"
+
+_LOG = logging.getLogger(__name__)
 
 
 class _Item(msgspec.Struct):
@@ -62,6 +68,11 @@
 
     Args:
         address (str): ``ip:port`` of the store.
+
+    Attributes:
+        restore_observers (list): Called when a response shows that the store
+            has come back from a copy: what was written since the copy is
+            lost, leases too.
     """
 
     def __init__(self, address: str) -> None:
@@ -70,6 +81,8 @@
             timeout=httpx.Timeout(_CALL_TIMEOUT_S, connect=_CONNECT_TIMEOUT_S),
             trust_env=False,
         )
+        self._epoch = 0
+        self.restore_observers: list[abc.Callable[[], None]] = []
 
     async def close(self) -> None:
         """Close all connections."""
@@ -87,13 +100,19 @@
         """
         items: list[store_items.StoreItemChange] = []
         as_of: int | None = None
+        epoch = 0
         params = {"prefix": prefix}
         while True:
             page = await self._get("kv-range", params, _RangePage)
+            if as_of is None:
+                as_of, epoch = page.as_of, self._epoch
+            elif epoch != self._epoch:
+                raise errors.StoreUnavailableError(
+                    "kv-range: restored from a copy between two pages"
+                )
             items += [_decode_item(item) for item in page.items]
-            as_of = page.as_of if as_of is None else as_of
             if not page.has_more or not page.items:
-                return store_items.StoreItemBatch(items, as_of)
+                return store_items.StoreItemBatch(items, as_of, epoch)
             params = {"prefix": prefix, "after": page.items[-1].key}
 
     async def wait_for_changes(
@@ -126,7 +145,9 @@
         )
         events = await self._get("kv-watch", params, _WatchResult, timeout)
         return store_items.StoreItemBatch(
-            [_decode_item(item) for item in events.events], events.as_of
+            [_decode_item(item) for item in events.events],
+            events.as_of,
+            self._epoch,
         )
 
     async def grant_lease(self, ttl_s: float) -> tuple[int, float]:
@@ -234,8 +255,39 @@
             raise errors.StoreUnavailableError(
                 f"{kind}: {type(error).__name__} {error}"
             ) from error
+        self._check_epoch(kind, response)
         return self._check_status(kind, response)
 
+    def _check_epoch(self, kind: str, response: httpx.Response) -> None:
+        """Record the store's epoch and tell the observers of a new one.
+
+        Raises:
+            StoreUnavailableError: If the response is of an earlier epoch, so
+                that what it says is no longer true.
+        """
+        text = response.headers.get(_EPOCH_HEADER)
+        if text is None:
+            return
+        try:
+            epoch = int(text)
+        except ValueError:
+            _LOG.warning("store epoch unreadable", extra={"epoch": text})
+            return
+        if epoch < self._epoch:
+            metrics.STORE_CALLS.labels(kind, "failed").inc()
+            raise errors.StoreUnavailableError(
+                f"{kind}: response of epoch {epoch}, now is {self._epoch}"
+            )
+        previous, self._epoch = self._epoch, epoch
+        if 0 < previous < epoch:
+            metrics.STORE_RESTORES.inc()
+            _LOG.warning(
+                "store restored from a copy",
+                extra={"before": previous, "epoch": epoch},
+            )
+            for observer in self.restore_observers:
+                observer()
+
     def _check_status(
         self, kind: str, response: httpx.Response
     ) -> httpx.Response:
--- a/chicorydoor/protocol/gossip_messages.py
+++ b/chicorydoor/protocol/gossip_messages.py
@@ -41,10 +41,13 @@
         prefix (str): Key prefix of the copy.
         extent (Extent): Store revision up to which the copy is complete,
             and revision of its latest change.
+        epoch (int): Epoch of the store that the extent refers to. Defaults
+            to 0.
     """
 
     prefix: str
     extent: fleet_view.Extent
+    epoch: int = 0
 
 
 class StoreCopyRequest(msgspec.Struct, frozen=True, tag="copy-request"):
@@ -58,11 +61,14 @@
         reply_address (str): Peer address ``ip:port`` of the requester.
         since (int): Store revision up to which the requester's copy is
             complete; 0 for a full copy. Defaults to 0.
+        epoch (int): Epoch of the store that the requester's copy is of.
+            Defaults to 0.
     """
 
     prefix: str
     reply_address: str
     since: int = 0
+    epoch: int = 0
 
 
 class StoreCopy(msgspec.Struct, frozen=True, tag="copy"):
--- a/chicorydoor/protocol/serving_config.py
+++ b/chicorydoor/protocol/serving_config.py
@@ -216,6 +216,8 @@
             value under the same id means a new incarnation. Defaults to 0.
         warm_up_remaining_s (float): Rest of the warm-up as last reported.
             Defaults to 0.
+        sequence (int): Counts up with each registration that an incarnation
+            writes; 0 if it does not tell. Defaults to 0.
     """
 
     target_id: ids.TargetId
@@ -226,3 +228,4 @@
     lifecycle: TargetLifecycle
     started_ms: int = 0
     warm_up_remaining_s: float = 0.0
+    sequence: int = 0
--- a/chicorydoor/standins/platform_store.py
+++ b/chicorydoor/standins/platform_store.py
@@ -2,12 +2,13 @@
 
 Implements its published HTTP protocol: revisions, paged range reads, watches
 as long polls with a history that can be compacted, leases, and conditional
-transactions. It can be told to refuse calls, not to answer, to lose answers
-and to drop its history.
+transactions. It can be told to refuse calls, not to answer, to lose answers,
+to drop its history, and to come back from a copy of itself.
 """
 
 import asyncio
 import base64
+import copy
 import enum
 import typing
 import urllib.parse
@@ -43,6 +44,16 @@
     lease: int
 
 
+class StoreCopy(msgspec.Struct):
+    """What the stand-in held at one moment."""
+
+    revision: int
+    compacted_revision: int
+    item_by_key: dict[str, _Item]
+    events: list[dict[str, typing.Any]]
+    expires_at_by_lease: dict[int, float]
+
+
 class PlatformStore:
     """A key-value store served over HTTP, with faults.
 
@@ -55,6 +66,7 @@
         self.failure_mode = FailureMode.NORMAL
         self.called_paths: list[str] = []
         self.revision = 1
+        self.era = 1
         self._compacted_revision = 1
         self._item_by_key: dict[str, _Item] = {}
         self._events: list[dict[str, typing.Any]] = []
@@ -110,6 +122,32 @@
         self._compacted_revision = self.revision
         self._notify_watches()
 
+    def take_copy(self) -> StoreCopy:
+        """Return a copy of all items, leases and events."""
+        return copy.deepcopy(
+            StoreCopy(
+                self.revision,
+                self._compacted_revision,
+                self._item_by_key,
+                self._events,
+                self._expires_at_by_lease,
+            )
+        )
+
+    def restore(self, state: StoreCopy) -> None:
+        """Come back from a copy: what was written since then is lost.
+
+        Revisions are given out again from that of the copy on.
+        """
+        state = copy.deepcopy(state)
+        self.era += 1
+        self.revision = state.revision
+        self._compacted_revision = state.compacted_revision
+        self._item_by_key = state.item_by_key
+        self._events = state.events
+        self._expires_at_by_lease = state.expires_at_by_lease
+        self._notify_watches()
+
     def keys(self) -> list[str]:
         """All keys that have not expired, sorted."""
         self._expire_leases()
@@ -154,14 +192,14 @@
             await asyncio.sleep(_MAX_WAIT_S)
             return
         if self.failure_mode is FailureMode.REFUSING:
-            await _send_json(send, 503, None)
+            await self._send_json(send, 503, None)
             return
         self._expire_leases()
         query = dict(urllib.parse.parse_qsl(scope["query_string"].decode()))
         status, answer = await self._dispatch(path, query, body)
         if self.failure_mode is FailureMode.LOSING_ANSWERS:
             raise ConnectionAbortedError("answer dropped by a simulated fault")
-        await _send_json(send, status, answer)
+        await self._send_json(send, status, answer)
 
     async def _dispatch(
         self, path: str, query: dict[str, str], body: bytes
@@ -202,7 +240,7 @@
         loop = asyncio.get_running_loop()
         ends_at = loop.time() + wait_s
         while True:
-            if after < self._compacted_revision:
+            if not self._compacted_revision <= after <= self.revision:
                 return 410, None
             events = [
                 event
@@ -258,9 +296,12 @@
         self._expires_at_by_lease[lease] = now + ttl_s
         return 200, {"ttl_time": f"{int(ttl_s * 1000)}ms"}
 
-
-async def _send_json(send: asgi.Send, status: int, answer: typing.Any) -> None:
-    body = b"" if answer is None else msgspec.json.encode(answer)
-    await asgi.send_response(
-        send, status, [(b"content-type", b"application/json")], body
-    )
+    async def _send_json(
+        self, send: asgi.Send, status: int, answer: typing.Any
+    ) -> None:
+        body = b"" if answer is None else msgspec.json.encode(answer)
+        headers = [
+            (b"content-type", b"application/json"),
+            (b"store-era", str(self.era).encode()),
+        ]
+        await asgi.send_response(send, status, headers, body)
--- a/chicorydoor/state/fleet_view.py
+++ b/chicorydoor/state/fleet_view.py
@@ -98,6 +98,8 @@
             targets. Defaults to none.
         sent_at (float): When it was sent, in seconds on the sender's steady
             clock; 0 if the sender does not tell. Defaults to 0.
+        store_epoch (int): Epoch of the store that the extents refer to.
+            Defaults to 0.
     """
 
     registration: Registration
@@ -115,6 +117,7 @@
     trusted_idle_s: float | None = None
     out_of_reach: list[ids.ServiceId] = []
     sent_at: float = 0.0
+    store_epoch: int = 0
 
 
 class RegionDigest(msgspec.Struct, frozen=True, tag="digest"):
@@ -132,6 +135,8 @@
             about their rate limits. Defaults to none.
         crash_reports (list): What the sender knows of requests that end
             their targets. Defaults to none.
+        store_epoch (int): Epoch of the store that the extents refer to.
+            Defaults to 0.
     """
 
     region: ids.RegionId
@@ -142,6 +147,7 @@
     rate_by_customer: rate_shares.RateTable
     limit_reports: list[target_rate_limits.LimitReport] = []
     crash_reports: list[request_crashes.CrashReport] = []
+    store_epoch: int = 0
 
 
 class PeerState:
--- a/chicorydoor/transport/metrics.py
+++ b/chicorydoor/transport/metrics.py
@@ -70,6 +70,10 @@
     "Calls to the key-value service by kind and result.",
     ["kind", "result"],
 )
+STORE_RESTORES = prometheus_client.Counter(
+    "chicorydoor_store_restores",
+    "Times that the key-value service was found to be back from a copy.",
+)
 STORE_AGE_SECONDS = prometheus_client.Gauge(
     "chicorydoor_store_age_seconds",
     "Age of the latest known contact with the key-value service.",
--- a/tests/test_blocked_request_records.py
+++ b/tests/test_blocked_request_records.py
@@ -115,6 +115,18 @@
         _run(records, seconds=1.0)
         assert len(store.value_by_key) == 1
 
+    # Guards against records that are lost with a store's copy, so that an
+    # entry that starts later sends a request that ends its targets.
+    def test_records_are_written_again_after_a_restore(self):
+        store = _Store()
+        crashes, records = _build(store)
+        _block(crashes)
+        _run(records)
+        store.value_by_key.clear()
+        records.handle_restore()
+        _run(records)
+        assert len(store.value_by_key) == 1
+
     def test_unreadable_record_is_ignored(self):
         store = _Store()
         crashes, records = _build(store)
--- a/tests/test_platform_store_client.py
+++ b/tests/test_platform_store_client.py
@@ -129,3 +129,63 @@
                 await client.list_items("p/")
 
         _run_with_store(scenario)
+
+
+class TestRestores:
+    def test_observers_learn_of_each_restore_once(self):
+        async def scenario(store, client):
+            restores = []
+            client.restore_observers.append(lambda: restores.append(1))
+            copy = store.take_copy()
+            assert (await client.list_items("p/")).epoch == 1
+            for count in (1, 2):
+                store.restore(copy)
+                batch = await client.list_items("p/")
+                assert batch.epoch == 1 + count
+                await client.grant_lease(5.0)
+                assert len(restores) == count
+
+        _run_with_store(scenario)
+
+    def test_watch_from_a_revision_given_out_anew_has_the_new_epoch(self):
+        async def scenario(store, client):
+            copy = store.take_copy()
+            store.put("p/a", b"1")
+            listed = await client.list_items("p/")
+            store.restore(copy)
+            for value in (b"2", b"3"):
+                store.put("p/a", value)
+            batch = await client.wait_for_changes("p/", listed.as_of, 1.0)
+            assert batch.epoch > listed.epoch
+
+        _run_with_store(scenario)
+
+    # Guards against what was true before the restore being taken for news.
+    def test_late_response_of_an_earlier_epoch_is_no_answer(self):
+        async def scenario(store, client):
+            store.era = 3
+            await client.list_items("p/")
+            store.era = 2
+            with pytest.raises(errors.StoreUnavailableError):
+                await client.list_items("p/")
+
+        _run_with_store(scenario)
+
+    def test_pages_of_two_epochs_are_no_listing(self):
+        async def scenario(store, client):
+            for index in range(120):
+                store.put(f"p/{index:03}", b"1")
+            copy = store.take_copy()
+            read_range = store._read_range
+
+            def restore_before_the_last_page(query):
+                if query.get("after", "") >= "p/09":
+                    store.restore(copy)
+                return read_range(query)
+
+            await client.list_items("p/")
+            store._read_range = restore_before_the_last_page
+            with pytest.raises(errors.StoreUnavailableError):
+                await client.list_items("p/")
+
+        _run_with_store(scenario)
--- a/tests/test_store_follower.py
+++ b/tests/test_store_follower.py
@@ -22,7 +22,7 @@
     ``failures`` holds the errors of the next calls, None for a call that
     succeeds; ``calls`` the time and kind of each call; ``refused`` is set
     when a call has failed. The history lacks the changes up to
-    ``compacted_revision``.
+    ``compacted_revision``. While ``is_silent``, watches are not answered.
     """
 
     def __init__(self):
@@ -32,6 +32,8 @@
         self.refused = asyncio.Event()
         self.calls = []
         self.compacted_revision = 0
+        self.epoch = 0
+        self.is_silent = False
 
     def write(self, key, value):
         self.revision += 1
@@ -42,6 +44,12 @@
     def compact_history(self):
         self.compacted_revision = self.revision
 
+    def restore(self, revision):
+        """Come back from a copy that was taken at a revision."""
+        self.epoch += 1
+        self.revision = revision
+        self.history = [i for i in self.history if i.revision <= revision]
+
     def _begin_call(self, kind):
         """Record a call and raise the error planned for it, if any."""
         self.calls.append((asyncio.get_running_loop().time(), kind))
@@ -58,18 +66,22 @@
         for item in self.history:
             item_by_key[item.key] = item
         items = [i for i in item_by_key.values() if i.value is not None]
-        return store_items.StoreItemBatch(items, self.revision)
+        return store_items.StoreItemBatch(items, self.revision, self.epoch)
 
     async def wait_for_changes(self, prefix, after, wait_s):
         self._begin_call("watch")
         loop = asyncio.get_running_loop()
         ends_at = loop.time() + wait_s
         while True:
-            if after < self.compacted_revision:
+            while self.is_silent:
+                await asyncio.sleep(0.01)
+            if not self.compacted_revision <= after <= self.revision:
                 raise errors.HistoryLostError("gone")
             changed = [i for i in self.history if i.revision > after]
             if changed or loop.time() >= ends_at:
-                return store_items.StoreItemBatch(changed, self.revision)
+                return store_items.StoreItemBatch(
+                    changed, self.revision, self.epoch
+                )
             await asyncio.sleep(0.01)
 
 
@@ -541,3 +553,183 @@
             assert harness.value_by_key == {"p/x": b"9"}
 
         _run_scenario(scenario)
+
+
+def _build_changes(since, as_of, epoch, *items):
+    batch = store_items.StoreItemBatch(list(items), as_of, epoch)
+    return gossip_messages.StoreChanges("p/", since, batch)
+
+
+class TestRestore:
+    """The store has come back from a copy, and its revisions go back."""
+
+    def _run_restored(self, scenario, **options):
+        """Run a scenario that begins with a restore to revision 2."""
+
+        async def run_restored(feed, harness):
+            feed.epoch = 1
+            await asyncio.sleep(0.1)
+            harness.follower.handle_restore()
+            await asyncio.sleep(0.1)
+            for value in (b"2", b"3", b"4"):
+                feed.write("p/a", value)
+            await asyncio.sleep(4.0)
+            assert harness.value_by_key == {"p/a": b"4"}
+            feed.restore(2)
+            await scenario(feed, harness)
+
+        _run_scenario(run_restored, **options)
+
+    # Guards against a change that is ignored because its revision is lower
+    # than one known from before the restore.
+    def test_change_at_a_lower_revision_is_applied(self):
+        async def scenario(feed, harness):
+            await asyncio.sleep(1.5)
+            assert harness.value_by_key == {"p/a": b"1"}
+            feed.write("p/a", b"5")
+            await asyncio.sleep(0.1)
+            assert harness.value_by_key == {"p/a": b"5"}
+
+        self._run_restored(scenario)
+
+    def test_restore_shows_although_the_revision_has_risen_again(self):
+        async def scenario(feed, harness):
+            for value in (b"5", b"6", b"7", b"8"):
+                feed.write("p/b", value)
+            await asyncio.sleep(1.5)
+            assert harness.value_by_key == {"p/a": b"1", "p/b": b"8"}
+
+        self._run_restored(scenario)
+
+    def test_silent_watch_does_not_delay_the_listing(self):
+        async def scenario(feed, harness):
+            feed.is_silent = True
+            await asyncio.sleep(0.1)
+            harness.follower.handle_restore()
+            await asyncio.sleep(0.1)
+            assert harness.value_by_key == {"p/a": b"1"}
+
+        self._run_restored(scenario)
+
+    def test_entry_that_reads_rarely_lists_once_a_peer_tells(self):
+        async def scenario(feed, harness):
+            feed.calls.clear()
+            for _ in range(20):
+                harness.follower.should_request_copy(
+                    fleet_view.Extent(2, 2), feed.epoch
+                )
+                await asyncio.sleep(0.01)
+            assert harness.value_by_key == {"p/a": b"1"}
+            kinds = [kind for _, kind in feed.calls]
+            assert kinds.count("list") == 1
+
+        self._run_restored(scenario, rank=9, entries=10)
+
+    def test_copy_of_a_peer_replaces_that_of_before(self):
+        async def scenario(feed, harness):
+            feed.failures = [errors.StoreUnavailableError("no")] * 1000
+            extent = fleet_view.Extent(2, 2)
+            harness.follower.should_request_copy(extent, feed.epoch)
+            await asyncio.sleep(0.5)
+            assert harness.follower.should_request_copy(extent, feed.epoch)
+            item = store_items.StoreItemChange("p/a", 2, b"1")
+            batch = store_items.StoreItemBatch([item], 2, feed.epoch)
+            harness.follower.apply_copy(
+                gossip_messages.StoreCopy("p/", batch, 2)
+            )
+            assert harness.value_by_key == {"p/a": b"1"}
+
+        self._run_restored(scenario)
+
+    # Guards against peers that have not heard of the restore, and against
+    # those of an earlier build, which name no epoch.
+    @pytest.mark.parametrize("epoch", [0, 1])
+    def test_news_of_before_the_restore_is_ignored(self, epoch):
+        async def scenario(feed, harness):
+            await asyncio.sleep(1.5)
+            follower, extent = harness.follower, fleet_view.Extent(9, 9)
+            item = store_items.StoreItemChange("p/a", 9, b"old")
+            changes = _build_changes(2, 9, epoch, item)
+            follower.apply_changes(changes)
+            follower.apply_copy(
+                gossip_messages.StoreCopy("p/", changes.batch, 9)
+            )
+            follower.handle_progress(
+                gossip_messages.StoreProgress("p/", extent, epoch)
+            )
+            await asyncio.sleep(1.0)
+            assert not follower.should_request_copy(extent, epoch)
+            assert harness.value_by_key == {"p/a": b"1"}
+            assert follower.mirror.as_of == 2
+
+        self._run_restored(scenario)
+
+    def test_peer_that_names_no_epoch_counts_before_a_restore(self):
+        async def scenario(feed, harness):
+            feed.epoch = 1
+            harness.follower.handle_restore()
+            await asyncio.sleep(0.1)
+            item = store_items.StoreItemChange("p/a", 3, b"2")
+            harness.follower.apply_changes(_build_changes(2, 3, 0, item))
+            assert harness.value_by_key == {"p/a": b"2"}
+
+        _run_scenario(scenario, rank=9, entries=10)
+
+    def test_peer_of_an_earlier_epoch_gets_a_copy(self):
+        async def scenario(feed, harness):
+            await asyncio.sleep(1.5)
+            follower = harness.follower
+            reply = follower.answer_copy_request(9, feed.epoch - 1)
+            assert isinstance(reply, gossip_messages.StoreCopy)
+            assert reply.batch.epoch == feed.epoch
+            assert follower.answer_copy_request(1, feed.epoch + 1) is None
+
+        self._run_restored(scenario)
+
+    def test_what_the_copy_lacks_is_removed_after_a_time(self):
+        async def scenario(feed, harness):
+            feed.write("p/b", b"1")
+            await asyncio.sleep(1.5)
+            feed.restore(2)
+            await asyncio.sleep(1.5)
+            assert harness.value_by_key == {"p/a": b"1", "p/b": b"1"}
+            await asyncio.sleep(3.0)
+            assert harness.value_by_key == {"p/a": b"1"}
+
+        self._run_restored(scenario)
+
+    def test_removal_after_the_restore_takes_effect_at_once(self):
+        async def scenario(feed, harness):
+            await asyncio.sleep(1.5)
+            feed.write("p/a", None)
+            await asyncio.sleep(0.1)
+            assert harness.value_by_key == {}
+
+        self._run_restored(scenario)
+
+    def test_what_returns_with_the_copy_counts_once_it_is_written(self):
+        async def scenario(feed, harness):
+            await asyncio.sleep(1.5)
+            feed.write("p/a", None)
+            feed.write("p/b", b"1")
+            await asyncio.sleep(0.5)
+            feed.restore(2)
+            await asyncio.sleep(1.5)
+            assert "p/a" not in harness.value_by_key
+            # The same value again shows that its writer is still there.
+            feed.write("p/a", b"1")
+            await asyncio.sleep(0.1)
+            assert harness.value_by_key["p/a"] == b"1"
+
+        self._run_restored(scenario)
+
+    def test_what_returns_with_the_copy_and_stays_counts_in_the_end(self):
+        async def scenario(feed, harness):
+            await asyncio.sleep(1.5)
+            feed.write("p/a", None)
+            await asyncio.sleep(0.5)
+            feed.restore(2)
+            await asyncio.sleep(9.0)
+            assert harness.value_by_key == {"p/a": b"1"}
+
+        self._run_restored(scenario)
--- a/tests/test_store_mirror.py
+++ b/tests/test_store_mirror.py
@@ -3,6 +3,7 @@
 from hypothesis import given
 from hypothesis import settings
 from hypothesis import strategies as st
+from hypothesis.stateful import invariant
 from hypothesis.stateful import rule
 from hypothesis.stateful import RuleBasedStateMachine
 
@@ -278,3 +279,116 @@
             batch = _batch(revision, _item(key, revision, value))
             mirror.merge(batch, revision - 1)
         assert mirror.latest == (len(keys) + 1 if keys else 0)
+
+
+class EpochMachine(RuleBasedStateMachine):
+    """Two mirrors of a store that comes back from copies of itself.
+
+    They learn of it at different times. Guards against revisions of two
+    epochs that are compared with each other.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.epoch = 1
+        self.store = _Store()
+        self.store_by_epoch = {1: self.store}
+        self.mirrors = [store_mirror.StoreMirror("") for _ in range(2)]
+        self.messages = []
+
+    def _batch(self, items):
+        return store_items.StoreItemBatch(
+            list(items), self.store.revision, self.epoch
+        )
+
+    @rule(
+        key=st.sampled_from(_KEYS), value=st.sampled_from([b"1", b"2", None])
+    )
+    def write(self, key, value):
+        if value is None and key not in self.store.at(self.store.revision):
+            return
+        self.store.write(key, value)
+
+    @rule(age=st.integers(0, 8))
+    def restore(self, age):
+        copy = _Store()
+        copy.revision = max(1, self.store.revision - age)
+        copy.history = [
+            item
+            for item in self.store.history
+            if item.revision <= copy.revision
+        ]
+        self.epoch += 1
+        self.store = self.store_by_epoch[self.epoch] = copy
+
+    @rule(mirror=st.integers(0, 1))
+    def list_all(self, mirror):
+        items = self.store.at(self.store.revision).values()
+        self.mirrors[mirror].replace(self._batch(items))
+        self._check_current(mirror)
+
+    @rule(mirror=st.integers(0, 1))
+    def watch(self, mirror):
+        since = self.mirrors[mirror].as_of
+        if not 0 < since <= self.store.revision:
+            return
+        batch = self._batch(
+            item for item in self.store.history if item.revision > since
+        )
+        if self.mirrors[mirror].is_later_epoch(batch.epoch):
+            self.list_all(mirror)
+            return
+        self.mirrors[mirror].merge(batch, since)
+        self.messages.append(
+            (1 - mirror, self.mirrors[mirror].changes_since(since), since)
+        )
+        self._check_current(mirror)
+
+    @rule(index=st.integers(0, 50))
+    def deliver(self, index):
+        if self.messages:
+            mirror, batch, since = self.messages[index % len(self.messages)]
+            self.mirrors[mirror].merge(batch, since)
+
+    @rule(mirror=st.integers(0, 1))
+    def copy_from_peer(self, mirror):
+        peer = self.mirrors[1 - mirror]
+        if peer.as_of:
+            self.mirrors[mirror].replace(peer.snapshot(), peer.latest)
+
+    @rule(mirror=st.integers(0, 1))
+    def apply_extent(self, mirror):
+        peer = self.mirrors[1 - mirror]
+        self.mirrors[mirror].advance_to_extent(
+            peer.as_of, peer.latest, peer.epoch
+        )
+
+    def _check_current(self, mirror):
+        held = self.mirrors[mirror].item_by_key
+        expected = self.store.at(self.store.revision)
+        assert {key: item.value for key, item in held.items()} == {
+            key: item.value for key, item in expected.items()
+        }
+
+    @invariant()
+    def mirrors_hold_what_their_epoch_held(self):
+        for mirror in self.mirrors:
+            if not mirror.as_of:
+                continue
+            store = self.store_by_epoch[mirror.epoch]
+            expected = store.at(mirror.as_of)
+            changed_later = {
+                item.key
+                for item in store.history
+                if item.revision > mirror.as_of
+            }
+            for key in set(_KEYS) - changed_later:
+                held = mirror.item_by_key.get(key)
+                item = expected.get(key)
+                assert (held and held.value) == (item and item.value)
+
+
+TestEpochs = EpochMachine.TestCase
+TestEpochs.settings = settings(
+    derandomize=True, max_examples=300, stateful_step_count=40, deadline=None
+)
