Notice a cut by which connections to targets are accepted and then break

Cause: after a broken connection the entry checked only whether the target's port accepts another one. That it did was taken as proof that the target is there, so no target went out of use, no service out of reach, and nothing was relayed.

Which check a target passed was not logged; "checking with a probe" is new.

Change: breaks that no response of the service interrupts are followed for each service. All else follows as for other cuts. Breaks at one target, breaks that come from the request, and targets that are full (they respond on other connections meanwhile) change nothing, and a target that does not answer the probe in time stays in use.

--- a/chicorydoor/compose_fleet.py
+++ b/chicorydoor/compose_fleet.py
@@ -39,6 +39,7 @@
 from chicorydoor.protocol import fleet_entry_settings
 from chicorydoor.protocol import ids
 from chicorydoor.protocol import serving_config
+from chicorydoor.state import broken_connections
 from chicorydoor.state import cold_start_limits
 from chicorydoor.state import designated_entries
 from chicorydoor.state import fleet_view
@@ -230,6 +231,7 @@
         self.crashes = request_crashes.RequestCrashes(
             self.settings.instance, self.fleet.instances
         )
+        breaks = broken_connections.BrokenConnections(self.targets)
         self.sender = target_sender.TargetSender(
             targets=self.targets,
             selection=self.selection,
@@ -237,6 +239,7 @@
             names=http_names.HEADER_NAMES,
             clock=self.clock,
             crashes=self.crashes,
+            breaks=breaks,
             on_refused=lambda view: self.prober.record_refused(view),
             on_connection_lost=lambda view: self.prober.check_listening(view),
             on_unreachable=lambda view, reason: self.prober.eject(
@@ -270,6 +273,7 @@
             self.active_config,
             http_names.HEADER_NAMES,
             self.crashes,
+            breaks,
             self.service_reach,
             self.clock,
             self.rng,
--- a/chicorydoor/coordination/target_prober.py
+++ b/chicorydoor/coordination/target_prober.py
@@ -2,7 +2,9 @@
 
 If targets of several failure domains become unreachable at the same time, the
 entry itself may be cut off. It then checks all targets at once instead of
-losing requests at each of them.
+losing requests at each of them. A check opens a connection; if connections to
+several targets broke without any response, it also sends a probe on it, since
+whatever breaks them may accept them first.
 """
 
 import asyncio
@@ -16,6 +18,8 @@
 from chicorydoor.coordination import target_sender
 from chicorydoor.protocol import header_names
 from chicorydoor.protocol import ids
+from chicorydoor.protocol import serving_config
+from chicorydoor.state import broken_connections
 from chicorydoor.state import request_crashes
 from chicorydoor.state import service_reach
 from chicorydoor.state import target_views
@@ -66,6 +70,7 @@
         active_config (ActiveServingConfig): Holds the active configuration.
         names (HeaderNames): Header names.
         crashes (RequestCrashes): Learns which targets have ended.
+        breaks (BrokenConnections): Knows where connections break.
         reach (ServiceReach): The services that this entry reaches.
         clock (Clock): Source of time.
         rng (Random): Source of random numbers.
@@ -78,6 +83,7 @@
         active_config: active_serving_config.ActiveServingConfig,
         names: header_names.HeaderNames,
         crashes: request_crashes.RequestCrashes,
+        breaks: broken_connections.BrokenConnections,
         reach: service_reach.ServiceReach,
         clock: clock_module.Clock,
         rng: random.Random,
@@ -88,6 +94,7 @@
         self._header_names = names
         self._clock = clock
         self._crashes = crashes
+        self._breaks = breaks
         self._reach = reach
         self._rng = rng
         self._check_by_target: dict[ids.TargetId, asyncio.Task] = {}
@@ -204,6 +211,7 @@
         pool = self._sender.connection_pool(view)
         try:
             connection = await pool.open_connection(_CHECK_TIMEOUT_S)
+            await self._check_answering(view, connection)
         except errors.TargetError as error:
             if error.is_refused:
                 self.record_refused(view)
@@ -216,6 +224,35 @@
                 del self._check_by_target[view.target_id]
         pool.release(connection, view.record.slots)
 
+    async def _check_answering(
+        self,
+        view: target_views.TargetView,
+        connection: buffered_connection.BufferedConnection,
+    ) -> None:
+        """Probe a target if the way to its service may be lost.
+
+        A target that does not answer in time proves nothing: it may be full.
+
+        Raises:
+            TargetError: If the connection breaks.
+        """
+        service = self._active_config.current.service_by_id.get(
+            view.record.service_id
+        )
+        now = self._clock.now()
+        permits = self._sender.permits
+        if (
+            service is None
+            or not self._breaks.are_widespread(service.service_id, now)
+            or not permits.may_probe(view, now)
+        ):
+            return
+        permits.record_probe(view, now)
+        _LOG.info("checking with a probe", extra={"target": view.target_id})
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(_CHECK_TIMEOUT_S):
+                await self._exchange_probe(view, service, connection)
+
     async def _probe_until_reachable(
         self, view: target_views.TargetView
     ) -> None:
@@ -266,26 +303,11 @@
         if not permits.may_probe(view, now):
             return
         permits.record_probe(view, now)
-        metrics.PROBES.inc()
-        request = b"\r\n".join(
-            [
-                b"GET %s HTTP/1.1" % service.health_path.encode(),
-                b"host: %s" % view.record.address.encode(),
-                b"%s: %s"
-                % (
-                    self._header_names.expected_target_id,
-                    view.target_id.encode(),
-                ),
-                b"",
-                b"",
-            ]
-        )
+        pool = self._sender.connection_pool(view)
         try:
-            connection = await self._sender.connection_pool(view).acquire(
-                _CONNECT_TIMEOUT_S
-            )
+            connection = await pool.acquire(_CONNECT_TIMEOUT_S)
             async with asyncio.timeout(_ANSWER_TIMEOUT_S):
-                answer = await connection.exchange(request, b"")
+                answer = await self._exchange_probe(view, service, connection)
         except (errors.TargetError, TimeoutError) as error:
             _LOG.info(
                 "probe failed",
@@ -295,15 +317,42 @@
                 },
             )
             return
-        self._sender.connection_pool(view).release(
-            connection, view.record.slots
-        )
+        pool.release(connection, view.record.slots)
         if answer.status != _MISDIRECTED:
             self._sender.record_announcements(
                 view, answer, now, self._clock.now()
             )
         self._apply_probe_answer(view, answer, service.warm_up_s)
 
+    async def _exchange_probe(
+        self,
+        view: target_views.TargetView,
+        service: serving_config.ServiceConfig,
+        connection: buffered_connection.BufferedConnection,
+    ) -> buffered_connection.BufferedResponse:
+        """Send a probe to a target and return its response.
+
+        Raises:
+            TargetError: If the connection breaks.
+        """
+        metrics.PROBES.inc()
+        request = b"\r\n".join(
+            [
+                b"GET %s HTTP/1.1" % service.health_path.encode(),
+                b"host: %s" % view.record.address.encode(),
+                b"%s: %s"
+                % (
+                    self._header_names.expected_target_id,
+                    view.target_id.encode(),
+                ),
+                b"",
+                b"",
+            ]
+        )
+        answer = await connection.exchange(request, b"")
+        self._breaks.record_response(view)
+        return answer
+
     def _apply_probe_answer(
         self,
         view: target_views.TargetView,
--- a/chicorydoor/coordination/target_sender.py
+++ b/chicorydoor/coordination/target_sender.py
@@ -17,6 +17,7 @@
 from chicorydoor.protocol import admitted_request
 from chicorydoor.protocol import header_names
 from chicorydoor.protocol import ids
+from chicorydoor.state import broken_connections
 from chicorydoor.state import idle_limit
 from chicorydoor.state import request_crashes
 from chicorydoor.state import send_permits
@@ -94,6 +95,7 @@
         clock (Clock): Source of time.
         crashes (RequestCrashes): Learns which requests were lost with their
             targets.
+        breaks (BrokenConnections): Learns which connections broke.
         on_unreachable (callable): Called with a target that does not
             answer, and the reason.
         on_refused (callable): Called with a target that refused a connection.
@@ -112,6 +114,7 @@
         names: header_names.HeaderNames,
         clock: clock_module.Clock,
         crashes: request_crashes.RequestCrashes,
+        breaks: broken_connections.BrokenConnections,
         on_unreachable: abc.Callable[[target_views.TargetView, str], None],
         on_refused: abc.Callable[[target_views.TargetView], None],
         on_connection_lost: abc.Callable[[target_views.TargetView], None],
@@ -123,6 +126,7 @@
         self._header_names = names
         self._clock = clock
         self._crashes = crashes
+        self._breaks = breaks
         self._on_unreachable = on_unreachable
         self._on_refused = on_refused
         self._on_connection_lost = on_connection_lost
@@ -207,7 +211,7 @@
         except errors.TargetError as error:
             self._record_idle_loss(view, connection, error, started_at)
             return self._record_broken_connection(
-                call, view, error, started_at
+                call, view, connection, error, started_at
             )
         pool.release(connection, view.record.slots)
         return self._evaluate_answer(call, choice, answer, started_at)
@@ -264,20 +268,26 @@
         self,
         call: admitted_request.AdmittedRequest,
         view: target_views.TargetView,
+        connection: buffered_connection.BufferedConnection,
         error: errors.TargetError,
         sent_at: float,
     ) -> SendResult:
         """Record that the connection ended.
 
-        A target that resets a connection is still reachable.
+        A target that resets a connection is still reachable, unless the
+        connections to others break as well.
         """
         now = self._clock.now()
         view.record_broken_connection(now)
+        if error.may_have_been_sent or connection.idle_s <= 0:
+            self._breaks.record_break(view, now)
         if error.may_have_been_sent:
             self._crashes.record_lost(
                 call.fingerprint, view.incarnation_key, sent_at, now
             )
             self._on_connection_lost(view)
+        elif self._breaks.are_widespread(view.record.service_id, now):
+            self._on_connection_lost(view)
         if error.is_tcp_timeout:
             self._on_unreachable(view, f"{error}")
         outcome = (
@@ -323,6 +333,7 @@
     ) -> SendResult:
         view = choice.target
         now = self._clock.now()
+        self._breaks.record_response(view)
         if answer.status != _MISDIRECTED:
             self._record_load(view, answer, now)
             self.record_announcements(view, answer, started_at, now)
--- a/tests/support/platform_cluster.py
+++ b/tests/support/platform_cluster.py
@@ -21,6 +21,8 @@
 # Name of the entry that the current task belongs to, empty in tests.
 ENTRY_NAME = contextvars.ContextVar("entry_name", default="")
 
+REGION_BY_DOMAIN = {"na": "n", "nb": "n", "ma": "m"}
+
 FLEET_LIMITS = fleet_entry_settings.FleetLimits(
     retry_ratio=0.2,
     retry_slack=56.0,
@@ -32,13 +34,13 @@
 )
 
 
-def build_settings(name, store, seeds=()):
+def build_settings(name, store, seeds=(), domain="na"):
     ports = port_allocation.allocate_ports(6)
     addresses = [f"127.0.0.1:{port}" for port in ports[:5]]
     return fleet_entry_settings.FleetEntrySettings(
         instance=name,
-        domain="na",
-        region="n",
+        domain=domain,
+        region=REGION_BY_DOMAIN[domain],
         callers=addresses[0],
         readiness=addresses[1],
         peers=addresses[2],
@@ -46,7 +48,7 @@
         relay=addresses[4],
         metrics_port=ports[5],
         seed_addresses=tuple(seeds),
-        region_by_domain={"na": "n", "ma": "m"},
+        region_by_domain=REGION_BY_DOMAIN,
         store=store,
         promises=FLEET_LIMITS,
     )
@@ -114,8 +116,10 @@
         for index in range(entries):
             await self.add_entry(f"e{index}")
 
-    async def add_entry(self, name, store=None, seeds=()):
-        settings = build_settings(name, store or self.store.endpoint, seeds)
+    async def add_entry(self, name, store=None, seeds=(), domain="na"):
+        settings = build_settings(
+            name, store or self.store.endpoint, seeds, domain
+        )
         entry = fleet_entry.FleetEntry(settings)
         entry.settings = settings
         self.entries.append(entry)
--- a/tests/support/target_partition.py
+++ b/tests/support/target_partition.py
@@ -20,12 +20,25 @@
     """What a cut does to connections.
 
     HANG loses all packets, RESET resets open connections and refuses new ones,
-    REFUSE_NEW leaves open ones as they are and refuses new ones.
+    REFUSE_NEW leaves open ones as they are and refuses new ones. The others
+    accept new ones, as a machine in between may: RESET_ON_SEND and
+    CLOSE_ON_SEND end a connection when something is sent on it,
+    RESET_ACCEPTED as soon as it is open.
     """
 
     HANG = "hang"
     RESET = "reset"
     REFUSE_NEW = "refuse-new"
+    RESET_ON_SEND = "reset-on-send"
+    CLOSE_ON_SEND = "close-on-send"
+    RESET_ACCEPTED = "reset-accepted"
+
+
+ACCEPTING_MODES = (
+    CutMode.RESET_ON_SEND,
+    CutMode.CLOSE_ON_SEND,
+    CutMode.RESET_ACCEPTED,
+)
 
 
 class _LostTransport:
@@ -60,6 +73,27 @@
         return 0
 
 
+class _BreakingTransport:
+    """Transport of a connection that ends when something is sent on it."""
+
+    def __init__(self, transport, connection, error):
+        self._transport = transport
+        self._connection = connection
+        self._error = error
+
+    def write(self, data):
+        self._transport.pause_reading()
+        asyncio.get_running_loop().call_later(0.001, self._end)
+
+    def _end(self):
+        if not self._transport.is_closing():
+            self._connection.connection_lost(self._error)
+            self._transport.abort()
+
+    def __getattr__(self, name):
+        return getattr(self._transport, name)
+
+
 class TargetPartition:
     """Cuts entries from the targets of a cluster.
 
@@ -84,6 +118,9 @@
             await self._check_cut(entry, connect_timeout_s)
             connection = await open_connection(pool, connect_timeout_s)
             self._connections_by_entry.setdefault(entry, []).append(connection)
+            mode = self._mode_by_entry.get(entry)
+            if mode is not None:
+                self._cut_connection(connection, mode)
             return connection
 
         monkeypatch.setattr(
@@ -102,7 +139,7 @@
         if mode is CutMode.HANG:
             await asyncio.sleep(connect_timeout_s)
             raise errors.TargetError("no connection: TimeoutError", False)
-        if mode is not None:
+        if mode is not None and mode not in ACCEPTING_MODES:
             raise errors.TargetError(
                 "no connection: refused", False, is_refused=True
             )
@@ -110,13 +147,25 @@
     def cut(self, entry, mode):
         self._mode_by_entry[entry] = mode
         for connection in self._connections_by_entry.pop(entry, []):
-            transport = connection._transport
-            if transport.is_closing() or mode is CutMode.REFUSE_NEW:
-                continue
-            if mode is CutMode.HANG:
-                connection._transport = _LostTransport(transport, connection)
-            else:
-                transport._force_close(ConnectionResetError(104, "reset"))
+            if mode is not CutMode.REFUSE_NEW:
+                self._cut_connection(connection, mode)
+
+    def _cut_connection(self, connection, mode):
+        transport = connection._transport
+        if transport.is_closing():
+            return
+        if mode is CutMode.HANG:
+            connection._transport = _LostTransport(transport, connection)
+        elif mode is CutMode.RESET_ON_SEND:
+            connection._transport = _BreakingTransport(
+                transport, connection, ConnectionResetError(104, "reset")
+            )
+        elif mode is CutMode.CLOSE_ON_SEND:
+            connection._transport = _BreakingTransport(
+                transport, connection, None
+            )
+        else:
+            transport._force_close(ConnectionResetError(104, "reset"))
 
     def end(self):
         self._mode_by_entry.clear()
--- a/tests/test_call_runner.py
+++ b/tests/test_call_runner.py
@@ -265,6 +265,7 @@
             names=_HEADER_NAMES,
             clock=clock,
             crashes=None,
+            breaks=None,
             on_unreachable=lambda view, reason: None,
             on_refused=lambda view: None,
             on_connection_lost=lambda view: None,
--- a/tests/test_target_partition.py
+++ b/tests/test_target_partition.py
@@ -12,6 +12,7 @@
 from tests.support import target_partition
 
 CutMode = target_partition.CutMode
+_ACCEPTING_MODES = target_partition.ACCEPTING_MODES
 
 # From then on after the begin of a cut callers must be served.
 _STABLE_WINDOW_S = 4.0
@@ -115,12 +116,49 @@
 
         platform_cluster.run(scenario, targets=6, entries=5)
 
+    # Guards against an entry that goes on answering 502 because connections
+    # to all its targets are accepted and then break.
+    @pytest.mark.parametrize("cut_count", [1, 3, 6])
+    @pytest.mark.parametrize("mode", _ACCEPTING_MODES)
+    def test_broken_connections_to_all_targets_are_a_cut(
+        self, mode, cut_count, monkeypatch
+    ):
+        async def scenario(cluster):
+            partition = target_partition.TargetPartition(cluster, monkeypatch)
+            callers = _Callers(cluster)
+            # The first six entries are those of a failure domain.
+            await cluster.add_entry("e6", domain="nb")
+            await cluster.add_entry("e7", domain="nb")
+            await asyncio.sleep(1.0)
+            everyone = range(len(cluster.entries))
+            cut, others = everyone[:cut_count], everyone[cut_count:]
+            await callers.call_all(1.0, everyone)
+            for entry in cut:
+                partition.cut(f"e{entry}", mode)
+            await callers.call_all(_STABLE_WINDOW_S, everyone)
+            await callers.call_all(2.0, everyone)
+            assert callers.served_share(cut) >= (
+                0.9 * callers.served_share(others)
+            )
+            partition.end()
+            await callers.call_all(_RECOVERY_S, everyone)
+            relayed_before = _relayed_count()
+            await callers.call_all(1.0, cut)
+            assert callers.served_share(cut) >= 0.9
+            assert _relayed_count() == relayed_before
+            callers.check_orders()
+
+        platform_cluster.run(scenario, targets=6, entries=6)
+
     # Guards against callers being sent to entries that reach no target.
-    def test_look_ups_name_only_entries_that_reach_targets(self, monkeypatch):
+    @pytest.mark.parametrize("mode", [CutMode.RESET, *_ACCEPTING_MODES])
+    def test_look_ups_name_only_entries_that_reach_targets(
+        self, mode, monkeypatch
+    ):
         async def scenario(cluster):
             partition = target_partition.TargetPartition(cluster, monkeypatch)
             callers = _Callers(cluster)
-            partition.cut("e0", CutMode.RESET)
+            partition.cut("e0", mode)
             await callers.call_all(_STABLE_WINDOW_S, range(3))
             for entry in cluster.entries:
                 answer = await cluster.client.get(
@@ -134,7 +172,9 @@
         platform_cluster.run(scenario, targets=4, entries=3)
 
     # Guards against requests circling between entries without targets.
-    @pytest.mark.parametrize("mode", [CutMode.HANG, CutMode.RESET])
+    @pytest.mark.parametrize(
+        "mode", [CutMode.HANG, CutMode.RESET, *_ACCEPTING_MODES]
+    )
     def test_requests_are_refused_at_once_if_all_are_cut_off(
         self, mode, monkeypatch
     ):
--- a/tests/test_target_prober.py
+++ b/tests/test_target_prober.py
@@ -26,7 +26,7 @@
 @pytest.fixture
 def prober(clock):
     return target_prober.TargetProber(
-        None, None, None, None, None, None, clock, None
+        None, None, None, None, None, None, None, clock, None
     )
 
 
@@ -92,6 +92,7 @@
             header_names.HeaderNames(),
             None,
             None,
+            None,
             clock,
             None,
         )
