Do not leave callers with a single entry while another one relays

What callers saw: if an entry was cut off from the targets and only one other entry of the region was left, look-ups named that one alone. When it failed, its callers knew no other address until their look-up expired, though the first one relays to other regions; until then all callers of the region met one machine.

Cause: entries that are cut off were left out as soon as a single other one was ready, while a failure domain with a single entry shares its load with the region for just this reason.

Evidence: TestSingleReachingEntry, in which the other entry ends; look-ups named it alone.

Change: entries that are cut off are left out only while two others of their region are ready, the number that a failure domain needs for its callers.

Before the change these failed: tests/test_serving_limits.py::TestEntrySelection ::test_single_entry_that_reaches_the_targets_is_not_left_alone and tests/test_target_partition.py::TestSingleReachingEntry ::test_entry_that_is_cut_off_serves_when_the_other_one_fails.

--- a/chicorydoor/coordination/entry_selection.py
+++ b/chicorydoor/coordination/entry_selection.py
@@ -2,7 +2,7 @@
 
 Traffic between failure domains is costly, so callers stay in their own domain
 while it has enough entries; a domain with a single entry shares its load with
-the region.
+the region. Entries that only relay to others are left out while enough remain.
 """
 
 from collections import abc
@@ -10,9 +10,9 @@
 from chicorydoor.protocol import ids
 from chicorydoor.state import fleet_view
 
-# With fewer entries a domain's callers have no alternative when one fails, and
-# a burst hits a single machine.
-_MIN_DOMAIN_ENTRIES = 2
+# With fewer entries callers have no alternative when one fails, and a burst
+# hits a single machine.
+_MIN_ENTRIES = 2
 # Maximum number of addresses in a look-up's answer.
 _MAX_ENTRIES = 64
 
@@ -33,15 +33,15 @@
             others reach, and relay requests. Defaults to none.
 
     Returns:
-        Entries of the domain if it has at least ``_MIN_DOMAIN_ENTRIES``, else
-        of the region, else of all regions; at most ``_MAX_ENTRIES``, the first
-        in the order of ``ready``. Entries that are cut off are only returned
-        if their region has no others.
+        Entries of the domain if it has at least ``_MIN_ENTRIES``, else of the
+        region, else of all regions; at most ``_MAX_ENTRIES``, the first in the
+        order of ``ready``. Entries that are cut off are only returned if their
+        region has fewer than ``_MIN_ENTRIES`` others.
     """
     reaching = [entry for entry in ready if entry.instance not in cut_off]
     nearest = [entry for entry in reaching if entry.domain == domain]
-    if len(nearest) < _MIN_DOMAIN_ENTRIES:
+    if len(nearest) < _MIN_ENTRIES:
         nearest = [entry for entry in reaching if entry.region == region]
-    if not nearest:
+    if len(nearest) < _MIN_ENTRIES:
         nearest = [entry for entry in ready if entry.region == region]
     return (nearest or list(ready))[:_MAX_ENTRIES]
--- a/tests/test_serving_limits.py
+++ b/tests/test_serving_limits.py
@@ -130,8 +130,10 @@
         _registration("m1", "ma", "m"),
     ]
 
-    def _chosen_instances(self, region, domain):
-        chosen = entry_selection.select_entries(self.ENTRIES, region, domain)
+    def _chosen_instances(self, region, domain, cut_off=()):
+        chosen = entry_selection.select_entries(
+            self.ENTRIES, region, domain, cut_off
+        )
         return {entry.instance for entry in chosen}
 
     def test_domain_with_enough_entries_gets_its_own(self):
@@ -143,6 +145,15 @@
     def test_region_without_entries_gets_all_entries(self):
         assert self._chosen_instances("k", "ka") == {"a1", "a2", "b1", "m1"}
 
+    def test_entries_that_are_cut_off_are_left_out_while_two_remain(self):
+        assert self._chosen_instances("n", "na", ["a1"]) == {"a2", "b1"}
+
+    # Guards against callers without an alternative when the only entry of
+    # their region that reaches the targets fails.
+    def test_single_entry_that_reaches_the_targets_is_not_left_alone(self):
+        chosen = self._chosen_instances("n", "na", ["a1", "b1"])
+        assert chosen == {"a1", "a2", "b1"}
+
 
 class TestFleetView:
     def _fleet_view(self):
--- a/tests/test_target_partition.py
+++ b/tests/test_target_partition.py
@@ -198,6 +198,34 @@
         platform_cluster.run(scenario, targets=4, entries=3)
 
 
+class TestSingleReachingEntry:
+    # Guards against callers that know only an entry that has just failed,
+    # though the other one of their region would relay to another region.
+    def test_entry_that_is_cut_off_serves_when_the_other_one_fails(
+        self, monkeypatch
+    ):
+        async def scenario(cluster):
+            partition = target_partition.TargetPartition(cluster, monkeypatch)
+            callers = _Callers(cluster)
+            seed = cluster.entries[0].settings.peers
+            await cluster.add_entry("e2", seeds=[seed], domain="ma")
+            partition.cut("e0", CutMode.RESET)
+            await callers.call_all(_STABLE_WINDOW_S, [0, 1])
+            both = {each.settings.callers for each in cluster.entries[:2]}
+            for entry in cluster.entries[:2]:
+                answer = await cluster.client.get(
+                    f"http://{entry.settings.lookups}/resolve",
+                    params={"region": "n", "zone": "na"},
+                )
+                assert set(answer.json()["addresses"]) == both
+            cluster.tasks[1].cancel()
+            await callers.call_all(_STABLE_WINDOW_S, [0])
+            await callers.call_all(1.0, [0])
+            assert callers.served_share([0]) >= 0.9
+
+        platform_cluster.run(scenario, targets=6, entries=2)
+
+
 def _relayed_count():
     return sum(
         sample.value
