Play a store that comes back from a copy in the soak

What callers saw (the users' own runs with real processes, without logs): changes of the configuration that were confirmed and not in force, added routes not served, proper requests turned away, and requests at targets that had said that they leave.

Change: the soak's new fault store-restore; targets write their registrations between the copy and the restore, so that revisions do not reach the old ones again. The stand-in target numbers its registrations.

--- a/chicorydoor/soak/soak_faults.py
+++ b/chicorydoor/soak/soak_faults.py
@@ -28,6 +28,9 @@
     mode for mode in platform_store.FailureMode if mode is not mode.NORMAL
 ]
 
+# Shorter than on the platform, as the soak has few targets.
+_HEARTBEAT_INTERVAL_S = 0.1
+
 
 def _random_duration_s(rng: random.Random, max_duration_s: float) -> float:
     return rng.uniform(0.1, max_duration_s)
@@ -141,6 +144,25 @@
     site.store.compact_history()
 
 
+@FAULTS.register("store-restore")
+async def _restore_store(site: soak_site.SoakSite, rng: random.Random) -> None:
+    """The store goes away and comes back from a copy of itself.
+
+    Its revision has risen far above that of the copy, and does not reach that
+    height again in the run.
+    """
+    copy = site.store.take_copy()
+    for _ in range(rng.randint(5, 40)):
+        site.write_registrations()
+        await asyncio.sleep(_HEARTBEAT_INTERVAL_S)
+    site.store.failure_mode = platform_store.FailureMode.REFUSING
+    await asyncio.sleep(_random_duration_s(rng, 1.0))
+    site.store.restore(copy)
+    site.store.failure_mode = platform_store.FailureMode.NORMAL
+    await asyncio.sleep(_random_duration_s(rng, 1.0))
+    site.write_again()
+
+
 @FAULTS.register("withdraw-key")
 async def _withdraw_key(site: soak_site.SoakSite, rng: random.Random) -> None:
     site.withdraw_key(rng.choice(sorted(site.keys_by_customer)))
@@ -171,4 +193,4 @@
     if rng.random() < 0.5:
         site.register_target(target, "draining")
     else:
-        target.unregister(site.store)
+        site.unregister_target(target)
--- a/chicorydoor/soak/soak_site.py
+++ b/chicorydoor/soak/soak_site.py
@@ -80,6 +80,8 @@
         }
         self.withdrawn_keys: list[str] = []
         self.leaving_target_names: set[str] = set()
+        # What each target last wrote to the store; None if it removed it.
+        self._state_by_target: dict[str, str | None] = {}
 
     async def start(self) -> None:
         """Start store, proxies and targets, and last the entries."""
@@ -107,12 +109,23 @@
             target (PlatformTarget): Target to register.
             state (str): State that it reports. Defaults to "ready".
         """
+        self._state_by_target[target.name] = state
         address = self.proxy_by_target[target.name].endpoint
         target.register(self.store, state, address)
 
+    def unregister_target(
+        self, target: platform_target.PlatformTarget
+    ) -> None:
+        """Remove a target's registration."""
+        self._state_by_target[target.name] = None
+        target.unregister(self.store)
+
     def apply_configuration(self) -> None:
         """Write a new version of the configuration to the store."""
         self.configuration_version += 1
+        self._write_configuration()
+
+    def _write_configuration(self) -> None:
         customers = [
             platform_site.build_customer(
                 customer.name,
@@ -126,6 +139,20 @@
         )
         self.store.put(documents.CONFIGURATION_KEY, document)
 
+    def write_again(self) -> None:
+        """Write again what a store that comes back from a copy has lost."""
+        self._write_configuration()
+        self.write_registrations()
+
+    def write_registrations(self) -> None:
+        """Let all targets write their registrations again."""
+        for target in self.targets:
+            state = self._state_by_target[target.name]
+            if state is None:
+                self.unregister_target(target)
+            else:
+                self.register_target(target, state)
+
     def withdraw_key(self, customer: str) -> None:
         """Withdraw a customer's last key for good if it has others."""
         keys = self.keys_by_customer[customer]
--- a/chicorydoor/standins/platform_target.py
+++ b/chicorydoor/standins/platform_target.py
@@ -63,6 +63,7 @@
         self._work_s = work_s
         self._slots = slots
         self.running = 0
+        self._sequence = 0
         self.executions: list[Execution] = []
         self._server = http_server.HttpServer(self._handle, "127.0.0.1", 0)
 
@@ -102,6 +103,7 @@
             address (str): ``ip:port`` to register. Defaults to its own
                 endpoint.
         """
+        self._sequence += 1
         store.put(
             documents.TARGET_PREFIX + self.name,
             msgspec.json.encode(
@@ -113,7 +115,11 @@
                         "zone": self._domain,
                         "slots": self._slots,
                     },
-                    "status": {"state": state, "coldRemaining": "0ms"},
+                    "status": {
+                        "state": state,
+                        "coldRemaining": "0ms",
+                        "sequence": self._sequence,
+                    },
                 }
             ),
         )
--- a/tests/test_store_restore.py
+++ b/tests/test_store_restore.py
@@ -9,6 +9,8 @@
 import itertools
 import json
 
+import pytest
+
 from chicorydoor.coordination import entry_registration
 from chicorydoor.platform import documents
 from chicorydoor.standins import platform_store
@@ -55,11 +57,14 @@
     }
 
 
-async def _write_some(store, count=10):
+async def _write_some(cluster, count=10):
     """Let the revision rise far above that of a copy taken before."""
-    for number in range(count):
-        store.put("op/other", b"%d" % number)
-    await asyncio.sleep(0.5)
+    for number in range(1, 1 + count):
+        cluster.store.put("op/other", b"%d" % number)
+        for index in range(len(cluster.targets)):
+            _register(cluster, index, number)
+    # The targets' registrations are read about every second.
+    await asyncio.sleep(1.3)
 
 
 class TestConfiguration:
@@ -71,7 +76,7 @@
             cluster.store.put("op/config", _build_config(2, keys))
             await asyncio.sleep(0.5)
             copy = cluster.store.take_copy()
-            await _write_some(cluster.store)
+            await _write_some(cluster)
             cluster.store.put("op/config", _build_config(3, keys))
             await asyncio.sleep(0.5)
             cluster.store.restore(copy)
@@ -84,6 +89,28 @@
 
         platform_cluster.run(scenario, entries=2)
 
+    # Guards against proper requests that are refused as wrong, because what
+    # was added after the store's return is not taken.
+    def test_key_and_route_added_after_the_restore_are_served(self):
+        async def scenario(cluster):
+            copy = cluster.store.take_copy()
+            await _write_some(cluster)
+            cluster.store.restore(copy)
+            await asyncio.sleep(0.5)
+            document = json.loads(_build_config(4, ["key-1", "key-2"]))
+            document["routes"].append(
+                document["routes"][0] | {"name": "new", "prefix": "/new/"}
+            )
+            cluster.store.put("op/config", json.dumps(document).encode())
+            await asyncio.sleep(_CHANGE_LIMIT_S)
+            for entry in range(2):
+                response = await cluster.call(
+                    path="/new/1", entry=entry, headers={"x-api-key": "key-2"}
+                )
+                assert response.status_code == 200
+
+        platform_cluster.run(scenario, entries=2)
+
     # Guards against the same at an entry that the store turns away, which
     # has only its peers' word for the restore.
     def test_entry_without_the_store_learns_of_the_restore(self):
@@ -94,7 +121,7 @@
             seed = cluster.entries[0].settings.peers
             await cluster.add_entry("e9", refusing.endpoint, [seed])
             copy = cluster.store.take_copy()
-            await _write_some(cluster.store)
+            await _write_some(cluster)
             cluster.store.restore(copy)
             await asyncio.sleep(0.5)
             cluster.store.put("op/config", _build_config(4, ["key-2"]))
@@ -122,7 +149,7 @@
     def test_evacuation_that_the_copy_lacks_stays_until_written_again(self):
         async def scenario(cluster):
             copy = cluster.store.take_copy()
-            await _write_some(cluster.store)
+            await _write_some(cluster)
             cluster.store.put("op/evacuate/na", b"{}")
             await asyncio.sleep(1.0)
             assert await _statuses(cluster) == [503]
@@ -139,7 +166,7 @@
     def test_evacuation_that_is_not_written_again_ends(self):
         async def scenario(cluster):
             copy = cluster.store.take_copy()
-            await _write_some(cluster.store)
+            await _write_some(cluster)
             cluster.store.put("op/evacuate/na", b"{}")
             await asyncio.sleep(1.0)
             cluster.store.restore(copy)
@@ -187,6 +214,24 @@
 
         platform_cluster.run(scenario)
 
+    # Guards against requests to targets that leave after the store's return,
+    # because that counts as older than what the entries know.
+    @pytest.mark.parametrize("way", ["draining", "removed"])
+    def test_target_that_leaves_after_the_restore_gets_no_requests(self, way):
+        async def scenario(cluster):
+            copy = cluster.store.take_copy()
+            await _write_some(cluster)
+            cluster.store.restore(copy)
+            await asyncio.sleep(0.5)
+            if way == "removed":
+                cluster.store.remove("servers/t0")
+            else:
+                _register(cluster, 0, 19, "draining")
+            await asyncio.sleep(_CHANGE_LIMIT_S)
+            assert await _receivers(cluster) == {"t1"}
+
+        platform_cluster.run(scenario)
+
     # Guards against requests to a target that has left without a word and
     # whose registration is back with the copy.
     def test_gone_target_does_not_return_with_the_copy(self):
