Bound the memory that bodies take over all requests

Callers saw connections closed without an answer, for orders that targets had run: an entry to which several large bodies were sent at once exceeded the memory of its machine and was killed, again and again. Cause: each body was bounded, the sum was not; each was held up to three times (pieces, joined body, encoded message). Nothing read the memory limit of the settings. The class: a resource that is bounded for each request but not over all of them; responses of targets, and callers that never end a body or never take a response, had the same. Change: bodies reserve memory in parts of the limit, in the order of asking; a large body is read only with its memory, waits briefly, and is refused as not run otherwise. Bodies are held once. Large responses have a part of their own, until the caller has taken them.

--- a/chicorydoor/compose_fleet.py
+++ b/chicorydoor/compose_fleet.py
@@ -15,6 +15,7 @@
 
 from chicorydoor.coordination import active_serving_config
 from chicorydoor.coordination import blocked_request_records
+from chicorydoor.coordination import body_reader
 from chicorydoor.coordination import call_app
 from chicorydoor.coordination import call_runner
 from chicorydoor.coordination import entry_registration
@@ -52,8 +53,10 @@
 from chicorydoor.state import target_rate_limits
 from chicorydoor.state import target_rests
 from chicorydoor.state import target_views
+from chicorydoor.transport import body_memory
 from chicorydoor.transport import clock as clock_module
 from chicorydoor.transport import metrics
+from chicorydoor.transport import process_memory
 
 _LOG = logging.getLogger(__name__)
 
@@ -127,6 +130,10 @@
         self.rng = rng
         self._started_at = clock.now()
         self._fleet_limits = settings.promises
+        self.body_memory = body_memory.BodyMemory(settings.memory_limit_bytes)
+        self._process_memory = process_memory.ProcessMemory(
+            settings.memory_limit_bytes, self.body_memory
+        )
         own_registration = fleet_view.Registration(
             instance=settings.instance,
             incarnation=incarnation,
@@ -246,6 +253,7 @@
                 view, reason
             ),
             on_round_trip=self.round_trip_times.record,
+            response_memory=self.body_memory.responses,
         )
         self.relay = request_relay.RequestRelay(
             self.fleet,
@@ -253,6 +261,7 @@
             http_names.HEADER_NAMES,
             self.clock,
             self.rng,
+            self.body_memory.responses,
         )
         self.runner = call_runner.CallRunner(
             selection=self.selection,
@@ -281,6 +290,7 @@
         self.admission = request_admission.RequestAdmission(
             self.active_config, self.rate_limiter, self.clock, self.rng
         )
+        bodies = body_reader.BodyReader(self.body_memory, self.clock)
         self.call_app = call_app.CallApp(
             self.admission,
             self.runner,
@@ -288,6 +298,7 @@
             http_names.HEADER_NAMES,
             self.clock,
             self._configuration_age_s,
+            bodies,
         )
         self.relay_app = relay_app.RelayApp(
             self.settings.instance,
@@ -297,6 +308,7 @@
             http_names.HEADER_NAMES,
             self.clock,
             self._configuration_age_s,
+            bodies,
         )
 
     def _configuration_age_s(self) -> float:
@@ -434,6 +446,7 @@
             self._rebalance_rates,
             self._announce_reach,
             self._close_unused,
+            self._process_memory.check,
         )
         while True:
             for step in steps:
--- a/chicorydoor/coordination/call_app.py
+++ b/chicorydoor/coordination/call_app.py
@@ -7,6 +7,7 @@
 import typing
 
 from chicorydoor.coordination import active_serving_config
+from chicorydoor.coordination import body_reader
 from chicorydoor.coordination import call_runner
 from chicorydoor.coordination import rate_limiter
 from chicorydoor.coordination import request_admission
@@ -28,10 +29,6 @@
 _STATUSES_WITHOUT_BODY = frozenset({204, 304})
 
 
-class _CallerLeftError(Exception):
-    """The caller closed its connection before its request was complete."""
-
-
 class Admission(typing.NamedTuple):
     """What admitting a request found.
 
@@ -62,6 +59,7 @@
         clock (Clock): Source of time.
         configuration_age_s (callable): Returns how long ago the configuration
             was known to be current, in seconds; infinite before it was read.
+        bodies (BodyReader): Reads the bodies of requests.
     """
 
     def __init__(
@@ -72,6 +70,7 @@
         names: header_names.HeaderNames,
         clock: clock_module.Clock,
         configuration_age_s: abc.Callable[[], float],
+        bodies: body_reader.BodyReader,
     ) -> None:
         self.admission = admission
         self.runner = runner
@@ -79,6 +78,7 @@
         self.header_names = names
         self.clock = clock
         self.configuration_age_s = configuration_age_s
+        self.bodies = bodies
         self.running_count = 0
         self.is_leaving = False
 
@@ -134,19 +134,13 @@
 
     async def serve(self) -> None:
         """Read the request, run it, respond and log."""
-        watcher: asyncio.Task | None = None
         try:
             if self._trace.had_caller_left_unread:
                 raise request_types.RefusedError(
                     _CODES.CALLER_LEFT, outcome=result_codes.Outcome.NOT_RUN
                 )
-            body = await self._read_body()
-            watcher = asyncio.create_task(
-                self._cancel_on_disconnect(asyncio.current_task())
-            )
-            answer = await self._run_request(body)
-            await self._send_target_answer(answer)
-        except _CallerLeftError:
+            await self._run_and_respond()
+        except body_reader.CallerLeftError:
             self._log_request(0, _CODES.BODY_INCOMPLETE)
         except request_types.RefusedError as refusal:
             await self._send_refusal(refusal)
@@ -162,29 +156,64 @@
             await self._send_refusal(
                 request_types.RefusedError(_CODES.INTERNAL)
             )
+
+    async def _run_and_respond(self) -> None:
+        """Read the body, run the request and send the target's response.
+
+        Raises:
+            RefusedError: If there is no target's response.
+            CallerLeftError: If the caller left before the request was read.
+        """
+        body = await self._read_body()
+        watcher = asyncio.create_task(
+            self._cancel_on_disconnect(asyncio.current_task())
+        )
+        try:
+            answer = await self._run_request(body)
+            await self._send_target_answer(answer)
         finally:
-            if watcher is not None:
-                watcher.cancel()
+            watcher.cancel()
+            body.release()
+        if answer.reservation is not None:
+            await self._wait_until_written()
+            answer.reservation.release()
 
     def _is_caller_gone(self) -> bool:
         connection = self._caller_connection
         return connection is not None and connection.is_closed()
 
-    async def _read_body(self) -> bytes:
-        limit = self._app.active_config.current.limits.body_bytes
-        chunks: list[bytes] = []
-        size = 0
-        while True:
-            event = await self._receive()
-            if event["type"] == "http.disconnect":
-                raise _CallerLeftError
-            chunk = event.get("body", b"")
-            size += len(chunk)
-            if size > limit:
-                raise request_types.RefusedError(_CODES.BODY_TOO_LARGE)
-            chunks.append(chunk)
-            if not event.get("more_body", False):
-                return b"".join(chunks)
+    async def _read_body(self) -> body_reader.Body:
+        if b"transfer-encoding" in self._values_by_header:
+            length = None
+        else:
+            # The HTTP server has checked that it is a number.
+            length = int(self._header_value(b"content-length") or b"0")
+        if length == 0:
+            await body_reader.read_empty(self._receive)
+            return body_reader.Body([], [])
+        app = self._app
+        route = self._find_route()
+        return await app.bodies.read(
+            self._receive,
+            length,
+            app.active_config.current.limits.body_bytes,
+            self._absolute_deadline(route.timeout_s),
+        )
+
+    def _find_route(self) -> serving_config.RouteConfig:
+        """Return the request's route.
+
+        Raises:
+            RefusedError: If it has none.
+        """
+        return self._app.admission.find_route(
+            self._header_value(b"host").decode("latin-1"),
+            self._raw_path().decode("latin-1"),
+        )
+
+    def _raw_path(self) -> bytes:
+        scope = self._scope
+        return scope["raw_path"] or scope["path"].encode("latin-1")
 
     async def _cancel_on_disconnect(
         self, serving: asyncio.Task | None
@@ -196,14 +225,11 @@
             serving.cancel()
 
     async def _run_request(
-        self, body: bytes
+        self, body: body_reader.Body
     ) -> buffered_connection.BufferedResponse:
         app, scope = self._app, self._scope
-        path = scope["raw_path"] or scope["path"].encode("latin-1")
-        admission = await self._admit(
-            self._header_value(b"host").decode("latin-1"),
-            path.decode("latin-1"),
-        )
+        path = self._raw_path()
+        admission = await self._admit()
         route, customer = admission.route, admission.customer
         query = scope["query_string"]
         headers = scope["headers"]
@@ -215,7 +241,7 @@
                 app.header_names,
                 admitted_request.parse_connection_options(headers),
             ),
-            body=body,
+            body_chunks=body.chunks,
             request_id=self._header_value(app.header_names.request_id),
             affinity_key=self._header_value(app.header_names.affinity_key),
             route=route,
@@ -234,10 +260,10 @@
                 )
             raise
 
-    async def _admit(self, host: str, path: str) -> Admission:
+    async def _admit(self) -> Admission:
         """Find the route, check the key and take a token of the rate."""
         app = self._app
-        route = app.admission.find_route(host, path)
+        route = self._find_route()
         self._route_id = route.route_id
         keys = self._values_by_header.get(app.header_names.api_key, [])
         customer = app.admission.authenticate(route, keys)
@@ -269,6 +295,24 @@
         await self._send_response(answer.status, headers, answer.body)
         self._log_request(answer.status, _CODES.OK)
 
+    async def _wait_until_written(self) -> None:
+        """Wait while a large response takes memory in the connection."""
+        limits = self._app.active_config.current.limits
+        if (
+            self._caller_connection is not None
+            and not await self._caller_connection.wait_until_written(
+                limits.idle_timeout_s
+            )
+        ):
+            _LOG.warning(
+                "caller did not take its response",
+                extra={
+                    "request_id": self._header_value(
+                        self._app.header_names.request_id
+                    ).decode("latin-1")
+                },
+            )
+
     async def _send_refusal(self, refusal: request_types.RefusedError) -> None:
         code = refusal.code
         headers = [
--- a/chicorydoor/coordination/relay_app.py
+++ b/chicorydoor/coordination/relay_app.py
@@ -7,6 +7,7 @@
 from collections import abc
 
 from chicorydoor.coordination import active_serving_config
+from chicorydoor.coordination import body_reader
 from chicorydoor.coordination import call_app
 from chicorydoor.coordination import call_runner
 from chicorydoor.coordination import request_admission
@@ -35,6 +36,7 @@
         clock (Clock): Source of time.
         configuration_age_s (callable): Returns how long ago the configuration
             was known to be current, in seconds; infinite before it was read.
+        bodies (BodyReader): Reads the bodies of requests.
     """
 
     def __init__(
@@ -46,6 +48,7 @@
         names: header_names.HeaderNames,
         clock: clock_module.Clock,
         configuration_age_s: abc.Callable[[], float],
+        bodies: body_reader.BodyReader,
     ) -> None:
         super().__init__(
             admission,
@@ -54,6 +57,7 @@
             names,
             clock,
             configuration_age_s,
+            bodies,
         )
         self.instance = instance
 
@@ -69,7 +73,13 @@
 
     _app: RelayApp
 
-    async def _admit(self, host: str, path: str) -> call_app.Admission:
+    def _find_route(self) -> serving_config.RouteConfig:
+        try:
+            return super()._find_route()
+        except request_types.RefusedError as refusal:
+            raise _other_configuration(refusal) from refusal
+
+    async def _admit(self) -> call_app.Admission:
         names = self._app.header_names
         send_count = self._header_value(names.relayed_send_count)
         if (
@@ -82,15 +92,12 @@
         service_id = ids.ServiceId(
             self._header_value(names.relayed_service).decode("latin-1")
         )
+        route = self._find_route()
         try:
-            route = self._app.admission.find_route(host, path)
             self._check_service(route, service_id)
             customer = self._find_customer()
         except request_types.RefusedError as refusal:
-            # The relaying entry has another version of the configuration.
-            raise request_types.RefusedError(
-                _CODES.PEER_UNREACHABLE, f"{refusal}"
-            ) from refusal
+            raise _other_configuration(refusal) from refusal
         self._route_id = route.route_id
         if customer is not None:
             self._customer_id = customer.customer_id
@@ -133,3 +140,13 @@
     @property
     def _log_message(self) -> str:
         return "relayed request"
+
+
+def _other_configuration(
+    refusal: request_types.RefusedError,
+) -> request_types.RefusedError:
+    """Return the refusal of a request that fits another configuration.
+
+    The relaying entry has another version of it.
+    """
+    return request_types.RefusedError(_CODES.PEER_UNREACHABLE, f"{refusal}")
--- a/chicorydoor/coordination/request_relay.py
+++ b/chicorydoor/coordination/request_relay.py
@@ -17,6 +17,7 @@
 from chicorydoor.protocol import result_codes
 from chicorydoor.state import fleet_view
 from chicorydoor.state import service_reach
+from chicorydoor.transport import body_memory
 from chicorydoor.transport import buffered_connection
 from chicorydoor.transport import clock as clock_module
 from chicorydoor.transport import metrics
@@ -32,7 +33,12 @@
 _CODES = result_codes.ResultCode
 # Refusals of a peer that another peer may not share. No target was tried.
 _REFUSED_WITHOUT_SEND = frozenset(
-    {_CODES.NO_TARGET, _CODES.NOT_READY, _CODES.PEER_UNREACHABLE}
+    {
+        _CODES.NO_TARGET,
+        _CODES.NOT_READY,
+        _CODES.NO_BODY_MEMORY,
+        _CODES.PEER_UNREACHABLE,
+    }
 )
 # The peer's HTTP server answers so if it has not passed a request on to its
 # application: malformed, or headers too late or too large.
@@ -51,6 +57,7 @@
         names (HeaderNames): Header names.
         clock (Clock): Source of time.
         rng (Random): Source of random numbers.
+        response_memory (MemoryPart): Memory for large responses.
     """
 
     def __init__(
@@ -60,12 +67,14 @@
         names: header_names.HeaderNames,
         clock: clock_module.Clock,
         rng: random.Random,
+        response_memory: body_memory.MemoryPart,
     ) -> None:
         self._fleet = fleet
         self._reach = reach
         self._header_names = names
         self._clock = clock
         self._rng = rng
+        self._response_memory = response_memory
         self._failed_at_by_instance: dict[ids.InstanceId, float] = {}
         self._pool_by_address: dict[
             str, buffered_connection.BufferedConnectionPool
@@ -201,7 +210,7 @@
             pool.release(connection, _MAX_IDLE_CONNECTIONS)
             raise request_types.CallerLeftError
         names = self._header_names
-        request = admitted_request.encode_request(
+        head = admitted_request.encode_head(
             call,
             names,
             peer.instance,
@@ -214,7 +223,10 @@
         try:
             async with asyncio.timeout(remaining_s):
                 answer = await connection.exchange(
-                    request, call.request_id, call.method == b"HEAD"
+                    head,
+                    call.request_id,
+                    call.method == b"HEAD",
+                    call.body_chunks,
                 )
         except TimeoutError:
             # The target may be slow; heartbeats show whether the peer is gone.
@@ -235,7 +247,10 @@
         pool = self._pool_by_address.get(address)
         if pool is None:
             pool = buffered_connection.BufferedConnectionPool(
-                address, self._header_names.request_id, self._clock
+                address,
+                self._header_names.request_id,
+                self._clock,
+                self._response_memory,
             )
             self._pool_by_address[address] = pool
         return pool
--- a/chicorydoor/coordination/target_sender.py
+++ b/chicorydoor/coordination/target_sender.py
@@ -22,6 +22,7 @@
 from chicorydoor.state import request_crashes
 from chicorydoor.state import send_permits
 from chicorydoor.state import target_views
+from chicorydoor.transport import body_memory
 from chicorydoor.transport import buffered_connection
 from chicorydoor.transport import clock as clock_module
 from chicorydoor.transport import metrics
@@ -103,6 +104,7 @@
             connection, or let the deadline pass, before it had responded.
         on_round_trip (callable): Called with a region and the seconds that
             opening a connection to it took.
+        response_memory (MemoryPart): Memory for large responses.
     """
 
     def __init__(
@@ -119,6 +121,7 @@
         on_refused: abc.Callable[[target_views.TargetView], None],
         on_connection_lost: abc.Callable[[target_views.TargetView], None],
         on_round_trip: abc.Callable[[ids.RegionId, float], None],
+        response_memory: body_memory.MemoryPart,
     ) -> None:
         self._targets = targets
         self._selection = selection
@@ -131,6 +134,7 @@
         self._on_refused = on_refused
         self._on_connection_lost = on_connection_lost
         self._on_round_trip = on_round_trip
+        self._response_memory = response_memory
         self.idle_limit = idle_limit.IdleLimit()
         self._pool_by_incarnation: dict[
             tuple[ids.TargetId, int],
@@ -197,14 +201,17 @@
         if call.is_caller_gone():
             pool.release(connection, view.record.slots)
             raise request_types.CallerLeftError
-        request = admitted_request.encode_request(
+        head = admitted_request.encode_head(
             call, self._header_names, view.target_id, remaining_s
         )
         choice.sent_at = started_at
         try:
             async with asyncio.timeout(remaining_s):
                 answer = await connection.exchange(
-                    request, call.request_id, call.method == b"HEAD"
+                    head,
+                    call.request_id,
+                    call.method == b"HEAD",
+                    call.body_chunks,
                 )
         except TimeoutError:
             return self._record_timeout(call, view, started_at)
@@ -463,6 +470,7 @@
                 view.record.address,
                 self._header_names.request_id,
                 self._clock,
+                self._response_memory,
                 lambda seconds: self._on_round_trip(view.region, seconds),
             )
             self._pool_by_incarnation[view.incarnation_key] = pool
--- a/chicorydoor/platform/settings_file.py
+++ b/chicorydoor/platform/settings_file.py
@@ -12,6 +12,8 @@
 from chicorydoor.protocol import ids
 
 SETTINGS_PATH_VARIABLE = "CHICORYDOOR_CONFIG"
+# The smaller of the two usual meanings of a megabyte.
+_BYTES_PER_MB = 1_000_000
 
 
 class _Section(msgspec.Struct, rename="camel"):
@@ -21,10 +23,22 @@
     """
 
 
+class _LimitsSection(_Section):
+    """Limits of the machine.
+
+    Args:
+        memory_mb (float): Memory of a process in megabytes; 0 for no limit.
+            Defaults to 0.
+    """
+
+    memory_mb: float = 0.0
+
+
 class _SelfSection(_Section):
     node_name: str
     zone: str
     region: str
+    limits: _LimitsSection = msgspec.field(default_factory=_LimitsSection)
 
 
 class _ListenSection(_Section):
@@ -130,6 +144,7 @@
         },
         store=settings.platform.platform.address,
         promises=_to_fleet_limits(settings.terms.bounds),
+        memory_limit_bytes=int(identity.limits.memory_mb * _BYTES_PER_MB),
     )
 
 
--- a/chicorydoor/protocol/admitted_request.py
+++ b/chicorydoor/protocol/admitted_request.py
@@ -46,7 +46,8 @@
         headers (list): The caller's headers after
             ``filter_request_headers``, which keeps the request id and the
             affinity key.
-        body (bytes): The whole body.
+        body_chunks (Sequence): The whole body, in the pieces in which it was
+            read.
         request_id (bytes): The caller's id of this attempt.
         affinity_key (bytes): Session affinity key: names the object that the
             request is about; may be empty.
@@ -66,7 +67,7 @@
     method: bytes
     request_target: bytes
     headers: Headers
-    body: bytes
+    body_chunks: abc.Sequence[bytes]
     request_id: bytes
     affinity_key: bytes
     route: serving_config.RouteConfig
@@ -90,12 +91,19 @@
             self.route.host.encode(),
             self.method,
             self.request_target,
-            self.body,
         ):
             digest.update(b"%d:" % len(part))
             digest.update(part)
+        digest.update(b"%d:" % self.body_size)
+        for chunk in self.body_chunks:
+            digest.update(chunk)
         return digest.digest()
 
+    @property
+    def body_size(self) -> int:
+        """Size of the body in bytes."""
+        return sum(map(len, self.body_chunks))
+
     @property
     def priority(self) -> int:
         """Effective priority; 0 is the most urgent."""
@@ -162,14 +170,16 @@
     return frozenset(options)
 
 
-def encode_request(
+def encode_head(
     request: AdmittedRequest,
     names: header_names.HeaderNames,
     target_id: str,
     remaining_s: float,
     additional_headers: abc.Iterable[tuple[bytes, bytes]] = (),
 ) -> bytes:
-    """Encode a request as an HTTP/1.1 message for a target or a peer.
+    """Encode the head of a request as an HTTP/1.1 message.
+
+    The body follows it unchanged.
 
     Args:
         request (AdmittedRequest): The request.
@@ -181,7 +191,7 @@
         additional_headers (Iterable): Defaults to none.
 
     Returns:
-        bytes: Head and body.
+        bytes: Request line and headers, with the empty line after them.
     """
     lines = [b"%s %s HTTP/1.1" % (request.method, request.request_target)]
     lines += [b"%s: %s" % header for header in request.headers]
@@ -193,9 +203,10 @@
     if request.customer is not None:
         name = request.customer.customer_id.encode()
         lines.append(b"%s: %s" % (names.customer_id, name))
-    if request.body or request.method not in (b"GET", b"HEAD", b"DELETE"):
-        lines.append(b"content-length: %d" % len(request.body))
-    return b"\r\n".join([*lines, b"", request.body])
+    size = request.body_size
+    if size or request.method not in (b"GET", b"HEAD", b"DELETE"):
+        lines.append(b"content-length: %d" % size)
+    return b"\r\n".join([*lines, b"", b""])
 
 
 def filter_response_headers(headers: Headers) -> Headers:
--- a/chicorydoor/protocol/fleet_entry_settings.py
+++ b/chicorydoor/protocol/fleet_entry_settings.py
@@ -51,6 +51,8 @@
         region_by_domain (dict): Region of each failure domain of the fleet.
         store (str): ``ip:port`` of the platform's store.
         promises (FleetLimits): Service level limits of the fleet.
+        memory_limit_bytes (int): Memory above which the platform ends the
+            process; 0 if it names no limit. Defaults to 0.
     """
 
     instance: ids.InstanceId
@@ -66,3 +68,4 @@
     region_by_domain: dict[ids.DomainId, ids.RegionId]
     store: str
     promises: FleetLimits
+    memory_limit_bytes: int = 0
--- a/chicorydoor/protocol/result_codes.py
+++ b/chicorydoor/protocol/result_codes.py
@@ -41,6 +41,12 @@
         Outcome.NOT_RUN,
         "the caller took too long to send its headers",
     )
+    BODY_LATE = (
+        107,
+        408,
+        Outcome.NOT_RUN,
+        "the caller took too long to send its body",
+    )
     KEY_MISSING = (110, 401, Outcome.NOT_RUN, "the route needs a key")
     KEY_REFUSED = (111, 401, Outcome.NOT_RUN, "the key is not in force")
     KEY_IN_DOUBT = (
@@ -71,6 +77,12 @@
         "the request could not finish before its deadline",
     )
     NO_TARGET = (133, 503, Outcome.NOT_RUN, "no target serves the route")
+    NO_BODY_MEMORY = (
+        134,
+        503,
+        Outcome.NOT_RUN,
+        "no memory for the body came free in time",
+    )
     NOT_READY = (135, 503, Outcome.NOT_RUN, "no configuration yet")
     TARGET_UNREACHABLE = (
         140,
--- /dev/null
+++ b/chicorydoor/transport/body_memory.py
@@ -0,0 +1,179 @@
+"""Bounds the memory that bodies of requests and responses take.
+
+An entry holds a request's body until it has answered, since it may have to
+send it again, and a target's response until it is complete. Large bodies come
+from three parts of the memory, so that none of them takes the room of the
+others: small bodies of requests, large bodies of requests, and large bodies of
+responses. Room for a response is there even while bodies of requests wait: a
+request that was sent to a target has to be answered.
+"""
+
+import asyncio
+import collections
+import contextlib
+import math
+
+from chicorydoor.transport import metrics
+
+# A body up to this size is small. A response that is small takes no part: as
+# many as there are requests in flight fit beside the parts.
+SMALL_BODY_BYTES = 64 * 1024
+# Bodies of requests that wait for memory. What the server has read of each is
+# held too, a few times ``SMALL_BODY_BYTES``.
+_MAX_WAITING_REQUESTS = 32
+# Parts of the memory limit. The rest is for the program itself, its
+# configuration, connections, and memory that was freed in pieces.
+_LARGE_REQUEST_SHARE = 0.35
+_RESPONSE_SHARE = 0.15
+_SMALL_REQUEST_SHARE = 0.05
+# Taken where the platform names no limit.
+_DEFAULT_LIMIT_BYTES = 512_000_000
+
+
+class Reservation:
+    """Memory for a body; given back by ``release``, or with the object.
+
+    Args:
+        part (MemoryPart): Where it is reserved.
+        size (int): Bytes.
+    """
+
+    def __init__(self, part: "MemoryPart", size: int) -> None:
+        self._part = part
+        self.size = size
+
+    def release(self) -> None:
+        """Give the memory back; again without effect."""
+        size, self.size = self.size, 0
+        if size:
+            self._part.give_back(size)
+
+    def __del__(self) -> None:
+        # Whoever drops a body need not know of its reservation.
+        self.release()
+
+
+class MemoryPart:
+    """Memory for bodies of one kind, given out in the order of asking.
+
+    Args:
+        name (str): Label of its metrics.
+        capacity (int): Bytes that may be in use at once.
+        max_waiting (float): Number of bodies that may wait at once.
+    """
+
+    def __init__(self, name: str, capacity: int, max_waiting: float) -> None:
+        self.name = name
+        self.capacity = capacity
+        self.used = 0
+        self._max_waiting = max_waiting
+        self._waiting: collections.OrderedDict[asyncio.Future[None], int] = (
+            collections.OrderedDict()
+        )
+        self._used_gauge = metrics.BODY_MEMORY_BYTES.labels(name)
+        self._wait_counter = metrics.BODY_MEMORY_WAITS.labels(name)
+
+    def try_reserve(self, size: int) -> Reservation | None:
+        """Reserve memory if it is free and nobody waits for it.
+
+        Args:
+            size (int): Bytes.
+
+        Returns:
+            The reservation; None without room.
+        """
+        if self._waiting or not self._fits(size):
+            return None
+        return self._reserve(size)
+
+    async def reserve(
+        self, size: int, timeout_s: float | None
+    ) -> Reservation | None:
+        """Reserve memory, waiting for it if need be.
+
+        Args:
+            size (int): Bytes.
+            timeout_s (float): Maximum wait in seconds; None for no limit.
+
+        Returns:
+            The reservation; None if there is no room in time.
+        """
+        reservation = self.try_reserve(size)
+        if (
+            reservation is not None
+            or size > self.capacity
+            or (timeout_s is not None and timeout_s <= 0)
+            or len(self._waiting) >= self._max_waiting
+        ):
+            return reservation
+        self._wait_counter.inc()
+        turn = asyncio.get_running_loop().create_future()
+        self._waiting[turn] = size
+        try:
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(timeout_s):
+                    await asyncio.shield(turn)
+            if not turn.done():
+                return None
+            return Reservation(self, size)
+        except asyncio.CancelledError:
+            if turn.done():
+                self.give_back(size)
+            raise
+        finally:
+            if self._waiting.pop(turn, None) is not None:
+                # Smaller ones behind it may fit.
+                self._admit_waiting()
+
+    def give_back(self, size: int) -> None:
+        """Free memory for the bodies that wait."""
+        self._set_used(self.used - size)
+        self._admit_waiting()
+
+    def _fits(self, size: int) -> bool:
+        return self.used + size <= self.capacity
+
+    def _reserve(self, size: int) -> Reservation:
+        self._set_used(self.used + size)
+        return Reservation(self, size)
+
+    def _set_used(self, used: int) -> None:
+        self.used = used
+        self._used_gauge.set(used)
+
+    def _admit_waiting(self) -> None:
+        while self._waiting:
+            turn, size = next(iter(self._waiting.items()))
+            if not self._fits(size):
+                return
+            del self._waiting[turn]
+            self._set_used(self.used + size)
+            turn.set_result(None)
+
+
+class BodyMemory:
+    """The memory of one entry for bodies.
+
+    Args:
+        limit_bytes (int): Memory that the process may use; 0 if the platform
+            names no limit. Defaults to 0.
+    """
+
+    def __init__(self, limit_bytes: int = 0) -> None:
+        limit_bytes = limit_bytes or _DEFAULT_LIMIT_BYTES
+        self.small_requests = MemoryPart(
+            "small-requests", int(limit_bytes * _SMALL_REQUEST_SHARE), 0
+        )
+        self.large_requests = MemoryPart(
+            "large-requests",
+            int(limit_bytes * _LARGE_REQUEST_SHARE),
+            _MAX_WAITING_REQUESTS,
+        )
+        self.responses = MemoryPart(
+            "responses", int(limit_bytes * _RESPONSE_SHARE), math.inf
+        )
+
+    @property
+    def parts(self) -> tuple[MemoryPart, ...]:
+        """All parts."""
+        return (self.small_requests, self.large_requests, self.responses)
--- a/chicorydoor/transport/buffered_connection.py
+++ b/chicorydoor/transport/buffered_connection.py
@@ -19,6 +19,7 @@
 
 from chicorydoor import errors
 from chicorydoor.protocol import headers as http_headers
+from chicorydoor.transport import body_memory
 from chicorydoor.transport import clock as clock_module
 
 Headers = list[tuple[bytes, bytes]]
@@ -55,11 +56,14 @@
         status (int): HTTP status.
         headers (list): Names in lower case, and values.
         body (bytes): The whole body.
+        reservation (Reservation): Memory that was reserved for a large body;
+            None for a small one. Defaults to None.
     """
 
     status: int
     headers: Headers
     body: bytes
+    reservation: body_memory.Reservation | None = None
 
     def find_header(self, name: bytes) -> bytes | None:
         """Return the first value of a header, or None."""
@@ -72,12 +76,28 @@
     def __init__(self) -> None:
         self.headers: Headers = []
         self.body_chunks: list[bytes] = []
+        self.body_bytes = 0
+        self.reservation: body_memory.Reservation | None = None
         self.has_complete_head = False
         self.is_complete = False
 
     def find_header(self, name: bytes) -> bytes | None:
         return http_headers.find_header(self.headers, name)
 
+    @property
+    def memory_size(self) -> int:
+        """Bytes to reserve for the body; the maximum if it has no length."""
+        length = self.find_header(b"content-length") or b""
+        if not length.isdigit():
+            return _MAX_BODY_BYTES
+        return min(int(length), _MAX_BODY_BYTES)
+
+    def take_body(self) -> bytes:
+        """Return the body, which is kept no longer."""
+        body = b"".join(self.body_chunks)
+        self.body_chunks.clear()
+        return body
+
     @property
     def is_delimited_by_close(self) -> bool:
         """Whether the end of the connection marks the end of the body."""
@@ -94,6 +114,8 @@
     Args:
         request_id_header (bytes): Header in which targets echo the id of
             a request.
+        response_memory (MemoryPart): Memory for large responses. Defaults to
+            None, for no limit.
         on_unusable (callable): Called once, with the connection, when it can
             carry no further request. Defaults to None.
 
@@ -107,9 +129,12 @@
     def __init__(
         self,
         request_id_header: bytes,
+        response_memory: body_memory.MemoryPart | None = None,
         on_unusable: abc.Callable[["BufferedConnection"], None] | None = None,
     ) -> None:
         self._request_id_header = request_id_header
+        self._response_memory = response_memory
+        self._memory_wait: asyncio.Task[None] | None = None
         self._on_unusable = on_unusable
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpResponseParser(self)
@@ -189,8 +214,39 @@
     def on_body(self, body: bytes) -> None:
         """Store a chunk of the body, up to the size limit."""
         self._received_body_bytes += len(body)
-        if self._received_body_bytes <= _MAX_BODY_BYTES:
-            self._response.body_chunks.append(body)
+        response = self._response
+        if self._received_body_bytes > _MAX_BODY_BYTES:
+            return
+        response.body_chunks.append(body)
+        response.body_bytes += len(body)
+        if (
+            response.body_bytes > body_memory.SMALL_BODY_BYTES
+            and response.reservation is None
+            and self._memory_wait is None
+        ):
+            self._reserve_memory()
+
+    def _reserve_memory(self) -> None:
+        """Reserve memory for a large response; read no further without it."""
+        if self._response_memory is None:
+            return
+        response = self._response
+        size = min(response.memory_size, self._response_memory.capacity)
+        response.reservation = self._response_memory.try_reserve(size)
+        if response.reservation is None and self._transport is not None:
+            self._transport.pause_reading()
+            self._memory_wait = asyncio.get_running_loop().create_task(
+                self._wait_for_memory(self._response_memory, size)
+            )
+
+    async def _wait_for_memory(
+        self, memory: body_memory.MemoryPart, size: int
+    ) -> None:
+        response = self._response
+        response.reservation = await memory.reserve(size, None)
+        self._memory_wait = None
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.resume_reading()
 
     def on_message_complete(self) -> None:
         """Deliver the response, unless it is an informational one."""
@@ -229,8 +285,12 @@
             return
         self._update_reusability(response)
         answer = BufferedResponse(
-            status, response.headers, b"".join(response.body_chunks)
+            status,
+            response.headers,
+            response.take_body(),
+            response.reservation,
         )
+        response.reservation = None
         self._pending_response.set_result(answer)
 
     def _update_reusability(self, response: _PartialResponse) -> None:
@@ -279,17 +339,23 @@
         )
 
     async def exchange(
-        self, request: bytes, request_id: bytes, is_head: bool = False
+        self,
+        head: bytes,
+        request_id: bytes,
+        is_head: bool = False,
+        body_chunks: abc.Sequence[bytes] = (),
     ) -> BufferedResponse:
         """Send a request and wait for its complete response.
 
         Args:
-            request (bytes): Head and body.
+            head (bytes): Request line and headers.
             request_id (bytes): Id that a successful response must echo; if
                 empty, no id is required, but a response with one is
                 discarded.
             is_head (bool): Whether it is a HEAD request, whose response
                 never has a body. Defaults to False.
+            body_chunks (Sequence): The request's body in pieces, which are
+                not copied. Defaults to none.
 
         Returns:
             BufferedResponse: The response.
@@ -309,7 +375,10 @@
         self._expected_request_id = request_id
         self._is_head_request = is_head
         self._has_sent = True
-        transport.write(request)
+        if body_chunks:
+            transport.writelines([head, *body_chunks])
+        else:
+            transport.write(head)
         try:
             return await self._pending_response
         except asyncio.CancelledError:
@@ -317,12 +386,22 @@
             raise
         finally:
             self._pending_response = None
+            self._stop_waiting_for_memory()
             if not self._is_reusable:
                 self.abort()
 
+    def _stop_waiting_for_memory(self) -> None:
+        """Give up a wait whose response has failed or is complete."""
+        if self._memory_wait is not None:
+            self._memory_wait.cancel()
+            self._memory_wait = None
+            # The transport is still paused.
+            self._is_reusable = False
+
     def abort(self) -> None:
         """Close at once; a target still at work sees the connection end."""
         self._is_reusable = False
+        self._response = _PartialResponse()
         if self._transport is not None and not self._transport.is_closing():
             self._transport.abort()
         self._notify_unusable()
@@ -360,6 +439,8 @@
         request_id_header (bytes): Header in which targets echo the id of a
             request.
         clock (Clock): Time source.
+        response_memory (MemoryPart): Memory for large responses. Defaults to
+            None, for no limit.
         on_connected (callable): Called with the seconds that opening a
             connection took. Defaults to None.
     """
@@ -369,9 +450,11 @@
         address: str,
         request_id_header: bytes,
         clock: clock_module.Clock,
+        response_memory: body_memory.MemoryPart | None = None,
         on_connected: abc.Callable[[float], None] | None = None,
     ) -> None:
         self._address = address
+        self._response_memory = response_memory
         self._on_connected = on_connected
         self._request_id_header = request_id_header
         self._clock = clock
@@ -426,7 +509,9 @@
             async with asyncio.timeout(connect_timeout_s):
                 _, connection = await loop.create_connection(
                     lambda: BufferedConnection(
-                        self._request_id_header, self._remove_idle
+                        self._request_id_header,
+                        self._response_memory,
+                        self._remove_idle,
                     ),
                     host,
                     int(port),
--- a/chicorydoor/transport/caller_connection.py
+++ b/chicorydoor/transport/caller_connection.py
@@ -1,6 +1,7 @@
 """The connection on which a caller's request arrived."""
 
 import asyncio
+from collections import abc
 import select
 
 from chicorydoor.transport import asgi
@@ -19,10 +20,16 @@
     Args:
         transport (Transport): Transport of the connection, which has a file
             descriptor.
+        drain (callable): Waits until little of what was written remains.
     """
 
-    def __init__(self, transport: asyncio.BaseTransport) -> None:
+    def __init__(
+        self,
+        transport: asyncio.Transport,
+        drain: abc.Callable[[], abc.Awaitable[None]],
+    ) -> None:
         self._transport = transport
+        self._drain = drain
         self._poll = select.poll()
         descriptor = transport.get_extra_info("socket").fileno()
         # Errors and resets are always reported too.
@@ -33,6 +40,28 @@
         # After closing, the descriptor may belong to another connection.
         return self._transport.is_closing() or bool(self._poll.poll(0))
 
+    async def wait_until_written(self, max_pause_s: float) -> bool:
+        """Wait until the caller has taken nearly all of a response.
+
+        A connection whose caller takes none of it for too long is closed.
+
+        Args:
+            max_pause_s (float): Maximum time without progress in seconds.
+
+        Returns:
+            Whether the caller took it.
+        """
+        while True:
+            remaining = self._transport.get_write_buffer_size()
+            try:
+                async with asyncio.timeout(max_pause_s):
+                    await self._drain()
+                return True
+            except TimeoutError:
+                if self._transport.get_write_buffer_size() >= remaining:
+                    self._transport.abort()
+                    return False
+
     def add_to_scope(self, scope: asgi.Scope) -> None:
         """Make the connection known to the application.
 
--- a/chicorydoor/transport/caller_protocol.py
+++ b/chicorydoor/transport/caller_protocol.py
@@ -55,9 +55,12 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Keep the connection for the scopes of its requests."""
-        super().connection_made(typing.cast(asyncio.Transport, transport))
+        stream = typing.cast(asyncio.Transport, transport)
+        super().connection_made(stream)
         self._unfinished_cycles: list[httptools_impl.RequestResponseCycle] = []
-        self._connection = caller_connection.CallerConnection(transport)
+        self._connection = caller_connection.CallerConnection(
+            stream, self.flow.drain
+        )
 
     def on_message_begin(self) -> None:
         """Start the header timeout at a request's first byte."""
--- a/chicorydoor/transport/metrics.py
+++ b/chicorydoor/transport/metrics.py
@@ -140,6 +140,16 @@
     "Errors that ended a task or a step of it, which then went on.",
     ["part"],
 )
+BODY_MEMORY_BYTES = prometheus_client.Gauge(
+    "chicorydoor_body_memory_bytes",
+    "Memory reserved for bodies of requests and responses.",
+    ["part"],
+)
+BODY_MEMORY_WAITS = prometheus_client.Counter(
+    "chicorydoor_body_memory_waits",
+    "Bodies that waited for memory.",
+    ["part"],
+)
 LOG_LINES_DROPPED = prometheus_client.Counter(
     "chicorydoor_log_lines_dropped",
     "Log lines left out to bound their volume.",
--- a/tests/test_call_runner.py
+++ b/tests/test_call_runner.py
@@ -17,6 +17,7 @@
 from chicorydoor.state import target_rate_limits
 from chicorydoor.state import target_rests
 from chicorydoor.state import target_views
+from chicorydoor.transport import body_memory
 from tests.support import clocks
 from tests.support import config_builders as make
 
@@ -29,7 +30,7 @@
         method=b"GET",
         request_target=b"/read/1",
         headers=[],
-        body=b"",
+        body_chunks=(),
         request_id=b"r1",
         affinity_key=b"7",
         route=make.build_route_config(**changes),
@@ -266,6 +267,7 @@
             clock=clock,
             crashes=None,
             breaks=None,
+            response_memory=body_memory.BodyMemory().responses,
             on_unreachable=lambda view, reason: None,
             on_refused=lambda view: None,
             on_connection_lost=lambda view: None,
@@ -292,8 +294,14 @@
         requests[1].customer = make.build_customer_config()
         requests[2].method = b"POST"
         requests[3].request_target = b"/read/2"
-        requests[4].body = b"x"
+        requests[4].body_chunks = [b"x"]
         # The parts are delimited.
         requests[5].request_target = b"/read/"
-        requests[5].body = b"1"
+        requests[5].body_chunks = [b"1"]
         assert len({each.fingerprint for each in requests}) == 6
+
+    def test_pieces_of_the_body_do_not_matter(self):
+        first, second = _build_request(), _build_request()
+        first.body_chunks = [b"abc", b"d"]
+        second.body_chunks = [b"ab", b"cd"]
+        assert first.fingerprint == second.fingerprint
--- a/tests/test_refusals_by_estimate.py
+++ b/tests/test_refusals_by_estimate.py
@@ -101,7 +101,7 @@
             method=b"GET",
             request_target=b"/read/1",
             headers=[],
-            body=b"",
+            body_chunks=(),
             request_id=b"r1",
             affinity_key=affinity_key,
             route=route,
--- a/tests/test_request_relay.py
+++ b/tests/test_request_relay.py
@@ -11,6 +11,7 @@
 from chicorydoor.protocol import admitted_request
 from chicorydoor.protocol import header_names
 from chicorydoor.state import fleet_view
+from chicorydoor.transport import body_memory
 from chicorydoor.transport import clock as clock_module
 from tests.support import clocks
 from tests.support import config_builders as make
@@ -84,6 +85,7 @@
             header_names.HeaderNames(),
             self.clock,
             random.Random(1),
+            body_memory.BodyMemory().responses,
         )
 
     def count_choices(self, requests_per_entry, regions=frozenset()):
@@ -184,13 +186,14 @@
                 header_names.HeaderNames(),
                 clock,
                 random.Random(1),
+                body_memory.BodyMemory().responses,
             )
             now = clock.now()
             call = admitted_request.AdmittedRequest(
                 method=b"POST",
                 request_target=b"/order/1",
                 headers=[],
-                body=b"",
+                body_chunks=(),
                 request_id=b"r1",
                 affinity_key=b"",
                 route=make.build_route_config(),
