Reserve memory for a body when its head has been read

Cause: the HTTP server reads up to 320 KiB of each body before the request is handled, and keeps that of a refused request until the connection's next one. Change: memory is reserved when the head has been read. A body that waits takes a place among the beginnings; any other one is dropped as it is read and its request refused as not run. What is left of a body goes with the response.

--- a/chicorydoor/compose_fleet.py
+++ b/chicorydoor/compose_fleet.py
@@ -290,7 +290,7 @@
         self.admission = request_admission.RequestAdmission(
             self.active_config, self.rate_limiter, self.clock, self.rng
         )
-        bodies = body_reader.BodyReader(self.body_memory, self.clock)
+        self.bodies = body_reader.BodyReader(self.body_memory, self.clock)
         self.call_app = call_app.CallApp(
             self.admission,
             self.runner,
@@ -298,7 +298,7 @@
             http_names.HEADER_NAMES,
             self.clock,
             self._configuration_age_s,
-            bodies,
+            self.bodies,
         )
         self.relay_app = relay_app.RelayApp(
             self.settings.instance,
@@ -308,7 +308,7 @@
             http_names.HEADER_NAMES,
             self.clock,
             self._configuration_age_s,
-            bodies,
+            self.bodies,
         )
 
     def _configuration_age_s(self) -> float:
--- a/chicorydoor/coordination/body_reader.py
+++ b/chicorydoor/coordination/body_reader.py
@@ -25,6 +25,8 @@
 _FIRST_STEP_BYTES = 1024 * 1024
 
 _CODES = result_codes.ResultCode
+# Key of what ``BodyReader.admit`` reserved in the extensions of an ASGI scope.
+_RESERVATION = "chicorydoor.body_reservation"
 
 
 class CallerLeftError(Exception):
@@ -63,6 +65,35 @@
         raise CallerLeftError
 
 
+def discard(scope: asgi.Scope) -> None:
+    """Give back the memory for a body that is not read.
+
+    The HTTP server keeps the scope until the connection's next request.
+
+    Args:
+        scope (dict): ASGI scope of the request.
+    """
+    reservation = scope.get("extensions", {}).pop(_RESERVATION, None)
+    if reservation is not None:
+        reservation.release()
+
+
+def body_length(scope: asgi.Scope) -> int | None:
+    """Return the length of a request's body; None if it is not known.
+
+    Args:
+        scope (dict): ASGI scope of the request.
+    """
+    length = 0
+    for name, value in scope["headers"]:
+        if name == b"transfer-encoding":
+            return None
+        if name == b"content-length":
+            # The HTTP server has checked that it is a number.
+            length = int(value)
+    return length
+
+
 class BodyReader:
     """Reads bodies of requests.
 
@@ -77,18 +108,44 @@
         self._memory = memory
         self._clock = clock
 
+    def admit(self, scope: asgi.Scope) -> bool:
+        """Reserve memory for a body when its request's head has been read.
+
+        The HTTP server goes on reading before the request is handled: many
+        bodies that begin at the same moment have to be bounded here.
+
+        Args:
+            scope (dict): ASGI scope of the request.
+
+        Returns:
+            Whether to keep what is read of the body: there is memory for all
+            of it, or for its beginning while it waits for the rest.
+        """
+        length = body_length(scope)
+        if length == 0:
+            return True
+        reservation = None
+        if length is not None:
+            reservation = self._part(length).try_reserve(length)
+        if reservation is None and _is_large(length):
+            reservation = self._memory.beginnings.try_reserve(
+                body_memory.BEGINNING_BYTES
+            )
+        scope.setdefault("extensions", {})[_RESERVATION] = reservation
+        return reservation is not None
+
     async def read(
         self,
+        scope: asgi.Scope,
         receive: asgi.Receive,
-        length: int | None,
         max_bytes: int,
         deadline: float,
     ) -> Body:
         """Read the whole body of a request.
 
         Args:
+            scope (dict): ASGI scope of the request, which ``admit`` has seen.
             receive (callable): ASGI ``receive`` of the request.
-            length (int): Its length in bytes; None if that is not known.
             max_bytes (int): Largest allowed length.
             deadline (float): Time on the local clock by which it must have
                 been read, in seconds.
@@ -98,9 +155,13 @@
             RefusedError: If the body is too large or late, or if there is no
                 memory for it.
         """
+        reservation = scope["extensions"].pop(_RESERVATION)
+        length = body_length(scope)
         if length is not None and length > max_bytes:
             raise request_types.RefusedError(_CODES.BODY_TOO_LARGE)
-        body = Body([], [])
+        if reservation is None:
+            raise self._refuse(length)
+        body = Body([], [reservation])
         try:
             async with asyncio.timeout(max(0.0, deadline - self._clock.now())):
                 await self._read_into(
@@ -122,10 +183,13 @@
         max_bytes: int,
         deadline: float,
     ) -> None:
-        size = reserved = 0
-        if length:
-            body.reservations.append(await self._reserve(length, deadline))
+        size = 0
+        reserved = body.reservations[0].size
+        if length is not None and reserved != length:
+            await self._reserve(body, length, deadline)
             reserved = length
+            # The memory for its beginning.
+            body.reservations[0].release()
         while True:
             event = await receive()
             if event["type"] == "http.disconnect":
@@ -135,44 +199,47 @@
             if size > max_bytes:
                 raise request_types.RefusedError(_CODES.BODY_TOO_LARGE)
             while size > reserved:
-                step = self._next_step(reserved, max_bytes)
-                body.reservations.append(await self._reserve(step, deadline))
+                step = min(
+                    max(reserved, _FIRST_STEP_BYTES), max_bytes - reserved
+                )
+                await self._reserve(body, step, deadline)
                 reserved += step
             if chunk:
                 body.chunks.append(chunk)
             if not event.get("more_body", False):
                 return
 
-    def _next_step(self, reserved: int, max_bytes: int) -> int:
-        """Return how much more a body of unknown length reserves."""
-        if not reserved:
-            return body_memory.SMALL_BODY_BYTES
-        step = max(reserved, _FIRST_STEP_BYTES)
-        return max(1, min(step, max_bytes - reserved))
-
-    async def _reserve(
-        self, size: int, deadline: float
-    ) -> body_memory.Reservation:
-        """Reserve memory for a body or a part of it.
+    async def _reserve(self, body: Body, size: int, deadline: float) -> None:
+        """Reserve memory for a large body or a part of it.
 
         Raises:
             RefusedError: If there is none in time.
         """
-        is_small = size <= body_memory.SMALL_BODY_BYTES
-        part = (
-            self._memory.small_requests
-            if is_small
-            else self._memory.large_requests
-        )
         remaining_s = deadline - self._clock.now()
-        reservation = await part.reserve(
+        reservation = await self._memory.large_requests.reserve(
             size, min(_MAX_WAIT_S, remaining_s * _MAX_WAIT_SHARE)
         )
         if reservation is None:
-            raise request_types.RefusedError(
-                _CODES.NO_BODY_MEMORY,
-                f"{size} bytes asked for, {part.used} of {part.capacity} in "
-                "use",
-                retry_after_s=_RETRY_AFTER_S,
-            )
-        return reservation
+            raise self._refuse(size)
+        body.reservations.append(reservation)
+
+    def _part(self, length: int) -> body_memory.MemoryPart:
+        if _is_large(length):
+            return self._memory.large_requests
+        return self._memory.small_requests
+
+    def _refuse(self, size: int | None) -> request_types.RefusedError:
+        in_use = ", ".join(
+            f"{part.used} of {part.capacity} for {part.name}"
+            for part in self._memory.parts
+        )
+        return request_types.RefusedError(
+            _CODES.NO_BODY_MEMORY,
+            f"{size} bytes asked for; in use: {in_use}",
+            retry_after_s=_RETRY_AFTER_S,
+        )
+
+
+def _is_large(length: int | None) -> bool:
+    """Whether a body is large; one of unknown length may be."""
+    return length is None or length > body_memory.SMALL_BODY_BYTES
--- a/chicorydoor/coordination/call_app.py
+++ b/chicorydoor/coordination/call_app.py
@@ -156,6 +156,8 @@
             await self._send_refusal(
                 request_types.RefusedError(_CODES.INTERNAL)
             )
+        finally:
+            body_reader.discard(self._scope)
 
     async def _run_and_respond(self) -> None:
         """Read the body, run the request and send the target's response.
@@ -183,19 +185,14 @@
         return connection is not None and connection.is_closed()
 
     async def _read_body(self) -> body_reader.Body:
-        if b"transfer-encoding" in self._values_by_header:
-            length = None
-        else:
-            # The HTTP server has checked that it is a number.
-            length = int(self._header_value(b"content-length") or b"0")
-        if length == 0:
+        if body_reader.body_length(self._scope) == 0:
             await body_reader.read_empty(self._receive)
             return body_reader.Body([], [])
         app = self._app
         route = self._find_route()
         return await app.bodies.read(
+            self._scope,
             self._receive,
-            length,
             app.active_config.current.limits.body_bytes,
             self._absolute_deadline(route.timeout_s),
         )
--- a/chicorydoor/fleet_entry.py
+++ b/chicorydoor/fleet_entry.py
@@ -157,6 +157,7 @@
                 settings.lookups,
                 metrics_address,
             ),
+            admit_body=components.bodies.admit,
         )
 
     def _make_relay_server(
@@ -171,7 +172,11 @@
             )
 
         return http_server.HttpServer(
-            components.relay_app, host, int(port), limits=limits
+            components.relay_app,
+            host,
+            int(port),
+            limits=limits,
+            admit_body=components.bodies.admit,
         )
 
     async def _drain_and_close(
--- a/chicorydoor/transport/body_memory.py
+++ b/chicorydoor/transport/body_memory.py
@@ -1,11 +1,12 @@
 """Bounds the memory that bodies of requests and responses take.
 
 An entry holds a request's body until it has answered, since it may have to
-send it again, and a target's response until it is complete. Large bodies come
-from three parts of the memory, so that none of them takes the room of the
-others: small bodies of requests, large bodies of requests, and large bodies of
-responses. Room for a response is there even while bodies of requests wait: a
-request that was sent to a target has to be answered.
+send it again, and a target's response until it is complete. They come from
+several parts of the memory, so that none of them takes the room of the others:
+small bodies of requests, large bodies of requests, the beginnings of large
+ones that wait, and large bodies of responses. Room for a response is there
+even while bodies of requests wait: a request that was sent to a target has to
+be answered.
 """
 
 import asyncio
@@ -18,8 +19,10 @@
 # A body up to this size is small. A response that is small takes no part: as
 # many as there are requests in flight fit beside the parts.
 SMALL_BODY_BYTES = 64 * 1024
-# Bodies of requests that wait for memory. What the server has read of each is
-# held too, a few times ``SMALL_BODY_BYTES``.
+# What the HTTP server reads of a body at most before it stops: its own limit,
+# and one read of the event loop.
+BEGINNING_BYTES = 320 * 1024
+# Bodies of requests that may wait for memory. Their beginnings are held.
 _MAX_WAITING_REQUESTS = 32
 # Parts of the memory limit. The rest is for the program itself, its
 # configuration, connections, and memory that was freed in pieces.
@@ -169,6 +172,9 @@
             int(limit_bytes * _LARGE_REQUEST_SHARE),
             _MAX_WAITING_REQUESTS,
         )
+        self.beginnings = MemoryPart(
+            "beginnings", _MAX_WAITING_REQUESTS * BEGINNING_BYTES, 0
+        )
         self.responses = MemoryPart(
             "responses", int(limit_bytes * _RESPONSE_SHARE), math.inf
         )
@@ -176,4 +182,9 @@
     @property
     def parts(self) -> tuple[MemoryPart, ...]:
         """All parts."""
-        return (self.small_requests, self.large_requests, self.responses)
+        return (
+            self.small_requests,
+            self.large_requests,
+            self.beginnings,
+            self.responses,
+        )
--- a/chicorydoor/transport/caller_protocol.py
+++ b/chicorydoor/transport/caller_protocol.py
@@ -44,10 +44,12 @@
 class CallerProtocol(httptools_impl.HttpToolsProtocol):
     """uvicorn's HTTP protocol with limits.
 
-    ``bind_limits`` creates a subclass that sets ``limits``.
+    ``bind_limits`` creates a subclass that sets ``limits`` and ``admit_body``.
     """
 
     limits: abc.Callable[[], ConnectionLimits]
+    admit_body: abc.Callable[[asgi.Scope], bool]
+    _drops_body = False
     _header_bytes = 0
     _is_reading_headers = False
     _header_timer: asyncio.TimerHandle | None = None
@@ -76,6 +78,7 @@
         if self._connection is not None:
             self._connection.add_to_scope(self.scope)
         asgi.set_read_time(self.scope, _CLOCK.now())
+        self._drops_body = not self.admit_body(self.scope)
         super().on_headers_complete()
         self._unfinished_cycles = [
             each
@@ -88,8 +91,16 @@
         if len(self._unfinished_cycles) <= _MAX_READ_AHEAD:
             self.flow.resume_reading()
 
+    def on_body(self, body: bytes) -> None:
+        """Keep a piece of a body, unless there is no memory for it."""
+        if not self._drops_body:
+            super().on_body(body)
+
     def on_response_complete(self) -> None:
-        """Apply the current idle limit after a response was written."""
+        """Drop what was not read of the request; apply the idle limit."""
+        for cycle in self._unfinished_cycles:
+            if cycle.response_complete:
+                cycle.body = bytearray()
         self.timeout_keep_alive = self.limits().idle_timeout_s
         super().on_response_complete()
 
@@ -148,11 +159,18 @@
 
 def bind_limits(
     limits: abc.Callable[[], ConnectionLimits],
+    admit_body: abc.Callable[[asgi.Scope], bool] = lambda scope: True,
 ) -> type[CallerProtocol]:
     """Return a protocol class bound to a source of limits.
 
     Args:
         limits (callable): Returns the current limits.
+        admit_body (callable): Called with the scope of a request before its
+            body is read; returns whether to keep what is read of it. Defaults
+            to one that keeps all.
     """
-    attributes = {"limits": staticmethod(limits)}
+    attributes = {
+        "limits": staticmethod(limits),
+        "admit_body": staticmethod(admit_body),
+    }
     return type("LimitedProtocol", (CallerProtocol,), attributes)
--- a/chicorydoor/transport/http_server.py
+++ b/chicorydoor/transport/http_server.py
@@ -11,6 +11,7 @@
 
 import uvicorn
 
+from chicorydoor.transport import asgi
 from chicorydoor.transport import caller_protocol
 
 _LISTEN_BACKLOG = 1024
@@ -156,6 +157,8 @@
             ``ConnectionLimits``.
         additional_endpoints (Sequence): Additional ``ip:port`` endpoints of
             the same application. Defaults to none.
+        admit_body (callable): Whether to read the body of a request, see
+            ``caller_protocol.bind_limits``. Defaults to one that admits all.
     """
 
     def __init__(
@@ -167,6 +170,7 @@
             [], caller_protocol.ConnectionLimits
         ] = caller_protocol.ConnectionLimits,
         additional_endpoints: abc.Sequence[str] = (),
+        admit_body: abc.Callable[[asgi.Scope], bool] = lambda scope: True,
     ) -> None:
         self._sockets = [bind_tcp_socket(address, port)]
         for endpoint in additional_endpoints:
@@ -176,7 +180,7 @@
         self.port = self._sockets[0].getsockname()[1]
         config = uvicorn.Config(
             app,
-            http=caller_protocol.bind_limits(limits),
+            http=caller_protocol.bind_limits(limits, admit_body),
             interface="asgi3",
             proxy_headers=False,
             ws="none",
--- a/tests/test_body_memory.py
+++ b/tests/test_body_memory.py
@@ -168,10 +168,18 @@
             clock = clock_module.SystemClock()
             memory = body_memory.BodyMemory(self.LIMIT)
             reader = body_reader.BodyReader(memory, clock)
+            framing = (b"transfer-encoding", b"chunked")
+            if length is not None:
+                framing = (b"content-length", b"%d" % length)
+            scope = {"headers": [framing]}
             taken = memory.large_requests.try_reserve(used) if used else None
+            reader.admit(scope)
             try:
                 result = await reader.read(
-                    body.receive, length, max_bytes, clock.now() + remaining_s
+                    scope,
+                    body.receive,
+                    max_bytes,
+                    clock.now() + remaining_s,
                 )
                 reserved = sum(part.used for part in memory.parts)
                 size = sum(map(len, result.chunks))
@@ -213,6 +221,43 @@
         assert self._read(body, 20, remaining_s=0.05) is _CODES.BODY_LATE
 
 
+class TestBodiesThatAreNotRead:
+    # Guards against memory that stays reserved for a body whose request was
+    # refused, as long as its caller keeps the connection.
+    def test_memory_of_a_refused_request_is_given_back(self):
+        async def scenario(cluster):
+            part = metrics.BODY_MEMORY_BYTES.labels("large-requests")._value
+            reply = await cluster.call(
+                "POST", "/no-route/1", content=b"x" * 500_000
+            )
+            assert reply.status_code == 404
+            assert part.get() == 0
+            reply = await cluster.call(
+                "POST", "/order/1", content=b"x" * 500_000
+            )
+            assert reply.status_code == 200
+            assert len(cluster.targets[0].received_bodies[-1]) == 500_000
+
+        platform_cluster.run(scenario, targets=1)
+
+    # Guards against many bodies that begin at the same moment: what the HTTP
+    # server read of each was kept, although all were refused.
+    def test_beginnings_of_bodies_are_bounded(self):
+        memory = body_memory.BodyMemory(10 * _MB)
+        reader = body_reader.BodyReader(memory, clock_module.SystemClock())
+        scopes = [
+            {"headers": [(b"content-length", b"%d" % (_MB // 2))]}
+            for _ in range(1000)
+        ]
+        admitted = sum(reader.admit(scope) for scope in scopes)
+        held = sum(part.used for part in memory.parts)
+        assert 0 < admitted < 1000
+        assert held <= sum(part.capacity for part in memory.parts)
+        for scope in scopes:
+            body_reader.discard(scope)
+        assert all(part.used == 0 for part in memory.parts)
+
+
 class _Target(asyncio.Protocol):
     """Answers a request with a body of the length that its path names."""
 
