Wait for a port that is in use at an entry's start

Cause: an entry bound its six ports one after the other before it served, and any error ended the process with a traceback: "Address already in use", exit code 1, and no line in the structured log.

An entry is ready only with its callers' port. Without its peers' port it serves, but is not ready in the first 5 s, caps its part of each rate like an entry that is cut off, and counts as starting until it hears the others. A stop does not wait for a port.

The stand-in's entries allocate their six ports at once, so that a test can hold one.

--- a/chicorydoor/compose_fleet.py
+++ b/chicorydoor/compose_fleet.py
@@ -98,6 +98,10 @@
 # heartbeats of most others releases its rate shares: the others may take them
 # over once the registration has expired.
 _ISOLATION_THRESHOLD_S = entry_registration.REGISTRATION_LEASE_S - 2.0
+# An entry that cannot listen to its peers is not ready for this long: others
+# serve better meanwhile, and a port is seldom held longer. After it, all
+# entries may be in the same state.
+_PEERS_WAIT_S = 5.0
 
 
 class FleetComponents:
@@ -110,6 +114,10 @@
         clock (Clock): Source of time.
         rng (Random): Source of random numbers.
         incarnation (int): Number that grows with each start of the process.
+        accepts_callers (callable): Returns whether the callers' port is
+            bound. Defaults to always.
+        hears_peers (callable): Returns whether the peers' port is bound.
+            Defaults to always.
     """
 
     def __init__(
@@ -121,8 +129,12 @@
         clock: clock_module.Clock,
         rng: random.Random,
         incarnation: int,
+        accepts_callers: abc.Callable[[], bool] = lambda: True,
+        hears_peers: abc.Callable[[], bool] = lambda: True,
     ) -> None:
         self.settings = settings
+        self._accepts_callers = accepts_callers
+        self._hears_peers = hears_peers
         self.clock = clock
         self.rng = rng
         self._started_at = clock.now()
@@ -460,12 +472,20 @@
         self.crashes.remove_expired(self.clock.now())
 
     def _set_ready_once_configured(self) -> None:
-        """Become ready once a configuration and a target are known."""
+        """Become ready once requests can be accepted and forwarded.
+
+        That takes a configuration, a target and the callers' port.
+        """
         states = fleet_view.EntryState
         if self.peer_exchange.state is not states.STARTING:
             return
+        if not self._hears_peers() and (
+            self.clock.now() - self._started_at < _PEERS_WAIT_S
+        ):
+            return
         if (
-            self.active_config.current.version > 0
+            self._accepts_callers()
+            and self.active_config.current.version > 0
             and self.targets.target_by_id
         ):
             self.peer_exchange.set_state(states.READY)
@@ -479,6 +499,8 @@
 
     def _rebalance_rates(self) -> None:
         now = self.clock.now()
+        if not self._hears_peers():
+            self.rate_limiter.restart_startup()
         self.rate_limiter.update_candidates()
         customers: abc.Iterable[serving_config.CustomerConfig] = (
             self.active_config.current.customer_by_id.values()
@@ -495,7 +517,13 @@
         )
 
     def _is_isolated(self, now: float) -> bool:
-        """Whether others may soon take over this entry's rate shares."""
+        """Whether others may hold more of the rates than is known here.
+
+        They may soon take over this entry's shares, or it does not hear what
+        they announce.
+        """
+        if not self._hears_peers():
+            return True
         if now - self.registration.renewed_at <= _ISOLATION_THRESHOLD_S:
             return False
         return self.fleet.is_in_minority(now, _ISOLATION_THRESHOLD_S)
--- a/chicorydoor/coordination/rate_limiter.py
+++ b/chicorydoor/coordination/rate_limiter.py
@@ -108,6 +108,10 @@
 
     # Rate owners and fair shares.
 
+    def restart_startup(self) -> None:
+        """Count as starting from now on: no peers could be heard so far."""
+        self._started_at = self._clock.now()
+
     def update_candidates(self) -> None:
         """Update the entries of the region that may be rate owners."""
         now = self._clock.now()
--- a/chicorydoor/fleet_entry.py
+++ b/chicorydoor/fleet_entry.py
@@ -24,6 +24,7 @@
 from chicorydoor.transport import clock as clock_module
 from chicorydoor.transport import http_server
 from chicorydoor.transport import nng_transport
+from chicorydoor.transport import port_binding
 
 _LOG = logging.getLogger(__name__)
 
@@ -38,6 +39,8 @@
 _RELAY_HEADER_BYTES = 1024
 # Part of the grace period of a stop that is reserved for closing everything.
 _CLOSE_RESERVE_S = 0.6
+# Uses of the ports that decide what the entry may do.
+_CALLERS, _PEERS = "callers", "peers"
 
 
 class FleetEntry:
@@ -52,6 +55,7 @@
     ) -> None:
         self._settings = settings
         self._stop_requested = asyncio.Event()
+        self._ports = port_binding.PortBinder()
 
     def request_stop(self) -> None:
         """Begin a graceful stop."""
@@ -61,9 +65,7 @@
         """Serve until stopped."""
         settings = self._settings
         store = kv_store.KeyValueStore(settings.store)
-        link = nng_transport.NngPeerTransport(
-            settings.peers, _MAX_MESSAGE_BYTES
-        )
+        link = nng_transport.NngPeerTransport(None, _MAX_MESSAGE_BYTES)
         components = compose_fleet.FleetComponents(
             settings=settings,
             store=store,
@@ -71,12 +73,15 @@
             clock=clock_module.SystemClock(),
             rng=random.Random(),
             incarnation=time.time_ns() // 1_000_000,
+            accepts_callers=lambda: self._ports.is_bound(_CALLERS),
+            hears_peers=lambda: self._ports.is_bound(_PEERS),
         )
         store.restore_observers.append(components.handle_store_restore)
         server = self._make_server(components)
         relay_server = self._make_relay_server(components)
         await server.start()
         await relay_server.start()
+        self._bind_ports(server, relay_server, link)
         _LOG.info("started", extra={"settings": msgspec.to_builtins(settings)})
         # Exempt the objects of the start from later garbage collections.
         gc.collect()
@@ -89,12 +94,32 @@
         finally:
             tasks.cancel()
             await asyncio.gather(tasks, return_exceptions=True)
+            await self._ports.close()
             # A pynng call that is cancelled just as it completes continues;
             # only closing its socket ends it.
             await link.close()
         await components.registration.withdraw()
         _LOG.info("stopped")
 
+    def _bind_ports(
+        self,
+        server: http_server.HttpServer,
+        relay_server: http_server.HttpServer,
+        link: nng_transport.NngPeerTransport,
+    ) -> None:
+        """Bind all ports; those that are held are bound when they are free."""
+        settings = self._settings
+        host = settings.callers.rpartition(":")[0]
+        self._ports.bind(_PEERS, settings.peers, link.listen)
+        self._ports.bind("relay", settings.relay, relay_server.listen)
+        for use, endpoint in (
+            ("readiness", settings.readiness),
+            ("lookups", settings.lookups),
+            ("metrics", f"{host}:{settings.metrics_port}"),
+            (_CALLERS, settings.callers),
+        ):
+            self._ports.bind(use, endpoint, server.listen)
+
     async def _serve_until_stopped(
         self,
         components: compose_fleet.FleetComponents,
@@ -123,8 +148,6 @@
             min(_LOOKUP_TTL_S, settings.promises.lookup_ttl_s),
             components.is_ready,
         )
-        host, _, port = settings.callers.rpartition(":")
-        metrics_address = f"{host}:{settings.metrics_port}"
         app_by_port = {
             _port(settings.callers): components.call_app,
             _port(settings.readiness): lookups,
@@ -147,32 +170,18 @@
                 active_limits.idle_timeout_s,
             )
 
-        return http_server.HttpServer(
-            dispatch,
-            host,
-            int(port),
-            limits=limits,
-            additional_endpoints=(
-                settings.readiness,
-                settings.lookups,
-                metrics_address,
-            ),
-        )
+        return http_server.HttpServer(dispatch, limits=limits)
 
     def _make_relay_server(
         self, components: compose_fleet.FleetComponents
     ) -> http_server.HttpServer:
-        host, _, port = self._settings.relay.rpartition(":")
-
         def limits() -> caller_protocol.ConnectionLimits:
             caller_limits = components.active_config.current.limits
             return caller_protocol.ConnectionLimits(
                 caller_limits.header_bytes + _RELAY_HEADER_BYTES
             )
 
-        return http_server.HttpServer(
-            components.relay_app, host, int(port), limits=limits
-        )
+        return http_server.HttpServer(components.relay_app, limits=limits)
 
     async def _drain_and_close(
         self,
@@ -180,13 +189,15 @@
         servers: abc.Sequence[http_server.HttpServer],
     ) -> None:
         """Drain: serve until callers use other entries, then close."""
+        await self._ports.close()
         grace_s = self._settings.promises.stop_grace_s
         deadline = components.clock.now() + grace_s - _CLOSE_RESERVE_S
         _LOG.info(
             "stopping", extra={"running": components.call_app.running_count}
         )
         components.announce_leaving()
-        await asyncio.sleep(_DRAIN_S)
+        if self._ports.is_bound(_CALLERS):
+            await asyncio.sleep(_DRAIN_S)
         remaining_s = max(0.0, deadline - components.clock.now())
         await asyncio.gather(*(server.stop(remaining_s) for server in servers))
         with contextlib.suppress(asyncio.CancelledError):
--- a/chicorydoor/standins/platform_site.py
+++ b/chicorydoor/standins/platform_site.py
@@ -123,7 +123,9 @@
         self._region_by_domain = region_by_domain or {_DOMAIN: _REGION}
         self.start_count = 0
         self.is_reserved = False
-        port_numbers = port_allocation.allocate_ports(4)
+        *port_numbers, self.relay_port, self.metrics_port = (
+            port_allocation.allocate_ports(6)
+        )
         self._address_by_listener = {
             listener: f"127.0.0.1:{port}"
             # Listeners of callers, readiness checks, peers and look-ups.
@@ -134,6 +136,7 @@
             )
         }
         self.caller_endpoint = self._address_by_listener["front"]
+        self.caller_address = ("127.0.0.1", port_numbers[0])
         self._settings_path = folder / f"{name}.yaml"
         self.log_path = folder / f"{name}.log"
         self._settings_path.write_text(
@@ -142,7 +145,6 @@
         self._process: asyncio.subprocess.Process | None = None
 
     def _build_settings(self, store_endpoint: str) -> dict[str, typing.Any]:
-        internal_ports = port_allocation.allocate_ports(2)
         return {
             "self": {
                 "nodeName": self.name,
@@ -151,7 +153,7 @@
             },
             "network": {
                 "listen": self._address_by_listener,
-                "internalPortRange": internal_ports,
+                "internalPortRange": [self.relay_port, self.metrics_port],
                 "zones": self._region_by_domain,
             },
             "platform": {"platform": {"address": store_endpoint}},
--- a/chicorydoor/transport/http_server.py
+++ b/chicorydoor/transport/http_server.py
@@ -33,8 +33,12 @@
     # asyncio disables Nagle's algorithm only on sockets whose protocol is
     # given explicitly.
     listener = socket.socket(family, socket.SOCK_STREAM, socket.IPPROTO_TCP)
-    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    listener.bind((address, port))
+    try:
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.bind((address, port))
+    except BaseException:
+        listener.close()
+        raise
     return listener
 
 
@@ -48,6 +52,9 @@
     Args:
         listener (socket): Bound socket; the listener closes it.
         make_protocol (callable): Creates the protocol of a connection.
+
+    Raises:
+        OSError: If another socket listens on the port.
     """
 
     def __init__(
@@ -61,7 +68,11 @@
         self._tasks: set[asyncio.Task] = set()
         self._resume_timer: asyncio.TimerHandle | None = None
         listener.setblocking(False)
-        listener.listen(_LISTEN_BACKLOG)
+        try:
+            listener.listen(_LISTEN_BACKLOG)
+        except OSError:
+            listener.close()
+            raise
         self._resume()
 
     def _resume(self) -> None:
@@ -149,31 +160,32 @@
 
     Args:
         app (ASGI application): Handles the requests.
-        address (str): IP address.
-        port (int): TCP port; 0 lets the kernel choose.
+        address (str): IP address of the first socket. Defaults to None: there
+            is none, and ``listen`` adds sockets.
+        port (int): Its TCP port. Defaults to 0, which lets the kernel choose.
         limits (callable): Returns the current limits on a connection's
             headers and idle time. Defaults to the defaults of
             ``ConnectionLimits``.
-        additional_endpoints (Sequence): Additional ``ip:port`` endpoints of
-            the same application. Defaults to none.
+
+    Raises:
+        OSError: If the first socket cannot be bound.
     """
 
     def __init__(
         self,
         app: typing.Any,
-        address: str,
-        port: int,
+        address: str | None = None,
+        port: int = 0,
         limits: abc.Callable[
             [], caller_protocol.ConnectionLimits
         ] = caller_protocol.ConnectionLimits,
-        additional_endpoints: abc.Sequence[str] = (),
     ) -> None:
-        self._sockets = [bind_tcp_socket(address, port)]
-        for endpoint in additional_endpoints:
-            host, _, number = endpoint.rpartition(":")
-            self._sockets.append(bind_tcp_socket(host, int(number)))
-        self.address = address
-        self.port = self._sockets[0].getsockname()[1]
+        self._sockets: list[socket.socket] = []
+        self.address = address or ""
+        self.port = port
+        if address is not None:
+            self._sockets.append(bind_tcp_socket(address, port))
+            self.port = self._sockets[0].getsockname()[1]
         config = uvicorn.Config(
             app,
             http=caller_protocol.bind_limits(limits),
@@ -210,6 +222,19 @@
             _Listener(each, self._make_protocol) for each in sockets
         ]
 
+    def listen(self, endpoint: str) -> None:
+        """Accept connections on a further endpoint of a started server.
+
+        Args:
+            endpoint (str): ``ip:port``.
+
+        Raises:
+            OSError: If it cannot be bound.
+        """
+        host, _, port = endpoint.rpartition(":")
+        listener = bind_tcp_socket(host, int(port))
+        self._listeners.append(_Listener(listener, self._make_protocol))
+
     def close_connections_after_responses(self) -> None:
         """Add ``connection: close`` to every further response."""
         headers = [(b"connection", b"close")]
--- a/chicorydoor/transport/nng_transport.py
+++ b/chicorydoor/transport/nng_transport.py
@@ -114,19 +114,23 @@
 
     Args:
         address (str): ``ip:port`` to listen on; port 0 lets the kernel
-            choose.
+            choose. With None it receives nothing until ``listen`` is called.
         max_message_bytes (int): Maximum size of a received message.
+
+    Raises:
+        OSError: If the address cannot be bound.
     """
 
-    def __init__(self, address: str, max_message_bytes: int) -> None:
+    def __init__(self, address: str | None, max_message_bytes: int) -> None:
         self._loop = asyncio.get_running_loop()
         self._socket = pynng.Pull0(
             recv_max_size=max_message_bytes,
             recv_buffer_size=_SOCKET_BUFFER_MESSAGES,
             recv_timeout=_FETCH_TIMEOUT_MS,
         )
-        listener = self._socket.listen(f"tcp://{address}")
-        self.address = str(listener.local_address).removeprefix("tcp://")
+        self.address = ""
+        if address is not None:
+            self.listen(address)
         self._sender_by_address: dict[str, _Sender] = {}
         self._received: asyncio.Queue[bytes] = asyncio.Queue()
         self._read_at = self._loop.time()
@@ -137,6 +141,21 @@
             _SENDER_IDLE_LIMIT_S, self._close_idle_senders
         )
 
+    def listen(self, address: str) -> None:
+        """Receive messages at an address.
+
+        Args:
+            address (str): ``ip:port``.
+
+        Raises:
+            OSError: If it cannot be bound.
+        """
+        try:
+            listener = self._socket.listen(f"tcp://{address}")
+        except pynng.exceptions.NNGException as error:
+            raise OSError(f"{error}") from error
+        self.address = str(listener.local_address).removeprefix("tcp://")
+
     def _read_messages(self) -> None:
         """Move messages from the socket to a queue.
 
--- a/tests/support/platform_cluster.py
+++ b/tests/support/platform_cluster.py
@@ -120,13 +120,18 @@
         settings = build_settings(
             name, store or self.store.endpoint, seeds, domain
         )
+        entry = self.start_entry(settings)
+        await self.wait_until_ready(settings)
+        return entry
+
+    def start_entry(self, settings):
+        """Start an entry without waiting until it is ready."""
         entry = fleet_entry.FleetEntry(settings)
         entry.settings = settings
         self.entries.append(entry)
         context = contextvars.copy_context()
-        context.run(ENTRY_NAME.set, name)
+        context.run(ENTRY_NAME.set, settings.instance)
         self.tasks.append(asyncio.create_task(entry.run(), context=context))
-        await self.wait_until_ready(settings)
         return entry
 
     async def wait_until_ready(self, settings):
--- a/tests/test_platform_entry.py
+++ b/tests/test_platform_entry.py
@@ -7,6 +7,7 @@
 import asyncio
 import json
 import random
+import socket
 import time
 
 import httpx
@@ -15,6 +16,7 @@
 
 from chicorydoor import compose_fleet
 from chicorydoor.platform import documents
+from chicorydoor.protocol import serving_config
 from chicorydoor.protocol import store_items
 from chicorydoor.standins import platform_store
 from chicorydoor.state import fleet_view
@@ -24,6 +26,7 @@
 from tests.support import config_builders as make
 from tests.support import platform_cluster
 from tests.support import scripted_target
+from tests.support import virtual_time
 
 Behaviour = scripted_target.TargetBehaviour
 
@@ -799,6 +802,182 @@
         platform_cluster.run(scenario)
 
 
+_USES = ("callers", "readiness", "peers", "lookups", "relay", "metrics")
+
+
+def _endpoint(settings, use):
+    if use == "metrics":
+        return f"127.0.0.1:{settings.metrics_port}"
+    return getattr(settings, use)
+
+
+def _hold_port(endpoint):
+    host, _, port = endpoint.rpartition(":")
+    return socket.create_server((host, int(port)))
+
+
+async def _accepts(endpoint):
+    host, _, port = endpoint.rpartition(":")
+    try:
+        _, writer = await asyncio.open_connection(host, int(port))
+    except OSError:
+        return False
+    writer.close()
+    return True
+
+
+class TestPortsInUse:
+    # Guards against entries that end because one of their ports is still held
+    # when they start.
+    @pytest.mark.parametrize("held_use", _USES)
+    def test_entry_waits_for_a_port_in_use(self, held_use, caplog):
+        caplog.set_level("INFO")
+
+        def logged_uses(message):
+            return [
+                record.use
+                for record in caplog.records
+                if record.getMessage() == message
+            ]
+
+        async def scenario(cluster):
+            settings = platform_cluster.build_settings(
+                "e1", cluster.store.endpoint
+            )
+
+            async def addresses(entry_settings):
+                url = f"http://{entry_settings.lookups}/resolve"
+                query = {"region": "n", "zone": "na"}
+                answer = await cluster.client.get(url, params=query)
+                return answer.json()["addresses"]
+
+            with _hold_port(_endpoint(settings, held_use)):
+                entry = cluster.start_entry(settings)
+                await asyncio.sleep(1.5)
+                assert not cluster.tasks[-1].done()
+                assert logged_uses("port not bound, trying again") == [
+                    held_use
+                ]
+                for use in set(_USES) - {held_use}:
+                    assert await _accepts(_endpoint(settings, use))
+                if held_use != "callers":
+                    assert (await cluster.call(entry=1)).status_code == 200
+                # Callers are sent to an entry that can take their requests.
+                first = cluster.entries[0].settings
+                assert (settings.callers in await addresses(first)) is (
+                    held_use not in ("callers", "peers")
+                )
+                url = f"http://{settings.readiness}/readiness"
+                if held_use != "readiness":
+                    status = (await cluster.client.get(url)).status_code
+                    is_early = held_use in ("callers", "peers")
+                    assert status == (503 if is_early else 200)
+            released_at = time.monotonic()
+            await cluster.wait_until_ready(settings)
+            for use in _USES:
+                endpoint = _endpoint(settings, use)
+                await cluster.wait_until(lambda e=endpoint: _accepts(e))
+            assert time.monotonic() - released_at < 1.0
+            assert logged_uses("port bound") == [held_use]
+            assert (await cluster.call(entry=1)).status_code == 200
+
+            async def know_each_other():
+                both = {first.callers, settings.callers}
+                return (
+                    set(await addresses(first)) == both
+                    and set(await addresses(settings)) == both
+                )
+
+            await cluster.wait_until(know_each_other)
+            entry.request_stop()
+            await cluster.tasks[-1]
+
+        platform_cluster.run(scenario)
+
+    # Guards against a fleet without ready entries because the peers' port of
+    # each is held for long.
+    def test_entry_without_the_peers_port_becomes_ready(self):
+        async def scenario(cluster):
+            settings = platform_cluster.build_settings(
+                "e0", cluster.store.endpoint
+            )
+            with _hold_port(settings.peers):
+                started_at = time.monotonic()
+                cluster.start_entry(settings)
+                with pytest.raises(AssertionError):
+                    await cluster.wait_until_ready(settings)
+                await cluster.wait_until_ready(settings)
+                assert time.monotonic() - started_at < 7.0
+                assert (await cluster.call()).status_code == 200
+
+        platform_cluster.run(scenario, entries=0)
+
+    # Guards against an entry that takes a whole rate because it cannot hear
+    # that others use it.
+    @pytest.mark.parametrize("rate_per_s", [3.0, 100.0])
+    def test_entry_without_the_peers_port_takes_a_small_part_of_a_rate(
+        self, rate_per_s
+    ):
+        clock = clocks.ManualClock()
+        bound_at = 25.0
+        components = _components(
+            clock, hears_peers=lambda: clock.now_s >= bound_at
+        )
+        customer = make.build_customer_config(rate_per_s=rate_per_s)
+        components.active_config.activate_if_newer(
+            serving_config.ServingConfig(version=1, customers=(customer,))
+        )
+        registrations = [
+            msgspec.structs.replace(
+                components.fleet.own_registration,
+                instance=f"e{number}",
+                peer_address=f"127.0.0.1:{number}",
+            )
+            for number in range(4)
+        ]
+        for registration in registrations:
+            components.fleet.record_registration(registration)
+        shares = []
+
+        async def run():
+            task = asyncio.create_task(components.run_maintenance())
+            while clock.now_s < bound_at + 1.5:
+                clock.now_s += 0.25
+                await asyncio.sleep(0.25)
+                # The store is available.
+                components.registration.renewed_at = clock.now_s
+                components.shares.acquire(customer, clock.now_s)
+                shares.append(
+                    (
+                        clock.now_s,
+                        components.shares.share(customer.customer_id),
+                    )
+                )
+            task.cancel()
+            await asyncio.gather(task, return_exceptions=True)
+
+        virtual_time.run(run())
+        before = [share for now, share in shares if now < bound_at]
+        after = [share for now, share in shares if now >= bound_at]
+        assert max(before) <= 0.25 / 5
+        # As if it started now: the others have not been heard yet.
+        assert max(after) <= (0.5 if rate_per_s < 10 else 0.2)
+
+    def test_stop_does_not_wait_for_a_port(self):
+        async def scenario(cluster):
+            settings = platform_cluster.build_settings(
+                "e0", cluster.store.endpoint
+            )
+            with _hold_port(settings.callers):
+                entry = cluster.start_entry(settings)
+                await asyncio.sleep(0.5)
+                entry.request_stop()
+                async with asyncio.timeout(1.0):
+                    await cluster.tasks[-1]
+
+        platform_cluster.run(scenario, entries=0)
+
+
 class TestCancellation:
     def test_no_task_of_the_entry_remains(self):
         async def scenario(cluster):
@@ -821,7 +1000,7 @@
         platform_cluster.run(scenario)
 
 
-def _components(clock):
+def _components(clock, **more):
     return compose_fleet.FleetComponents(
         settings=platform_cluster.build_settings("e", "127.0.0.1:1"),
         store=None,
@@ -829,6 +1008,7 @@
         clock=clock,
         rng=random.Random(1),
         incarnation=3,
+        **more,
     )
 
 
--- a/tests/test_platform_process.py
+++ b/tests/test_platform_process.py
@@ -5,6 +5,7 @@
 import pathlib
 import re
 import signal
+import socket
 import subprocess
 import sys
 import time
@@ -90,6 +91,43 @@
             # The invalid settings were read.
             assert process.returncode == 2
 
+    # Guards against processes that end because a port is still held when
+    # they start, and against a stop that waits for the port.
+    def test_process_waits_for_a_port_and_can_be_stopped(self, tmp_path):
+        async def run():
+            site = platform_site.PlatformSite(tmp_path, entry_count=1)
+            await site.start()
+            try:
+                (entry,) = site.entries
+                entry.send_signal(signal.SIGKILL)
+                await entry.wait()
+                with socket.create_server(entry.caller_address):
+                    await entry.start(waits_for_ready=False)
+                    await asyncio.sleep(2.0)
+                await entry.wait_until_ready()
+                entry.send_signal(signal.SIGKILL)
+                await entry.wait()
+                with socket.create_server(entry.caller_address):
+                    await entry.start(waits_for_ready=False)
+                    await asyncio.sleep(2.0)
+                    entry.send_signal(signal.SIGTERM)
+                    async with asyncio.timeout(1.0):
+                        return await entry.wait(), entry.log_path
+            finally:
+                await site.stop()
+
+        exit_code, log_path = asyncio.run(run())
+        assert exit_code == 0
+        lines = [
+            json.loads(line) for line in log_path.read_text().splitlines()
+        ]
+        not_bound = [
+            line
+            for line in lines
+            if line["message"] == "port not bound, trying again"
+        ]
+        assert [line["use"] for line in not_bound] == ["callers", "callers"]
+
     @pytest.mark.parametrize("text", [None, "self: [", "self: {}"])
     def test_rejects_invalid_settings_with_one_line(self, tmp_path, text):
         path = tmp_path / "settings.yaml"
