Close listening sockets whose descriptor is 1024 or more

Cause: the last connections before a port closes were waited for with select.select, which raises a ValueError for such a descriptor; the stop then failed. A port that is bound late may have one.

Change: poll is used. The test of callers that keep connecting replaced select.select; it now replaces select.poll with the same limit of 5000 calls, and asserts in addition that it was called.

--- a/chicorydoor/transport/http_server.py
+++ b/chicorydoor/transport/http_server.py
@@ -20,7 +20,7 @@
 _DESCRIPTOR_PAUSE_S = 0.1
 # Time for the kernel to complete a handshake whose caller has sent its last
 # packet.
-_HANDSHAKE_S = 0.005
+_HANDSHAKE_MS = 5
 # Time for a request to be read that was sent when its connection was made.
 _FIRST_READ_S = 0.3
 
@@ -132,9 +132,11 @@
         if self._listener.fileno() < 0:
             return
         self._pause()
+        waiting = select.poll()
+        waiting.register(self._listener, select.POLLIN)
         # More cannot wait; callers that keep on connecting come later.
         for _ in range(_LISTEN_BACKLOG + 1):
-            if not select.select([self._listener], [], [], _HANDSHAKE_S)[0]:
+            if not waiting.poll(_HANDSHAKE_MS):
                 break
             try:
                 self._serve_next()
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import errno
+import fcntl
+import select
 import socket
 import time
 
@@ -82,22 +84,54 @@
             await server.start()
             polls = []
 
-            def select_readable(listeners, *_):
-                polls.append(listeners)
-                assert len(polls) < 5000
-                return listeners, [], []
+            class _ReadablePoll:
+                def register(self, listener, *_):
+                    self._listener = listener
+
+                def poll(self, *_):
+                    polls.append(self._listener)
+                    assert len(polls) < 5000
+                    return [(self._listener.fileno(), select.POLLIN)]
 
             def accept(listener):
                 raise BlockingIOError
 
             with monkeypatch.context() as patch:
                 patch.setattr(socket.socket, "accept", accept)
-                patch.setattr(http_server.select, "select", select_readable)
+                patch.setattr(http_server.select, "poll", _ReadablePoll)
                 await server.stop()
+            assert polls
 
         with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
             runner.run(scenario())
 
+    # Guards against a stop that fails in an entry with many descriptors: a
+    # port that is bound late may have a number of 1024 or more.
+    def test_port_with_a_large_descriptor_is_closed(self, monkeypatch):
+        bind = http_server.bind_tcp_socket
+
+        def bind_to_large_descriptor(address, port):
+            with bind(address, port) as listener:
+                number = fcntl.fcntl(listener, fcntl.F_DUPFD, 1100)
+            return socket.socket(fileno=number)
+
+        monkeypatch.setattr(
+            http_server, "bind_tcp_socket", bind_to_large_descriptor
+        )
+
+        async def scenario():
+            server = http_server.HttpServer(_answer, "127.0.0.1", 0)
+            await server.start()
+            connection = socket.create_connection(
+                ("127.0.0.1", server.port), 1.0
+            )
+            connection.sendall(_REQUEST)
+            await server.stop(1.0)
+            assert connection.recv(12) == b"HTTP/1.1 200"
+            connection.close()
+
+        asyncio.run(scenario())
+
     def test_server_can_be_stopped_twice(self):
         async def scenario():
             server = http_server.HttpServer(_answer, "127.0.0.1", 0)
