Wait for settings that are being written when an entry starts

Cause: a settings file that was missing, empty or cut off at the moment of the start ended the process with exit code 2. A supervisor that writes the file in place and starts the process beside it meets that moment.

Change: the file is read again every 0.1 s for up to 2 s; then the process ends as before, with exit code 2 and one line on standard error. If the settings become valid, one line in the log says why they were not at first. The signal handlers for a stop are installed before, so that a stop ends the wait with exit code 0. The existing tests of lastingly invalid settings are unchanged.

--- a/chicorydoor/fleet_entry.py
+++ b/chicorydoor/fleet_entry.py
@@ -48,13 +48,17 @@
 
     Args:
         settings (FleetEntrySettings): Validated settings.
+        stop_requested (Event): Set to begin a graceful stop. Defaults to a
+            new one.
     """
 
     def __init__(
-        self, settings: fleet_entry_settings.FleetEntrySettings
+        self,
+        settings: fleet_entry_settings.FleetEntrySettings,
+        stop_requested: asyncio.Event | None = None,
     ) -> None:
         self._settings = settings
-        self._stop_requested = asyncio.Event()
+        self._stop_requested = stop_requested or asyncio.Event()
         self._ports = port_binding.PortBinder()
 
     def request_stop(self) -> None:
--- a/chicorydoor/platform/daemon.py
+++ b/chicorydoor/platform/daemon.py
@@ -1,6 +1,7 @@
 """Daemon that runs an entry on the platform until SIGTERM or SIGINT."""
 
 import asyncio
+import contextlib
 import logging
 import os
 import pathlib
@@ -12,9 +13,14 @@
 from chicorydoor import errors
 from chicorydoor import fleet_entry
 from chicorydoor.platform import settings_file
+from chicorydoor.protocol import fleet_entry_settings
 from chicorydoor.transport import logs
 
 _SETTINGS_ERROR_EXIT_CODE = 2
+# How long settings that cannot be read at the start are waited for: a file
+# that is just being written is complete well within it.
+_SETTINGS_WAIT_S = 2.0
+_SETTINGS_RETRY_INTERVAL_S = 0.1
 _LOG = logging.getLogger("chicorydoor.platform")
 
 
@@ -26,16 +32,55 @@
 
 
 async def _serve() -> None:
-    settings = settings_file.read_settings(_settings_path())
-    logs.configure_logging("INFO", settings.instance)
-    entry = fleet_entry.FleetEntry(settings)
     loop = asyncio.get_running_loop()
+    stop_requested = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, entry.request_stop)
+        loop.add_signal_handler(number, stop_requested.set)
+    settings = await _wait_for_settings(stop_requested)
+    if settings is None:
+        return
+    entry = fleet_entry.FleetEntry(settings, stop_requested)
     loop.add_signal_handler(signal.SIGHUP, _validate_changed_settings)
     await entry.run()
 
 
+async def _wait_for_settings(
+    stop_requested: asyncio.Event,
+) -> fleet_entry_settings.FleetEntrySettings | None:
+    """Read the settings and set up logging for them.
+
+    The file may just be written, so that it is missing, empty or incomplete.
+
+    Returns:
+        The settings; None if a stop was requested before they were valid.
+
+    Raises:
+        SettingsError: If they are not valid in time.
+    """
+    loop = asyncio.get_running_loop()
+    deadline = loop.time() + _SETTINGS_WAIT_S
+    first_error: errors.SettingsError | None = None
+    while not stop_requested.is_set():
+        try:
+            settings = settings_file.read_settings(_settings_path())
+        except errors.SettingsError as error:
+            first_error = first_error or error
+            if loop.time() >= deadline:
+                raise
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(_SETTINGS_RETRY_INTERVAL_S):
+                    await stop_requested.wait()
+            continue
+        logs.configure_logging("INFO", settings.instance)
+        if first_error is not None:
+            _LOG.warning(
+                "settings could not be read at first",
+                extra={"reason": f"{first_error}"},
+            )
+        return settings
+    return None
+
+
 def _validate_changed_settings() -> None:
     """Validate the settings file again; a running entry keeps its settings."""
     try:
--- a/tests/test_platform_process.py
+++ b/tests/test_platform_process.py
@@ -24,6 +24,19 @@
     return bool(int(ignored, 16) & 1 << (signal.SIGHUP - 1))
 
 
+def _catches_sigterm(pid):
+    status = pathlib.Path(f"/proc/{pid}/status").read_text()
+    (caught,) = re.findall(r"SigCgt:\s*(\w+)", status)
+    return bool(int(caught, 16) & 1 << (signal.SIGTERM - 1))
+
+
+async def _wait_until_started(pid):
+    """Wait until a process handles SIGTERM."""
+    async with asyncio.timeout(10.0):
+        while not _catches_sigterm(pid):
+            await asyncio.sleep(0.005)
+
+
 class TestPlatformDemo:
     def test_no_promise_is_broken(self):
         verdicts = uvloop.run(platform_demo.run_demo())
@@ -128,6 +141,59 @@
         ]
         assert [line["use"] for line in not_bound] == ["callers", "callers"]
 
+    # Guards against a process that ends because its settings are written
+    # while it starts.
+    @pytest.mark.parametrize("length", [None, 0, 40])
+    def test_settings_that_are_being_written_are_waited_for(
+        self, tmp_path, length
+    ):
+        async def run():
+            site = platform_site.PlatformSite(tmp_path, entry_count=1)
+            (entry,) = site.entries
+            path = tmp_path / "entry-0.yaml"
+            text = path.read_text()
+            path.unlink()
+            if length is not None:
+                path.write_text(text[:length])
+            await site.store.start()
+            try:
+                await entry.start(waits_for_ready=False)
+                await _wait_until_started(entry.pid)
+                await asyncio.sleep(0.5)
+                path.write_text(text)
+                await asyncio.sleep(1.0)
+                entry.send_signal(signal.SIGTERM)
+                return await entry.wait(), entry.log_path.read_text()
+            finally:
+                await site.stop()
+
+        exit_code, log = asyncio.run(run())
+        assert exit_code == 0
+        lines = [json.loads(line) for line in log.splitlines()]
+        (line,) = [
+            line
+            for line in lines
+            if line["message"] == "settings could not be read at first"
+        ]
+        assert "entry-0.yaml" in line["reason"]
+        assert "started" in [line["message"] for line in lines]
+
+    def test_stop_ends_the_wait_for_settings(self, tmp_path):
+        with subprocess.Popen(
+            [sys.executable, "-m", "chicorydoor.platform"],
+            env={
+                settings_file.SETTINGS_PATH_VARIABLE: str(tmp_path / "none"),
+                "PATH": "",
+            },
+            stderr=subprocess.PIPE,
+        ) as process:
+            asyncio.run(_wait_until_started(process.pid))
+            process.send_signal(signal.SIGTERM)
+            started_at = time.monotonic()
+            assert process.wait() == 0
+            assert time.monotonic() - started_at < 1.0
+            assert process.stderr.read() == b""
+
     @pytest.mark.parametrize("text", [None, "self: [", "self: {}"])
     def test_rejects_invalid_settings_with_one_line(self, tmp_path, text):
         path = tmp_path / "settings.yaml"
