Answer the requests that were read before a refused one

Cause: when a later request on a connection could not be read, the entry closed the connection, whatever was running on it. uvicorn answers malformed data with 400 at once, which the caller takes for the answer to its earlier request, and headers that are too large closed it without any answer. What came before the headers in the same read, such as the end of a body, counted as headers, so that sound pipelined requests of more than 16 KiB were refused like this as well.

Change: the refusal is kept until all earlier requests are answered, then it is written and the connection closed; nothing more is read. A request whose body breaks off in bad data is ended alone. A read in which one request ends and the next begins does not count towards the size of headers.

--- a/chicorydoor/transport/caller_protocol.py
+++ b/chicorydoor/transport/caller_protocol.py
@@ -3,6 +3,8 @@
 httptools has no such limits: an endless header would fill the memory, and
 one that never ends would hold its connection forever. uvicorn tells only the
 latest request of a connection that its caller has left; here all are told.
+It also closes a connection without regard to the requests that were read on it
+but are not answered yet; here these are answered first.
 """
 
 import asyncio
@@ -19,6 +21,7 @@
     b"431 Request Header Fields Too Large\r\nx-chicorydoor-code: 101"
 )
 _HEADERS_LATE = b"408 Request Timeout\r\nx-chicorydoor-code: 106"
+_MALFORMED = b"400 Bad Request\r\nx-chicorydoor-code: 101"
 # Requests that are read before the first of them is answered.
 _MAX_READ_AHEAD = 8
 _CLOCK = clock_module.SystemClock()
@@ -51,6 +54,9 @@
     _header_bytes = 0
     _is_reading_headers = False
     _header_timer: asyncio.TimerHandle | None = None
+    _has_read_end = False
+    # Written once all requests that were read before are answered.
+    _last_response: bytes | None = None
     _connection: caller_connection.CallerConnection | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -89,6 +95,18 @@
         """Apply the current idle limit after a response was written."""
         self.timeout_keep_alive = self.limits().idle_timeout_s
         super().on_response_complete()
+        if self._last_response is not None and not self._is_responding():
+            self._write_last_response()
+
+    def on_message_complete(self) -> None:
+        """Note that later data of this read belongs to another request."""
+        self._has_read_end = True
+        super().on_message_complete()
+
+    def send_400_response(self, msg: str) -> None:
+        """Refuse a malformed request, after responses to those before it."""
+        self._abandon_body()
+        self._refuse_and_close(_MALFORMED)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """End all requests of the connection; uvicorn ends the last one."""
@@ -101,13 +119,16 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse data and enforce the limit on the header size."""
-        earlier_bytes = self._header_bytes
-        self._is_reading_headers = (
-            True if earlier_bytes else self._is_reading_headers
-        )
+        if self._last_response is not None:
+            return
+        self._has_read_end = False
         super().data_received(data)
-        if self._is_reading_headers:
-            self._header_bytes = earlier_bytes + len(data)
+        if not self._is_reading_headers:
+            return
+        # How much of a read belongs to a request that begins in it, after
+        # the end of another, is not known; it is less than one read.
+        if not self._has_read_end:
+            self._header_bytes += len(data)
         if self._header_bytes > self.limits().header_bytes:
             self._refuse_and_close(_HEADERS_TOO_LARGE)
 
@@ -128,18 +149,40 @@
             self._refuse_and_close(_HEADERS_LATE)
 
     def _is_responding(self) -> bool:
-        cycle = self.cycle
-        return cycle is not None and not cycle.response_complete
+        return any(
+            not each.response_complete for each in self._unfinished_cycles
+        )
+
+    def _abandon_body(self) -> None:
+        """End the request whose body cannot be read on."""
+        if not self._is_responding() or not self.cycle.more_body:
+            return
+        cycle = self._unfinished_cycles.pop()
+        if self.pipeline and self.pipeline[0][0] is cycle:
+            self.pipeline.popleft()
+        cycle.disconnected = True
+        cycle.message_event.set()
 
     def _refuse_and_close(self, status_and_code: bytes) -> None:
-        # While an earlier request of the connection is unanswered, the
-        # caller would take this response for that request's.
+        """Refuse what was read, after responses to the requests before it.
+
+        Nothing more is read.
+
+        Args:
+            status_and_code (bytes): Status and header with the result code.
+        """
+        self._stop_header_timer()
+        self._last_response = (
+            b"HTTP/1.1 " + status_and_code + b"\r\n"
+            b"x-chicorydoor-outcome: not-run\r\n"
+            b"content-length: 0\r\nconnection: close\r\n\r\n"
+        )
         if not self._is_responding():
-            self.transport.write(
-                b"HTTP/1.1 " + status_and_code + b"\r\n"
-                b"x-chicorydoor-outcome: not-run\r\n"
-                b"content-length: 0\r\nconnection: close\r\n\r\n"
-            )
+            self._write_last_response()
+
+    def _write_last_response(self) -> None:
+        if self._last_response is not None and not self.transport.is_closing():
+            self.transport.write(self._last_response)
         self.transport.close()
 
 
