Answer all requests that a connection holds when an entry stops

Cause: a stopping entry adds "connection: close" to each response, and uvicorn closes the connection after the first of them; further requests that it had read there were dropped. uvicorn's stop also closes a connection on which a request's headers have come in part, and one on which a request was read while an earlier one ran.

Change: the header is added to the response of the last request that was read; a connection is closed once all requests are answered that were read on it, in whole or in part.

--- a/chicorydoor/coordination/call_app.py
+++ b/chicorydoor/coordination/call_app.py
@@ -293,7 +293,7 @@
             and self._scope["method"] != "HEAD"
         ):
             headers = [*headers, (b"content-length", b"%d" % len(body))]
-        if self._app.is_leaving:
+        if self._app.is_leaving and not self._has_successor():
             headers = [*headers, (b"connection", b"close")]
         await self._send(
             {
@@ -304,6 +304,11 @@
         )
         await self._send({"type": "http.response.body", "body": body})
 
+    def _has_successor(self) -> bool:
+        """Whether another request on the connection waits for this one."""
+        connection = self._caller_connection
+        return connection is not None and connection.has_waiting_request
+
     @property
     def _log_message(self) -> str:
         return "request"
--- a/chicorydoor/transport/caller_connection.py
+++ b/chicorydoor/transport/caller_connection.py
@@ -1,6 +1,7 @@
 """The connection on which a caller's request arrived."""
 
 import asyncio
+from collections import abc
 import select
 
 from chicorydoor.transport import asgi
@@ -19,10 +20,17 @@
     Args:
         transport (Transport): Transport of the connection, which has a file
             descriptor.
+        waiting_requests (Sized): The requests that were read and wait for
+            the responses to earlier ones. Defaults to none.
     """
 
-    def __init__(self, transport: asyncio.BaseTransport) -> None:
+    def __init__(
+        self,
+        transport: asyncio.BaseTransport,
+        waiting_requests: abc.Sized = (),
+    ) -> None:
         self._transport = transport
+        self._waiting_requests = waiting_requests
         self._poll = select.poll()
         descriptor = transport.get_extra_info("socket").fileno()
         # Errors and resets are always reported too.
@@ -33,6 +41,11 @@
         # After closing, the descriptor may belong to another connection.
         return self._transport.is_closing() or bool(self._poll.poll(0))
 
+    @property
+    def has_waiting_request(self) -> bool:
+        """Whether a request waits for the responses to earlier ones."""
+        return len(self._waiting_requests) > 0
+
     def add_to_scope(self, scope: asgi.Scope) -> None:
         """Make the connection known to the application.
 
--- a/chicorydoor/transport/caller_protocol.py
+++ b/chicorydoor/transport/caller_protocol.py
@@ -55,6 +55,8 @@
     _is_reading_headers = False
     _header_timer: asyncio.TimerHandle | None = None
     _has_read_end = False
+    _is_stopping = False
+    _is_kept_by_caller = True
     # Written once all requests that were read before are answered.
     _last_response: bytes | None = None
     _connection: caller_connection.CallerConnection | None = None
@@ -63,7 +65,9 @@
         """Keep the connection for the scopes of its requests."""
         super().connection_made(typing.cast(asyncio.Transport, transport))
         self._unfinished_cycles: list[httptools_impl.RequestResponseCycle] = []
-        self._connection = caller_connection.CallerConnection(transport)
+        self._connection = caller_connection.CallerConnection(
+            transport, self.pipeline
+        )
 
     def on_message_begin(self) -> None:
         """Start the header timeout at a request's first byte."""
@@ -85,6 +89,11 @@
             for each in self._unfinished_cycles
             if not each.response_complete
         ]
+        if self._unfinished_cycles:
+            self._keep_open_after(self._unfinished_cycles[-1])
+        self._is_kept_by_caller = self.cycle.keep_alive
+        if self._is_stopping:
+            self.cycle.keep_alive = False
         self._unfinished_cycles.append(self.cycle)
         # uvicorn stops reading after a request that waits for an earlier one,
         # and would not see that the caller leaves.
@@ -103,6 +112,17 @@
         self._has_read_end = True
         super().on_message_complete()
 
+    def shutdown(self) -> None:
+        """Close the connection once all requests on it are answered.
+
+        A request whose headers have been read in part is one of them.
+        """
+        self._is_stopping = True
+        if self._is_responding():
+            self._unfinished_cycles[-1].keep_alive = False
+        elif not self._is_reading_headers:
+            self.transport.close()
+
     def send_400_response(self, msg: str) -> None:
         """Refuse a malformed request, after responses to those before it."""
         self._abandon_body()
@@ -153,6 +173,14 @@
             not each.response_complete for each in self._unfinished_cycles
         )
 
+    def _keep_open_after(
+        self, cycle: httptools_impl.RequestResponseCycle
+    ) -> None:
+        """Let the response to a request that follows close the connection."""
+        cycle.default_headers = []
+        if self._is_stopping:
+            cycle.keep_alive = self._is_kept_by_caller
+
     def _abandon_body(self) -> None:
         """End the request whose body cannot be read on."""
         if not self._is_responding() or not self.cycle.more_body:
--- a/tests/test_caller_protocol.py
+++ b/tests/test_caller_protocol.py
@@ -146,3 +146,66 @@
     def test_headers_after_another_request_count_from_the_next_read(self):
         pieces = [_REQUEST + _REQUEST[:-2] + b"b: x", b"x" * 3000]
         assert _statuses(_exchange(*pieces)) == [200, 431]
+
+
+class TestStop:
+    @staticmethod
+    async def _stop(server):
+        await server.stop(1.5)
+
+    # Guards against a stop that closes a connection after the response to one
+    # of several requests that were read on it.
+    def test_all_requests_that_were_read_are_answered(self):
+        received = _exchange(_REQUEST * 4, during=self._stop)
+        assert _statuses(received) == [200] * 4
+        assert received.count(b"connection: close") == 1
+
+    # Guards against a stop that closes a connection while the headers of a
+    # request are read.
+    def test_request_that_was_read_in_part_is_answered(self):
+        async def scenario():
+            exchange = _Exchange(caller_protocol.ConnectionLimits())
+            await exchange.server.start()
+            reader, writer = await asyncio.open_connection(
+                "127.0.0.1", exchange.server.port
+            )
+            writer.write(_REQUEST[:10])
+            await asyncio.sleep(0.05)
+            stopping = asyncio.create_task(exchange.server.stop(1.0))
+            # By then idle connections were closed.
+            await asyncio.sleep(0.6)
+            writer.write(_REQUEST[10:])
+            async with asyncio.timeout(1.0):
+                received = await reader.read()
+            assert _statuses(received) == [200]
+            assert b"connection: close" in received
+            writer.close()
+            await stopping
+
+        with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+            runner.run(scenario())
+
+    def test_request_read_during_the_stop_is_answered(self):
+        async def scenario():
+            exchange = _Exchange()
+            await exchange.server.start()
+            reader, writer = await asyncio.open_connection(
+                "127.0.0.1", exchange.server.port
+            )
+            writer.write(_REQUEST * 3)
+            await asyncio.sleep(0.05)
+            stopping = asyncio.create_task(exchange.server.stop(1.0))
+            await asyncio.sleep(0.5)
+            writer.write(_REQUEST)
+            async with asyncio.timeout(2.0):
+                received = await reader.read()
+            assert _statuses(received) == [200] * 4
+            writer.close()
+            await stopping
+
+        with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+            runner.run(scenario())
+
+    def test_idle_connection_is_closed(self):
+        received = _exchange(_REQUEST, b"", b"", b"", during=self._stop)
+        assert _statuses(received) == [200]
--- a/tests/test_platform_entry.py
+++ b/tests/test_platform_entry.py
@@ -798,6 +798,30 @@
 
         platform_cluster.run(scenario)
 
+    # Guards against a connection that is closed after the response to the
+    # first of the requests that were read on it.
+    def test_all_requests_on_a_connection_are_answered(self):
+        async def scenario(cluster):
+            for target in cluster.targets:
+                target.work_s = 0.1
+            cluster.entries[0].request_stop()
+            await asyncio.sleep(0.1)
+            address = cluster.entries[0].settings.callers
+            reader, writer = await asyncio.open_connection(*address.split(":"))
+            writer.write(
+                b"".join(
+                    _INCOMPLETE_HEAD + b"request-id: r%d\r\n\r\n" % number
+                    for number in range(3)
+                )
+            )
+            async with asyncio.timeout(2.0):
+                answers = await reader.read()
+            assert answers.count(b"HTTP/1.1 200 ") == 3
+            assert answers.count(b"connection: close") == 1
+            writer.close()
+
+        platform_cluster.run(scenario)
+
 
 class TestCancellation:
     def test_no_task_of_the_entry_remains(self):
