Take a response with an invalid status for no response

Cause: the parsers of responses accept any three digits; the entry's own server knows 100 to 599 only and fails on any other after it has noted that the response began. The entry then could not answer at all: it closed the caller's connection, though the target had run the request. A switch of protocols (101) was an unexpected error in the event loop.

Change: such a response fails the exchange like other bytes that are no HTTP: 502 with unknown outcome, or another target for a request that may be repeated. The product's own path has the same check. What else the parsers let through was compared with what the server refuses, each byte in a header's name and in its value: nothing.

--- a/chicorydoor/protocol/headers.py
+++ b/chicorydoor/protocol/headers.py
@@ -19,6 +19,9 @@
 RESULT_OUTCOME = b"x-chicorydoor-outcome"
 _INTERNAL_PREFIX = b"x-chicorydoor-"
 
+# Parsers of responses accept any three digits; servers send only these.
+VALID_STATUSES = range(100, 600)
+
 HOP_BY_HOP = frozenset(
     {
         b"connection",
--- a/chicorydoor/transport/buffered_connection.py
+++ b/chicorydoor/transport/buffered_connection.py
@@ -142,7 +142,11 @@
         self._received_bytes += len(data)
         try:
             self._parser.feed_data(data)
-        except (httptools.HttpParserError, ValueError) as error:
+        except (
+            httptools.HttpParserError,
+            httptools.HttpParserUpgrade,
+            ValueError,
+        ) as error:
             self._fail(f"answer is not HTTP: {error}")
         self._check_received_size()
 
@@ -182,6 +186,8 @@
         """Record the end of the head; ends the response to a HEAD request."""
         self._response.has_complete_head = True
         status = self._parser.get_status_code()
+        if status not in http_headers.VALID_STATUSES:
+            self._fail(f"answer has the invalid status {status}")
         if self._is_head_request and status not in _INFORMATIONAL_STATUSES:
             self._is_reusable = False
             self._deliver_response()
--- a/chicorydoor/transport/streaming_connection.py
+++ b/chicorydoor/transport/streaming_connection.py
@@ -156,6 +156,12 @@
             ) from error
         except _EXCHANGE_ERRORS as error:
             raise _to_target_error(error) from error
+        if response.status not in http_headers.VALID_STATUSES:
+            await response.aclose()
+            raise errors.TargetError(
+                f"answer has the invalid status {response.status}",
+                may_have_been_sent=True,
+            )
         headers = [(name.lower(), value) for name, value in response.headers]
         return StreamingResponse(
             response.status,
--- a/tests/support/scripted_target.py
+++ b/tests/support/scripted_target.py
@@ -8,9 +8,10 @@
     """What a target does with a request after it has read it.
 
     FAIL answers 500, SHED 503 without executing, MISDIRECT 421 as another
-    instance. RESET aborts the connection, NO_ANSWER answers only after 30 s,
-    TRUNCATE ends the body early, UNSEALED lacks the header response-seal, and
-    MISMATCHED_FIRST sends the answer to another request before the right one.
+    instance, ODD_STATUS 799. RESET aborts the connection, NO_ANSWER answers
+    only after 30 s, TRUNCATE ends the body early, UNSEALED lacks the header
+    response-seal, and MISMATCHED_FIRST sends the answer to another request
+    before the right one.
     ENDLESS_HEAD and ENDLESS_BODY send on until the caller closes.
     """
 
@@ -18,6 +19,7 @@
     FAIL = "fail"
     SHED = "shed"
     MISDIRECT = "misdirect"
+    ODD_STATUS = "odd-status"
     RESET = "reset"
     TRUNCATE = "cut"
     NO_ANSWER = "silent"
@@ -234,6 +236,10 @@
     return _answer(request_id, body, b"500 Broken")
 
 
+def _answer_799(request_id, body):
+    return _answer(request_id, body, b"799 Odd")
+
+
 def _answer_503(request_id, body):
     return b"HTTP/1.1 503 No\r\nnot-executed: 1\r\ncontent-length: 0\r\n\r\n"
 
@@ -255,5 +261,6 @@
     TargetBehaviour.FAIL: _answer_500,
     TargetBehaviour.SHED: _answer_503,
     TargetBehaviour.MISDIRECT: _answer_421,
+    TargetBehaviour.ODD_STATUS: _answer_799,
     TargetBehaviour.UNSEALED: _answer_without_seal,
 }
--- a/tests/test_buffered_connection.py
+++ b/tests/test_buffered_connection.py
@@ -160,6 +160,28 @@
         assert isinstance(error, errors.TargetError)
         assert not connection.is_usable
 
+    # Guards against statuses that the entry's own server cannot send: it
+    # closed the caller's connection without an answer.
+    @pytest.mark.parametrize(
+        "status", [b"000", b"099", b"101", b"600", b"999"]
+    )
+    @pytest.mark.parametrize("framing", [b"content-length: 0\r\n", b""])
+    def test_response_with_an_invalid_status_is_rejected(
+        self, status, framing
+    ):
+        head = b"HTTP/1.1 %s Odd\r\nx-request-id: a1\r\n%s\r\n"
+        error, connection = _exchange([head % (status, framing)], [None])
+        assert isinstance(error, errors.TargetError)
+        assert error.may_have_been_sent
+        assert not connection.is_usable
+
+    def test_switch_to_another_protocol_is_rejected(self):
+        head = b"HTTP/1.1 101 Switching Protocols\r\nx-request-id: a1\r\n"
+        head += b"connection: upgrade\r\nupgrade: h2c\r\n\r\n"
+        error, connection = _exchange([head])
+        assert isinstance(error, errors.TargetError)
+        assert not connection.is_usable
+
     def test_success_without_request_id_is_rejected(self):
         response = b"HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\ndone"
         error, _ = _exchange([response])
--- a/tests/test_platform_entry.py
+++ b/tests/test_platform_entry.py
@@ -94,8 +94,16 @@
 
 
 class TestOutcomes:
+    # Guards, with the odd status, against an order that ran and whose caller's
+    # connection is closed without an answer.
     @pytest.mark.parametrize(
-        "behaviour", [Behaviour.RESET, Behaviour.TRUNCATE, Behaviour.UNSEALED]
+        "behaviour",
+        [
+            Behaviour.RESET,
+            Behaviour.TRUNCATE,
+            Behaviour.UNSEALED,
+            Behaviour.ODD_STATUS,
+        ],
     )
     def test_order_with_unknown_outcome_is_not_sent_again(self, behaviour):
         async def scenario(cluster):
@@ -141,7 +149,13 @@
         platform_cluster.run(scenario)
 
     @pytest.mark.parametrize(
-        "behaviour", [Behaviour.RESET, Behaviour.TRUNCATE, Behaviour.FAIL]
+        "behaviour",
+        [
+            Behaviour.RESET,
+            Behaviour.TRUNCATE,
+            Behaviour.FAIL,
+            Behaviour.ODD_STATUS,
+        ],
     )
     def test_read_is_tried_at_another_target(self, behaviour):
         async def scenario(cluster):
