Bound the whole numbers that headers and registrations name

Cause: numbers were converted without a bound. Python converts none of more than 4300 digits, turns none above 1e308 into a float, and messages between entries hold none of more than 64 bits. A caller's deadline of 400 digits ended its request with 500 (code 199). A target that named such a load ended all requests of its service with 500, also those that it had just run; a load of 20 digits ended each heartbeat of the entry, as the start of a target could, which a registration by another writer names.

Change: one function reads whole numbers of headers, at most 10**12. Start and slots of a registration lie between 0 and 2**53, another one is not used, as with other fields that are wrong. A negative deadline on the product's own path is answered 400 like other values that are no whole number, no longer 504.

--- a/chicorydoor/coordination/call_app.py
+++ b/chicorydoor/coordination/call_app.py
@@ -13,6 +13,7 @@
 from chicorydoor.coordination import request_types
 from chicorydoor.protocol import admitted_request
 from chicorydoor.protocol import header_names
+from chicorydoor.protocol import headers as http_headers
 from chicorydoor.protocol import result_codes
 from chicorydoor.protocol import serving_config
 from chicorydoor.transport import asgi
@@ -254,9 +255,11 @@
 
     def _absolute_deadline(self, timeout_s: float) -> float:
         # Relative to the request's arrival.
-        remaining_ms = self._header_value(self._app.header_names.deadline_ms)
+        remaining_ms = http_headers.parse_whole_number(
+            self._header_value(self._app.header_names.deadline_ms)
+        )
         remaining_s = (
-            int(remaining_ms) / 1000 if remaining_ms.isdigit() else timeout_s
+            timeout_s if remaining_ms is None else remaining_ms / 1000
         )
         return self._arrived_at + min(remaining_s, timeout_s)
 
--- a/chicorydoor/coordination/caller_app.py
+++ b/chicorydoor/coordination/caller_app.py
@@ -272,12 +272,12 @@
         header_value = call.header_by_name.get(http_headers.DEADLINE_MS)
         if header_value is None:
             return call.started_at + max_deadline_s
-        try:
-            requested_s = int(header_value) / 1000
-        except ValueError as error:
+        requested_ms = http_headers.parse_whole_number(header_value.strip())
+        if requested_ms is None:
             raise request_types.RefusedError(
                 _CODES.BAD_REQUEST, "x-deadline-ms is not a whole number"
-            ) from error
+            )
+        requested_s = requested_ms / 1000
         if requested_s <= 0:
             raise request_types.RefusedError(_CODES.DEADLINE_TOO_SHORT)
         return call.started_at + min(requested_s, max_deadline_s)
--- a/chicorydoor/coordination/relay_app.py
+++ b/chicorydoor/coordination/relay_app.py
@@ -14,6 +14,7 @@
 from chicorydoor.coordination import request_types
 from chicorydoor.protocol import admitted_request
 from chicorydoor.protocol import header_names
+from chicorydoor.protocol import headers as http_headers
 from chicorydoor.protocol import ids
 from chicorydoor.protocol import result_codes
 from chicorydoor.protocol import serving_config
@@ -71,11 +72,13 @@
 
     async def _admit(self, host: str, path: str) -> call_app.Admission:
         names = self._app.header_names
-        send_count = self._header_value(names.relayed_send_count)
+        send_count = http_headers.parse_whole_number(
+            self._header_value(names.relayed_send_count)
+        )
         if (
             self._header_value(names.expected_target_id)
             != self._app.instance.encode()
-            or not send_count.isdigit()
+            or send_count is None
         ):
             # Another entry had this address before.
             raise request_types.RefusedError(_CODES.PEER_UNREACHABLE)
@@ -94,7 +97,7 @@
         self._route_id = route.route_id
         if customer is not None:
             self._customer_id = customer.customer_id
-        history = admitted_request.RelayHistory(service_id, int(send_count))
+        history = admitted_request.RelayHistory(service_id, send_count)
         return call_app.Admission(route, customer, None, history)
 
     def _check_service(
--- a/chicorydoor/coordination/request_relay.py
+++ b/chicorydoor/coordination/request_relay.py
@@ -13,6 +13,7 @@
 from chicorydoor.coordination import target_sender
 from chicorydoor.protocol import admitted_request
 from chicorydoor.protocol import header_names
+from chicorydoor.protocol import headers as http_headers
 from chicorydoor.protocol import ids
 from chicorydoor.protocol import result_codes
 from chicorydoor.state import fleet_view
@@ -337,7 +338,7 @@
 ) -> request_types.RefusedError:
     number = answer.find_header(result_codes.CODE_HEADER) or b""
     code = result_codes.RESULT_CODE_BY_NUMBER.get(
-        int(number) if number.isdigit() else -1, _CODES.PEER_FAILED
+        http_headers.parse_whole_number(number), _CODES.PEER_FAILED
     )
     retry_after_s = 0.0
     value = answer.find_header(b"retry-after")
--- a/chicorydoor/coordination/target_prober.py
+++ b/chicorydoor/coordination/target_prober.py
@@ -17,6 +17,7 @@
 from chicorydoor.coordination import active_serving_config
 from chicorydoor.coordination import target_sender
 from chicorydoor.protocol import header_names
+from chicorydoor.protocol import headers as http_headers
 from chicorydoor.protocol import ids
 from chicorydoor.protocol import serving_config
 from chicorydoor.state import broken_connections
@@ -373,8 +374,9 @@
         warm_up_ms = answer.find_header(
             self._header_names.warm_up_remaining_ms
         )
-        if warm_up_ms is not None and warm_up_ms.isdigit():
-            warm_up_s = int(warm_up_ms) / 1000
+        named_ms = http_headers.parse_whole_number(warm_up_ms or b"")
+        if named_ms is not None:
+            warm_up_s = named_ms / 1000
         elif is_busy:
             # Its queue is full, so it has worked for a while and is not cold.
             warm_up_s = 0.0
--- a/chicorydoor/coordination/target_sender.py
+++ b/chicorydoor/coordination/target_sender.py
@@ -16,6 +16,7 @@
 from chicorydoor.coordination import target_selection
 from chicorydoor.protocol import admitted_request
 from chicorydoor.protocol import header_names
+from chicorydoor.protocol import headers as http_headers
 from chicorydoor.protocol import ids
 from chicorydoor.state import broken_connections
 from chicorydoor.state import idle_limit
@@ -40,6 +41,8 @@
 # A target rejects requests that name another target with this status.
 _MISDIRECTED = 421
 _UNAVAILABLE = 503
+# Running requests, waiting requests and slots.
+_LOAD_FIELDS = 3
 
 _LOG = logging.getLogger(__name__)
 
@@ -381,13 +384,14 @@
         value = answer.find_header(self._header_names.target_load)
         if value is None:
             return
-        try:
-            running, waiting, _slots = (
-                int(field) for field in value.split(b",")
-            )
-        except ValueError:
+        fields = [
+            http_headers.parse_whole_number(field.strip())
+            for field in value.split(b",")
+        ]
+        if len(fields) != _LOAD_FIELDS or None in fields:
             metrics.TARGET_LOAD_PARSE_ERRORS.inc()
             return
+        running, waiting, _slots = fields
         view.record_load(running + waiting, now)
 
     def record_announcements(
--- a/chicorydoor/platform/documents.py
+++ b/chicorydoor/platform/documents.py
@@ -40,6 +40,8 @@
 
 
 _MAX_PORT = 65_535
+# Numbers of registrations go into messages, which hold no larger ones.
+_Count = typing.Annotated[int, msgspec.Meta(ge=0, le=2**53)]
 
 
 class _Document(msgspec.Struct, rename="camel", frozen=True):
@@ -105,7 +107,7 @@
 class _TargetInfo(_Document):
     service: str
     zone: str
-    slots: int
+    slots: _Count
 
 
 class _TargetStatus(_Document):
@@ -119,7 +121,7 @@
     address: str
     info: _TargetInfo
     status: _TargetStatus
-    born: int = 0
+    born: _Count = 0
 
 
 def decode_configuration(value: bytes) -> serving_config.ServingConfig:
--- a/chicorydoor/protocol/headers.py
+++ b/chicorydoor/protocol/headers.py
@@ -51,6 +51,10 @@
 
 Headers = list[tuple[bytes, bytes]]
 
+# Far above every count and every time in milliseconds that a header names. It
+# can be converted to a float and encoded in any message.
+_MAX_WHOLE_NUMBER = 10**12
+
 
 def find_header(
     headers: abc.Iterable[tuple[bytes, bytes]], name: bytes
@@ -67,6 +71,25 @@
     return None
 
 
+def parse_whole_number(value: bytes) -> int | None:
+    """Return the whole number that a header names; at most 10**12.
+
+    Python refuses to convert very long numbers, and larger ones to floats.
+
+    Args:
+        value (bytes): Value of the header.
+
+    Returns:
+        The number; None if the value is not one.
+    """
+    if not value.isdigit():
+        return None
+    digits = value.lstrip(b"0")
+    if len(digits) > len(b"%d" % _MAX_WHOLE_NUMBER):
+        return _MAX_WHOLE_NUMBER
+    return min(int(digits or b"0"), _MAX_WHOLE_NUMBER)
+
+
 def filter_request_headers(
     headers: abc.Iterable[tuple[bytes, bytes]],
 ) -> Headers:
--- a/tests/support/scripted_target.py
+++ b/tests/support/scripted_target.py
@@ -43,6 +43,7 @@
     ``rate_limit`` is the value of the header that names a limit, None for no
     such header. While ``retry_after`` is set, all requests and health checks
     are turned away with it; ``turned_away_at`` has their times.
+    ``load`` is the value of the header that names its load.
     ``says_leaving`` adds the header with which a target says that it leaves.
     ``arrived_at`` has the time of each request. ``endless_bytes`` has the
     bytes that each endless answer sent until the caller closed. A request
@@ -64,6 +65,7 @@
         self.work_s = 0.0
         self.endless_bytes = []
         self.rate_limit = None
+        self.load = b"1,0,4"
         self.retry_after = None
         self.turned_away_at = []
         self.says_leaving = False
@@ -181,6 +183,7 @@
         answer = _ANSWER_BUILDER_BY_BEHAVIOUR.get(behaviour, _answer)(
             request_id, self.name.encode()
         )
+        answer = answer.replace(_LOAD_LINE, b"server-load: " + self.load)
         if self.rate_limit is not None:
             answer = _add_header(answer, b"server-limit: " + self.rate_limit)
         if self.says_leaving:
@@ -215,6 +218,7 @@
         return True
 
 
+_LOAD_LINE = b"server-load: 1,0,4"
 _ANSWER_WITH_REST = (
     b"HTTP/1.1 503 No\r\nnot-executed: 1\r\nretry-after: %s\r\n"
     b"content-length: 0\r\n\r\n"
@@ -228,7 +232,7 @@
 
 def _answer(request_id, body, status=b"200 OK", extra_headers=b""):
     head = b"HTTP/1.1 %s\r\nrequest-id: %s\r\nresponse-seal: s\r\n%s"
-    head += b"server-load: 1,0,4\r\ncontent-length: %d\r\n\r\n"
+    head += _LOAD_LINE + b"\r\ncontent-length: %d\r\n\r\n"
     return head % (status, request_id, extra_headers, len(body)) + body
 
 
