Refuse late requests that may outlast a stopping entry

Cause: until its ports and connections close, about 3 s after SIGTERM, an entry accepts every request, also one whose deadline lies after its own end. If its target takes that long, the entry breaks it off. Nothing excuses that for a request sent later than 3 s after the signal, and with a busy event loop there is no margin.

Change: from 2 s after the signal a request is refused as not run (503, code 135, Retry-After 0.1) if its deadline lies after the entry's end; by then most callers have looked up other entries. All others are served as before; the same holds for relayed requests, which go to another peer then.

--- a/chicorydoor/compose_fleet.py
+++ b/chicorydoor/compose_fleet.py
@@ -500,8 +500,12 @@
             return False
         return self.fleet.is_in_minority(now, _ISOLATION_THRESHOLD_S)
 
-    def announce_leaving(self) -> None:
-        """Announce that this entry leaves, so that callers go elsewhere."""
-        self.call_app.is_leaving = True
-        self.relay_app.is_leaving = True
+    def announce_leaving(self, ends_at: float) -> None:
+        """Announce that this entry leaves, so that callers go elsewhere.
+
+        Args:
+            ends_at (float): When running requests are aborted, on the clock.
+        """
+        self.call_app.leave(ends_at)
+        self.relay_app.leave(ends_at)
         self.peer_exchange.set_state(fleet_view.EntryState.LEAVING)
--- a/chicorydoor/coordination/call_app.py
+++ b/chicorydoor/coordination/call_app.py
@@ -27,6 +27,10 @@
 _LOG = logging.getLogger(__name__)
 _REQUEST_LOG = logging.getLogger(logs.REQUEST_LOGGER)
 _STATUSES_WITHOUT_BODY = frozenset({204, 304})
+# Once an entry has left for this long, most callers have found other entries,
+# and requests that may outlast it are left to these.
+_LAST_LONG_REQUESTS_S = 2.0
+_LEAVING_RETRY_AFTER_S = 0.1
 
 
 class _CallerLeftError(Exception):
@@ -82,6 +86,8 @@
         self.configuration_age_s = configuration_age_s
         self.running_count = 0
         self.is_leaving = False
+        self._ends_at = math.inf
+        self._refuses_long_from = math.inf
 
     async def __call__(
         self, scope: asgi.Scope, receive: asgi.Receive, send: asgi.Send
@@ -93,6 +99,35 @@
         finally:
             self.running_count -= 1
 
+    def leave(self, ends_at: float) -> None:
+        """Close connections after their responses from now on.
+
+        Args:
+            ends_at (float): When running requests are aborted, on the clock.
+        """
+        self.is_leaving = True
+        self._ends_at = ends_at
+        self._refuses_long_from = self.clock.now() + _LAST_LONG_REQUESTS_S
+
+    def refuse_if_too_long(self, deadline: float) -> None:
+        """Refuse a request that this entry, if it leaves, may have to abort.
+
+        Args:
+            deadline (float): The request's deadline on the clock.
+
+        Raises:
+            RefusedError: If it is refused; it has not run.
+        """
+        if (
+            deadline > self._ends_at
+            and self.clock.now() >= self._refuses_long_from
+        ):
+            raise request_types.RefusedError(
+                _CODES.NOT_READY,
+                "the entry stops before the deadline",
+                retry_after_s=_LEAVING_RETRY_AFTER_S,
+            )
+
     def make_handler(
         self, scope: asgi.Scope, receive: asgi.Receive, send: asgi.Send
     ) -> "RequestHandler":
@@ -240,6 +275,7 @@
         app = self._app
         route = app.admission.find_route(host, path)
         self._route_id = route.route_id
+        app.refuse_if_too_long(self._absolute_deadline(route.timeout_s))
         keys = self._values_by_header.get(app.header_names.api_key, [])
         customer = app.admission.authenticate(route, keys)
         if customer is not None:
--- a/chicorydoor/coordination/relay_app.py
+++ b/chicorydoor/coordination/relay_app.py
@@ -94,6 +94,7 @@
             raise request_types.RefusedError(
                 _CODES.PEER_UNREACHABLE, f"{refusal}"
             ) from refusal
+        self._app.refuse_if_too_long(self._absolute_deadline(route.timeout_s))
         self._route_id = route.route_id
         if customer is not None:
             self._customer_id = customer.customer_id
--- a/chicorydoor/fleet_entry.py
+++ b/chicorydoor/fleet_entry.py
@@ -185,7 +185,7 @@
         _LOG.info(
             "stopping", extra={"running": components.call_app.running_count}
         )
-        components.announce_leaving()
+        components.announce_leaving(deadline)
         await asyncio.sleep(_DRAIN_S)
         remaining_s = max(0.0, deadline - components.clock.now())
         await asyncio.gather(*(server.stop(remaining_s) for server in servers))
--- a/chicorydoor/protocol/result_codes.py
+++ b/chicorydoor/protocol/result_codes.py
@@ -71,7 +71,12 @@
         "the request could not finish before its deadline",
     )
     NO_TARGET = (133, 503, Outcome.NOT_RUN, "no target serves the route")
-    NOT_READY = (135, 503, Outcome.NOT_RUN, "no configuration yet")
+    NOT_READY = (
+        135,
+        503,
+        Outcome.NOT_RUN,
+        "no configuration yet, or the entry stops too soon",
+    )
     TARGET_UNREACHABLE = (
         140,
         502,
--- a/tests/test_platform_entry.py
+++ b/tests/test_platform_entry.py
@@ -836,6 +836,37 @@
 
         platform_cluster.run(scenario)
 
+    # Guards against a late request whose target works on it when the entry
+    # has to end: it was broken off.
+    def test_late_request_that_may_outlast_the_entry_is_refused(self):
+        async def scenario(cluster):
+            document = json.loads(platform_cluster.build_config(2))
+            for route in document["routes"]:
+                route["timeout"] = "4000ms"
+            cluster.store.put("op/config", json.dumps(document).encode())
+            await asyncio.sleep(0.3)
+
+            async def call(deadline_ms, work_s=0.02):
+                for target in cluster.targets:
+                    target.work_s = work_s
+                answer = await cluster.call(
+                    "POST",
+                    "/order/1",
+                    headers={"deadline-ms": str(deadline_ms)},
+                )
+                return answer.status_code
+
+            # The entry has 3.5 s.
+            cluster.entries[0].request_stop()
+            assert await call(3400) == 200
+            await asyncio.sleep(2.1)
+            assert await call(400) == 200
+            request_count = cluster.request_count()
+            assert await call(3400, work_s=1.5) == 503
+            assert cluster.request_count() == request_count
+
+        platform_cluster.run(scenario)
+
 
 class TestCancellation:
     def test_no_task_of_the_entry_remains(self):
