--- a/chicorydoor/coordination/call_app.py
+++ b/chicorydoor/coordination/call_app.py
@@ -14,6 +14,7 @@
 from chicorydoor.coordination import request_types
 from chicorydoor.protocol import admitted_request
 from chicorydoor.protocol import header_names
+from chicorydoor.protocol import headers as http_headers
 from chicorydoor.protocol import result_codes
 from chicorydoor.protocol import serving_config
 from chicorydoor.transport import asgi
@@ -27,6 +28,10 @@
 _LOG = logging.getLogger(__name__)
 _REQUEST_LOG = logging.getLogger(logs.REQUEST_LOGGER)
 _STATUSES_WITHOUT_BODY = frozenset({204, 304})
+# Once an entry has left for this long, most callers have found other entries,
+# and requests that may outlast it are left to these.
+_LAST_LONG_REQUESTS_S = 2.0
+_LEAVING_RETRY_AFTER_S = 0.1
 
 
 class Admission(typing.NamedTuple):
@@ -81,6 +86,8 @@
         self.bodies = bodies
         self.running_count = 0
         self.is_leaving = False
+        self._ends_at = math.inf
+        self._refuses_long_from = math.inf
 
     async def __call__(
         self, scope: asgi.Scope, receive: asgi.Receive, send: asgi.Send
@@ -92,6 +99,35 @@
         finally:
             self.running_count -= 1
 
+    def leave(self, ends_at: float) -> None:
+        """Close connections after their responses from now on.
+
+        Args:
+            ends_at (float): When running requests are aborted, on the clock.
+        """
+        self.is_leaving = True
+        self._ends_at = ends_at
+        self._refuses_long_from = self.clock.now() + _LAST_LONG_REQUESTS_S
+
+    def refuse_if_too_long(self, deadline: float) -> None:
+        """Refuse a request that this entry, if it leaves, may have to abort.
+
+        Args:
+            deadline (float): The request's deadline on the clock.
+
+        Raises:
+            RefusedError: If it is refused; it has not run.
+        """
+        if (
+            deadline > self._ends_at
+            and self.clock.now() >= self._refuses_long_from
+        ):
+            raise request_types.RefusedError(
+                _CODES.NOT_READY,
+                "the entry stops before the deadline",
+                retry_after_s=_LEAVING_RETRY_AFTER_S,
+            )
+
     def make_handler(
         self, scope: asgi.Scope, receive: asgi.Receive, send: asgi.Send
     ) -> "RequestHandler":
@@ -262,6 +298,7 @@
         app = self._app
         route = self._find_route()
         self._route_id = route.route_id
+        app.refuse_if_too_long(self._absolute_deadline(route.timeout_s))
         keys = self._values_by_header.get(app.header_names.api_key, [])
         customer = app.admission.authenticate(route, keys)
         if customer is not None:
@@ -277,9 +314,11 @@
 
     def _absolute_deadline(self, timeout_s: float) -> float:
         # Relative to the request's arrival.
-        remaining_ms = self._header_value(self._app.header_names.deadline_ms)
+        remaining_ms = http_headers.parse_whole_number(
+            self._header_value(self._app.header_names.deadline_ms)
+        )
         remaining_s = (
-            int(remaining_ms) / 1000 if remaining_ms.isdigit() else timeout_s
+            timeout_s if remaining_ms is None else remaining_ms / 1000
         )
         return self._arrived_at + min(remaining_s, timeout_s)
 
@@ -334,7 +373,7 @@
             and self._scope["method"] != "HEAD"
         ):
             headers = [*headers, (b"content-length", b"%d" % len(body))]
-        if self._app.is_leaving:
+        if self._app.is_leaving and not self._has_successor():
             headers = [*headers, (b"connection", b"close")]
         await self._send(
             {
@@ -345,6 +384,11 @@
         )
         await self._send({"type": "http.response.body", "body": body})
 
+    def _has_successor(self) -> bool:
+        """Whether another request on the connection waits for this one."""
+        connection = self._caller_connection
+        return connection is not None and connection.has_waiting_request
+
     @property
     def _log_message(self) -> str:
         return "request"
--- a/chicorydoor/fleet_entry.py
+++ b/chicorydoor/fleet_entry.py
@@ -205,7 +205,7 @@
         _LOG.info(
             "stopping", extra={"running": components.call_app.running_count}
         )
-        components.announce_leaving()
+        components.announce_leaving(deadline)
         if self._ports.is_bound(_CALLERS):
             await asyncio.sleep(_DRAIN_S)
         remaining_s = max(0.0, deadline - components.clock.now())
--- a/chicorydoor/protocol/result_codes.py
+++ b/chicorydoor/protocol/result_codes.py
@@ -83,7 +83,12 @@
         Outcome.NOT_RUN,
         "no memory for the body came free in time",
     )
-    NOT_READY = (135, 503, Outcome.NOT_RUN, "no configuration yet")
+    NOT_READY = (
+        135,
+        503,
+        Outcome.NOT_RUN,
+        "no configuration yet, or the entry stops too soon",
+    )
     TARGET_UNREACHABLE = (
         140,
         502,
--- a/chicorydoor/transport/caller_connection.py
+++ b/chicorydoor/transport/caller_connection.py
@@ -21,15 +21,19 @@
         transport (Transport): Transport of the connection, which has a file
             descriptor.
         drain (callable): Waits until little of what was written remains.
+        waiting_requests (Sized): The requests that were read and wait for
+            the responses to earlier ones. Defaults to none.
     """
 
     def __init__(
         self,
         transport: asyncio.Transport,
         drain: abc.Callable[[], abc.Awaitable[None]],
+        waiting_requests: abc.Sized = (),
     ) -> None:
         self._transport = transport
         self._drain = drain
+        self._waiting_requests = waiting_requests
         self._poll = select.poll()
         descriptor = transport.get_extra_info("socket").fileno()
         # Errors and resets are always reported too.
@@ -62,6 +66,11 @@
                     self._transport.abort()
                     return False
 
+    @property
+    def has_waiting_request(self) -> bool:
+        """Whether a request waits for the responses to earlier ones."""
+        return len(self._waiting_requests) > 0
+
     def add_to_scope(self, scope: asgi.Scope) -> None:
         """Make the connection known to the application.
 
--- a/tests/test_platform_entry.py
+++ b/tests/test_platform_entry.py
@@ -97,8 +97,16 @@
 
 
 class TestOutcomes:
+    # Guards, with the odd status, against an order that ran and whose caller's
+    # connection is closed without an answer.
     @pytest.mark.parametrize(
-        "behaviour", [Behaviour.RESET, Behaviour.TRUNCATE, Behaviour.UNSEALED]
+        "behaviour",
+        [
+            Behaviour.RESET,
+            Behaviour.TRUNCATE,
+            Behaviour.UNSEALED,
+            Behaviour.ODD_STATUS,
+        ],
     )
     def test_order_with_unknown_outcome_is_not_sent_again(self, behaviour):
         async def scenario(cluster):
@@ -144,7 +152,13 @@
         platform_cluster.run(scenario)
 
     @pytest.mark.parametrize(
-        "behaviour", [Behaviour.RESET, Behaviour.TRUNCATE, Behaviour.FAIL]
+        "behaviour",
+        [
+            Behaviour.RESET,
+            Behaviour.TRUNCATE,
+            Behaviour.FAIL,
+            Behaviour.ODD_STATUS,
+        ],
     )
     def test_read_is_tried_at_another_target(self, behaviour):
         async def scenario(cluster):
@@ -801,6 +815,61 @@
 
         platform_cluster.run(scenario)
 
+    # Guards against a connection that is closed after the response to the
+    # first of the requests that were read on it.
+    def test_all_requests_on_a_connection_are_answered(self):
+        async def scenario(cluster):
+            for target in cluster.targets:
+                target.work_s = 0.1
+            cluster.entries[0].request_stop()
+            await asyncio.sleep(0.1)
+            address = cluster.entries[0].settings.callers
+            reader, writer = await asyncio.open_connection(*address.split(":"))
+            writer.write(
+                b"".join(
+                    _INCOMPLETE_HEAD + b"request-id: r%d\r\n\r\n" % number
+                    for number in range(3)
+                )
+            )
+            async with asyncio.timeout(2.0):
+                answers = await reader.read()
+            assert answers.count(b"HTTP/1.1 200 ") == 3
+            assert answers.count(b"connection: close") == 1
+            writer.close()
+
+        platform_cluster.run(scenario)
+
+    # Guards against a late request whose target works on it when the entry
+    # has to end: it was broken off.
+    def test_late_request_that_may_outlast_the_entry_is_refused(self):
+        async def scenario(cluster):
+            document = json.loads(platform_cluster.build_config(2))
+            for route in document["routes"]:
+                route["timeout"] = "4000ms"
+            cluster.store.put("op/config", json.dumps(document).encode())
+            await asyncio.sleep(0.3)
+
+            async def call(deadline_ms, work_s=0.02):
+                for target in cluster.targets:
+                    target.work_s = work_s
+                answer = await cluster.call(
+                    "POST",
+                    "/order/1",
+                    headers={"deadline-ms": str(deadline_ms)},
+                )
+                return answer.status_code
+
+            # The entry has 3.5 s.
+            cluster.entries[0].request_stop()
+            assert await call(3400) == 200
+            await asyncio.sleep(2.1)
+            assert await call(400) == 200
+            request_count = cluster.request_count()
+            assert await call(3400, work_s=1.5) == 503
+            assert cluster.request_count() == request_count
+
+        platform_cluster.run(scenario)
+
 
 _USES = ("callers", "readiness", "peers", "lookups", "relay", "metrics")
 
