Hear entries that start again after their clock was set back

An entry's incarnation is the time of day of its start. After a step back of the clock it is lower than that of the start before. Peers took all its heartbeats for late ones of an earlier start, for as long as it ran: they did not name it to callers of their region and did not count its rate shares. Its new registration was not used either.

A start with a lower incarnation counts now once the known one is no longer heard. Where no heartbeats are heard, that is from other regions, the order of the registrations in the store decides.

--- a/chicorydoor/platform/store_updates.py
+++ b/chicorydoor/platform/store_updates.py
@@ -128,7 +128,7 @@
             item, documents.decode_entry_registration
         )
         if registration is not None:
-            self._fleet.record_registration(registration)
+            self._fleet.record_registration(registration, self._clock.now())
 
 
 def _apply_each(
--- a/chicorydoor/state/fleet_view.py
+++ b/chicorydoor/state/fleet_view.py
@@ -33,7 +33,8 @@
     Args:
         instance (str): The entry's instance id.
         incarnation (int): Start of the process, milliseconds since the
-            epoch.
+            epoch by its own clock, which may have been set back since an
+            earlier start.
         domain (str): Its failure domain.
         region (str): Its region.
         peer_address (str): ``ip:port`` for messages from peers.
@@ -253,9 +254,11 @@
             None
         )
 
-    def record_registration(self, registration: Registration) -> None:
+    def record_registration(
+        self, registration: Registration, now: float
+    ) -> None:
         """Record a peer's registration from the store."""
-        peer = self._add_or_update_peer(registration)
+        peer = self._add_or_update_peer(registration, now)
         if peer is not None:
             peer.is_registered = True
 
@@ -275,7 +278,7 @@
             False if it is ignored: it is this entry's own or older than one
             applied before.
         """
-        peer = self._add_or_update_peer(heartbeat.registration)
+        peer = self._add_or_update_peer(heartbeat.registration, now)
         if peer is None:
             return False
         known = peer.registration.incarnation
@@ -298,7 +301,7 @@
                 peer.last_seen_at = now
 
     def _add_or_update_peer(
-        self, registration: Registration
+        self, registration: Registration, now: float
     ) -> PeerState | None:
         if registration.instance == self.own_registration.instance:
             return None
@@ -307,12 +310,29 @@
             peer = PeerState(registration)
             self.peer_by_instance[registration.instance] = peer
             self._peers_by_region = None
-        elif registration.incarnation > peer.registration.incarnation:
+        elif self._is_other_start(registration, peer, now):
             peer.registration = registration
             self._peers_by_region = None
             peer.forget_messages()
         return peer
 
+    def _is_other_start(
+        self, registration: Registration, peer: PeerState, now: float
+    ) -> bool:
+        """Whether a registration is of another start that replaces the known.
+
+        Incarnations are times of day: that of a start after a clock was set
+        back is lower. It counts once the known start is no longer heard;
+        before, it is a late message of an earlier start.
+        """
+        known = peer.registration.incarnation
+        is_heard = peer.heartbeat is not None and peer.is_recently_seen(
+            now, self._silence_s
+        )
+        return registration.incarnation > known or (
+            registration.incarnation < known and not is_heard
+        )
+
     def remove_gone(self, now: float) -> list[PeerState]:
         """Remove and return the unregistered peers that are long silent."""
         gone = [
--- a/tests/support/simulated_peers.py
+++ b/tests/support/simulated_peers.py
@@ -231,7 +231,9 @@
         ]
         for entry in entries:
             for other in entries:
-                entry.fleet.record_registration(other.fleet.own_registration)
+                entry.fleet.record_registration(
+                    other.fleet.own_registration, 0.0
+                )
         tasks = [asyncio.create_task(e.peers.run()) for e in entries]
         if customers:
             tasks += [
--- a/tests/test_large_configurations.py
+++ b/tests/test_large_configurations.py
@@ -128,7 +128,9 @@
         ]
         for entry in entries:
             for other in entries:
-                entry.fleet.record_registration(other.fleet.own_registration)
+                entry.fleet.record_registration(
+                    other.fleet.own_registration, 0.0
+                )
         tasks = [asyncio.create_task(e.peers.run()) for e in entries]
         tasks += [asyncio.create_task(e.follower.run()) for e in entries]
         try:
--- a/tests/test_peer_exchange.py
+++ b/tests/test_peer_exchange.py
@@ -3,6 +3,7 @@
 import asyncio
 import zlib
 
+import msgspec
 import pytest
 
 from chicorydoor.coordination import peer_exchange
@@ -88,6 +89,61 @@
         simulated_peers.run_scenario(scenario)
 
 
+class TestRestartAfterAClockStep:
+    # Guards against an entry that its peers do not hear, and do not name to
+    # callers, after a restart with a clock that was set back.
+    def test_earlier_incarnation_is_heard_once_the_later_one_is_silent(self):
+        async def scenario(network, entries):
+            await asyncio.sleep(1.0)
+            restarted = entries[1]
+            restarted.fleet.own_registration = msgspec.structs.replace(
+                restarted.fleet.own_registration, incarnation=0
+            )
+            restarted.peers.set_state(fleet_view.EntryState.READY)
+            await asyncio.sleep(4.0)
+            now = entries[0].peers._clock.now()
+            ready = entries[0].fleet.ready_peers(now)
+            assert [entry.instance for entry in ready] == ["e1"]
+
+        simulated_peers.run_scenario(scenario)
+
+    def test_late_heartbeat_of_an_earlier_start_is_ignored(self):
+        async def scenario(network, entries):
+            await asyncio.sleep(1.0)
+            view = entries[0].fleet
+            peer = view.peer_by_instance["e1"]
+            late = msgspec.structs.replace(
+                peer.heartbeat,
+                registration=msgspec.structs.replace(
+                    peer.registration, incarnation=0
+                ),
+            )
+            assert not view.apply_heartbeat(
+                late, entries[0].peers._clock.now()
+            )
+            assert peer.registration.incarnation == 1
+
+        simulated_peers.run_scenario(scenario)
+
+    # Guards against requests that are relayed to an address that an entry had
+    # before it started again.
+    def test_registration_of_an_earlier_incarnation_is_used(self):
+        async def scenario(network, entries):
+            await asyncio.sleep(1.0)
+            view = entries[2].fleet
+            moved = msgspec.structs.replace(
+                entries[0].fleet.own_registration,
+                incarnation=0,
+                caller_address="e0:9",
+            )
+            now = entries[2].peers._clock.now()
+            view.record_registration(moved, now)
+            peer = view.peer_by_instance["e0"]
+            assert peer.registration.caller_address == "e0:9"
+
+        simulated_peers.run_scenario(scenario, regions="nnm")
+
+
 class TestCompression:
     def test_large_update_crosses_compressed(self):
         async def scenario(network, entries):
--- a/tests/test_request_relay.py
+++ b/tests/test_request_relay.py
@@ -59,7 +59,7 @@
         now = self.clock.now()
         fleet = fleet_view.FleetView(registration, 2.0, 12.0, 4.0)
         for other in self.registrations:
-            fleet.record_registration(other)
+            fleet.record_registration(other, now)
             is_cut = other.instance in self.cut_instances
             if other.region == registration.region:
                 heartbeat = fleet_view.Heartbeat(
--- a/tests/test_serving_limits.py
+++ b/tests/test_serving_limits.py
@@ -183,8 +183,8 @@
 
     def test_region_instances_leave_out_other_regions(self):
         view = self._fleet_view()
-        view.record_registration(_registration("same", "nb", "n"))
-        view.record_registration(_registration("other", "ma", "m"))
+        view.record_registration(_registration("same", "nb", "n"), 0.0)
+        view.record_registration(_registration("other", "ma", "m"), 0.0)
         assert view.region_instances() == ["me", "same"]
         assert view.instances() == ["me", "same", "other"]
 
@@ -198,7 +198,7 @@
     def test_silent_but_registered_entry_is_not_removed(self):
         view = self._fleet_view()
         entry = _registration("o", "na", "n")
-        view.record_registration(entry)
+        view.record_registration(entry, 0.0)
         assert view.remove_gone(100.0) == []
         view.record_unregistration("o", 100.0)
         assert view.remove_gone(101.0) == []
