--- a/chicorydoor/fleet_entry.py
+++ b/chicorydoor/fleet_entry.py
@@ -60,6 +60,21 @@
         self._settings = settings
         self._stop_requested = stop_requested or asyncio.Event()
         self._ports = port_binding.PortBinder()
+        self._components: compose_fleet.FleetComponents | None = None
+
+    def apply_settings(
+        self, settings: fleet_entry_settings.FleetEntrySettings
+    ) -> None:
+        """Apply changed settings to the running entry.
+
+        Only the regions of the failure domains change; everything else stays
+        until the entry starts again.
+        """
+        self._settings = msgspec.structs.replace(
+            self._settings, region_by_domain=settings.region_by_domain
+        )
+        if self._components is not None:
+            self._components.targets.set_regions(settings.region_by_domain)
 
     def request_stop(self) -> None:
         """Begin a graceful stop."""
@@ -80,6 +95,7 @@
             accepts_callers=lambda: self._ports.is_bound(_CALLERS),
             hears_peers=lambda: self._ports.is_bound(_PEERS),
         )
+        self._components = components
         store.restore_observers.append(components.handle_store_restore)
         server = self._make_server(components)
         relay_server = self._make_relay_server(components)
--- a/chicorydoor/platform/daemon.py
+++ b/chicorydoor/platform/daemon.py
@@ -12,6 +12,7 @@
 
 from chicorydoor import errors
 from chicorydoor import fleet_entry
+from chicorydoor.coordination import supervision
 from chicorydoor.platform import settings_file
 from chicorydoor.protocol import fleet_entry_settings
 from chicorydoor.transport import logs
@@ -21,6 +22,8 @@
 # that is just being written is complete well within it.
 _SETTINGS_WAIT_S = 2.0
 _SETTINGS_RETRY_INTERVAL_S = 0.1
+# Targets of an added failure domain should get requests within a few seconds.
+_SETTINGS_CHECK_INTERVAL_S = 2.0
 _LOG = logging.getLogger("chicorydoor.platform")
 
 
@@ -31,21 +34,73 @@
     )
 
 
+class _SettingsReloader:
+    """Applies changes of the settings file to a running entry.
+
+    The file may change without a signal, and be incomplete for a moment.
+
+    Args:
+        path (Path): The settings file.
+    """
+
+    def __init__(self, path: pathlib.Path) -> None:
+        self._path = path
+        self._content = self._read_content()
+
+    def _read_content(self) -> bytes:
+        """Return the file's content; empty while it cannot be read."""
+        try:
+            return self._path.read_bytes()
+        except OSError:
+            return b""
+
+    async def run(self, entry: fleet_entry.FleetEntry) -> None:
+        """Look for changes until cancelled."""
+        while True:
+            await asyncio.sleep(_SETTINGS_CHECK_INTERVAL_S)
+            if self._read_content() != self._content:
+                self.reload(entry)
+
+    def reload(self, entry: fleet_entry.FleetEntry) -> None:
+        """Read the file; an entry keeps its settings if it is not valid."""
+        self._content = self._read_content()
+        try:
+            settings = settings_file.read_settings(self._path)
+        except errors.SettingsError as error:
+            _LOG.error(
+                "changed settings are not valid, the active ones are kept",
+                extra={"reason": f"{error}"},
+            )
+            return
+        entry.apply_settings(settings)
+        _LOG.info(
+            "settings read again", extra={"instance_id": settings.instance}
+        )
+
+
 async def _serve() -> None:
     loop = asyncio.get_running_loop()
     stop_requested = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop_requested.set)
-    settings = await _wait_for_settings(stop_requested)
+    path = _settings_path()
+    reloader = _SettingsReloader(path)
+    settings = await _wait_for_settings(path, stop_requested)
     if settings is None:
         return
     entry = fleet_entry.FleetEntry(settings, stop_requested)
-    loop.add_signal_handler(signal.SIGHUP, _validate_changed_settings)
-    await entry.run()
+    loop.add_signal_handler(signal.SIGHUP, reloader.reload, entry)
+    reloading = asyncio.create_task(
+        supervision.run_supervised("settings", lambda: reloader.run(entry))
+    )
+    try:
+        await entry.run()
+    finally:
+        reloading.cancel()
 
 
 async def _wait_for_settings(
-    stop_requested: asyncio.Event,
+    path: pathlib.Path, stop_requested: asyncio.Event
 ) -> fleet_entry_settings.FleetEntrySettings | None:
     """Read the settings and set up logging for them.
 
@@ -62,7 +117,7 @@
     first_error: errors.SettingsError | None = None
     while not stop_requested.is_set():
         try:
-            settings = settings_file.read_settings(_settings_path())
+            settings = settings_file.read_settings(path)
         except errors.SettingsError as error:
             first_error = first_error or error
             if loop.time() >= deadline:
@@ -81,19 +136,6 @@
     return None
 
 
-def _validate_changed_settings() -> None:
-    """Validate the settings file again; a running entry keeps its settings."""
-    try:
-        settings = settings_file.read_settings(_settings_path())
-    except errors.SettingsError as error:
-        _LOG.error(
-            "changed settings are not valid, the active ones are kept",
-            extra={"reason": f"{error}"},
-        )
-        return
-    _LOG.info("settings read again", extra={"instance_id": settings.instance})
-
-
 def main() -> int:
     """Run the entry and return the exit code."""
     try:
--- a/chicorydoor/state/target_views.py
+++ b/chicorydoor/state/target_views.py
@@ -303,15 +303,12 @@
         """Add or update a target from its registration.
 
         Returns:
-            The target's view; a new one if the incarnation is later than
-            the known one.
+            The target's view; a new one if the incarnation is not
+            the known one. Times of start may go back with a clock.
         """
         view = self.target_by_id.get(record.target_id)
-        if view is None or record.started_ms > view.record.started_ms:
-            region = self._region_by_domain.get(
-                record.domain, ids.RegionId("")
-            )
-            view = TargetView(record, region, now)
+        if view is None or record.started_ms != view.record.started_ms:
+            view = TargetView(record, self._region_of(record.domain), now)
             view.has_said_leaving = view.incarnation_key in self._said_leaving
             self.target_by_id[record.target_id] = view
         else:
@@ -326,6 +323,19 @@
         self.rebuild_index()
         return view
 
+    def _region_of(self, domain: ids.DomainId) -> ids.RegionId:
+        """Return a failure domain's region; empty if it is not known."""
+        return self._region_by_domain.get(domain, ids.RegionId(""))
+
+    def set_regions(
+        self, region_by_domain: abc.Mapping[ids.DomainId, ids.RegionId]
+    ) -> None:
+        """Set the regions of the failure domains."""
+        self._region_by_domain = region_by_domain
+        for view in self.target_by_id.values():
+            view.region = self._region_of(view.record.domain)
+        self.rebuild_index()
+
     def set_evacuated_domains(
         self, domains: abc.Iterable[ids.DomainId], cold_until: float
     ) -> None:
