Read the body of a request that offers an upgrade

Cause: the parser stops after such a head, and the HTTP server took that for the end of the message. Change: the offer is ignored; another parser gets the framing and reads on.

--- a/chicorydoor/transport/caller_protocol.py
+++ b/chicorydoor/transport/caller_protocol.py
@@ -3,6 +3,8 @@
 httptools has no such limits: an endless header would fill the memory, and
 one that never ends would hold its connection forever. uvicorn tells only the
 latest request of a connection that its caller has left; here all are told.
+It drops the body of a request that offers an upgrade, and takes what follows
+for another request; here the offer is ignored.
 It also closes a connection without regard to the requests that were read on it
 but are not answered yet; here these are answered first.
 """
@@ -11,6 +13,7 @@
 from collections import abc
 import typing
 
+import httptools
 from uvicorn.protocols.http import httptools_impl
 
 from chicorydoor.transport import asgi
@@ -22,6 +25,7 @@
 )
 _HEADERS_LATE = b"408 Request Timeout\r\nx-chicorydoor-code: 106"
 _MALFORMED = b"400 Bad Request\r\nx-chicorydoor-code: 101"
+_FRAMING_HEADERS = frozenset({b"content-length", b"transfer-encoding"})
 # Requests that are read before the first of them is answered.
 _MAX_READ_AHEAD = 8
 _CLOCK = clock_module.SystemClock()
@@ -57,6 +61,8 @@
     _is_reading_headers = False
     _header_timer: asyncio.TimerHandle | None = None
     _has_read_end = False
+    # While the head of a request is parsed again, see _ignore_upgrade.
+    _repeats_head = False
     _is_stopping = False
     _is_kept_by_caller = True
     # Written once all requests that were read before are answered.
@@ -74,12 +80,17 @@
 
     def on_message_begin(self) -> None:
         """Start the header timeout at a request's first byte."""
+        if self._repeats_head:
+            return
         self._is_reading_headers = True
         self._start_header_timer()
         super().on_message_begin()
 
     def on_headers_complete(self) -> None:
         """Stop the header timeout and reset the size count."""
+        if self._repeats_head:
+            self._repeats_head = False
+            return
         self._is_reading_headers = False
         self._header_bytes = 0
         self._stop_header_timer()
@@ -121,6 +132,9 @@
 
     def on_message_complete(self) -> None:
         """Note that later data of this read belongs to another request."""
+        if self.parser.should_upgrade():
+            # The parser stops after the head; the body comes after it.
+            return
         self._has_read_end = True
         super().on_message_complete()
 
@@ -154,7 +168,8 @@
         if self._last_response is not None:
             return
         self._has_read_end = False
-        super().data_received(data)
+        self._unset_keepalive_if_required()
+        self._parse(data)
         if not self._is_reading_headers:
             return
         # How much of a read belongs to a request that begins in it, after
@@ -180,6 +195,41 @@
         else:
             self._refuse_and_close(_HEADERS_LATE)
 
+    def _parse(self, data: bytes) -> None:
+        try:
+            self.parser.feed_data(data)
+        except httptools.HttpParserError:
+            self.send_400_response("")
+        except httptools.HttpParserUpgrade as upgrade:
+            rest_start = upgrade.args[0]
+            self._ignore_upgrade()
+            self._parse(data[rest_start:])
+
+    def _ignore_upgrade(self) -> None:
+        """Read a request that offers an upgrade as one that does not.
+
+        A parser that has seen the offer reads nothing after the head. Another
+        one is given the part of the head that tells how the body is framed.
+        """
+        framing = [
+            b"%s: %s\r\n" % header
+            for header in self.headers
+            if header[0] in _FRAMING_HEADERS
+        ]
+        self.parser = httptools.HttpRequestParser(self)
+        self._repeats_head = True
+        self._parse(b"POST / HTTP/1.1\r\n" + b"".join(framing) + b"\r\n")
+
+    def on_url(self, url: bytes) -> None:
+        """Keep a piece of the URL."""
+        if not self._repeats_head:
+            super().on_url(url)
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Keep a header."""
+        if not self._repeats_head:
+            super().on_header(name, value)
+
     def _is_responding(self) -> bool:
         return any(
             not each.response_complete for each in self._unfinished_cycles
--- a/tests/test_caller_protocol.py
+++ b/tests/test_caller_protocol.py
@@ -5,6 +5,7 @@
 import pytest
 import uvloop
 
+from chicorydoor.transport import asgi
 from chicorydoor.transport import caller_protocol
 from chicorydoor.transport import http_server
 
@@ -209,3 +210,75 @@
     def test_idle_connection_is_closed(self):
         received = _exchange(_REQUEST, b"", b"", b"", during=self._stop)
         assert _statuses(received) == [200]
+
+
+class _BodyApp:
+    """Answers with the size of the body; keeps the bodies."""
+
+    def __init__(self):
+        self.bodies = []
+
+    async def __call__(self, scope, receive, send):
+        body = b""
+        while True:
+            event = await receive()
+            body += event.get("body", b"")
+            if not event.get("more_body", False):
+                break
+        self.bodies.append(body)
+        await asgi.send_response(send, 200, [], b"%d" % len(body))
+
+
+_UPGRADE = (
+    b"host: a\r\nconnection: Upgrade, HTTP2-Settings\r\n"
+    b"upgrade: %s\r\nhttp2-settings: AAMAAABkAAQCAAAAAAIAAAAA\r\n"
+)
+_INNER_REQUEST = (
+    b"POST /inner HTTP/1.1\r\nhost: a\r\ncontent-length: 0\r\n\r\n"
+)
+
+
+class TestUpgradeOffers:
+    def _send(self, *pieces):
+        async def run():
+            app = _BodyApp()
+            server = http_server.HttpServer(app, "127.0.0.1", 0)
+            await server.start()
+            reader, writer = await asyncio.open_connection(
+                "127.0.0.1", server.port
+            )
+            for piece in pieces:
+                writer.write(piece)
+                await asyncio.sleep(0.05)
+            await asyncio.sleep(0.1)
+            writer.write_eof()
+            async with asyncio.timeout(2.0):
+                response = await reader.read()
+            writer.close()
+            await server.stop()
+            return app.bodies, response.count(_OK)
+
+        with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+            return runner.run(run())
+
+    # Guards against orders that run with an empty body, and against bodies
+    # that are taken for requests, when a caller offers an upgrade.
+    @pytest.mark.parametrize("protocol", [b"h2c", b"websocket"])
+    @pytest.mark.parametrize("piece_count", [1, 2])
+    def test_body_is_read_whole(self, protocol, piece_count):
+        head = b"POST /a HTTP/1.1\r\n" + _UPGRADE % protocol
+        head += b"content-length: %d\r\n\r\n" % len(_INNER_REQUEST)
+        pieces = [head, _INNER_REQUEST]
+        if piece_count == 1:
+            pieces = [b"".join(pieces)]
+        assert self._send(*pieces, _REQUEST) == ([_INNER_REQUEST, b""], 2)
+
+    def test_chunked_body_is_read_whole(self):
+        head = b"POST /a HTTP/1.1\r\n" + _UPGRADE % b"h2c"
+        head += b"transfer-encoding: chunked\r\n\r\n"
+        pieces = [head + b"3\r\nab", b"c\r\n2\r\nde\r\n", b"0\r\n\r\n"]
+        assert self._send(*pieces, _REQUEST) == ([b"abcde", b""], 2)
+
+    def test_requests_that_follow_at_once_are_read(self):
+        head = b"GET /a HTTP/1.1\r\n" + _UPGRADE % b"h2c" + b"\r\n"
+        assert self._send(head + _REQUEST + head) == ([b""] * 3, 3)
