Start a task again that ends as cancelled by itself

Cause: a part of an entry that waits for something which is cancelled ends with CancelledError. The supervision took that for its own cancellation, and the task group takes a cancelled task for an ended one: the part stopped for good, without a line. Found by reading; no run has shown it in an entry.

Change: unless the task itself was asked to cancel, the error is logged and counted, and the part starts again like after any other error.

Result, arm64: the new test fails on the code before (the task has ended) and passes now, with the other tests of the file.

--- a/chicorydoor/coordination/supervision.py
+++ b/chicorydoor/coordination/supervision.py
@@ -54,6 +54,12 @@
     while True:
         try:
             await run()
+        except asyncio.CancelledError:
+            task = asyncio.current_task()
+            if task is None or task.cancelling():
+                raise
+            # Not this task was cancelled, but something that it waited for.
+            record_error(part)
         except Exception:
             record_error(part)
         else:
--- a/tests/test_failure_isolation.py
+++ b/tests/test_failure_isolation.py
@@ -292,6 +292,34 @@
         # Not restarted in a busy loop.
         assert started_at[3] - started_at[0] >= 0.3
 
+    # Guards against a part of an entry that stops for good when something
+    # that it waits for is cancelled.
+    def test_task_that_ends_as_cancelled_is_started_again(self):
+        started_at = []
+
+        async def wait_for_cancelled():
+            loop = asyncio.get_running_loop()
+            started_at.append(loop.time())
+            if len(started_at) < 4:
+                future = loop.create_future()
+                future.cancel()
+                await future
+            await asyncio.Event().wait()
+
+        async def run():
+            task = asyncio.create_task(
+                supervision.run_supervised("test", wait_for_cancelled)
+            )
+            await asyncio.sleep(30.0)
+            assert not task.done()
+            task.cancel()
+            await asyncio.gather(task, return_exceptions=True)
+            assert task.cancelled()
+
+        virtual_time.run(run())
+        assert len(started_at) == 4
+        assert started_at[3] - started_at[0] >= 0.3
+
     @pytest.mark.parametrize(
         "name", ["_rebalance_rates", "_announce_reach", "_close_unused"]
     )
