End a stop normally when the withdrawal fails unexpectedly

Cause: any error but "store unavailable" of the withdrawal of an entry's registration, the last step of a stop, left the process with a traceback and exit code 1 after all requests had been answered. Found by reading.

Change: it is logged and counted as an unexpected error; the lease expires.

Result, arm64: the new test fails on the code before with the injected RuntimeError and passes now.

--- a/chicorydoor/fleet_entry.py
+++ b/chicorydoor/fleet_entry.py
@@ -16,6 +16,7 @@
 import prometheus_client
 
 from chicorydoor import compose_fleet
+from chicorydoor.coordination import supervision
 from chicorydoor.platform import kv_store
 from chicorydoor.platform import lookup_app
 from chicorydoor.protocol import fleet_entry_settings
@@ -102,7 +103,11 @@
             # A pynng call that is cancelled just as it completes continues;
             # only closing its socket ends it.
             await link.close()
-        await components.registration.withdraw()
+        try:
+            await components.registration.withdraw()
+        except Exception:
+            # The registration's lease expires.
+            supervision.record_error("withdrawal")
         _LOG.info("stopped")
 
     def _bind_ports(
--- a/tests/test_platform_entry.py
+++ b/tests/test_platform_entry.py
@@ -16,6 +16,7 @@
 
 from chicorydoor import compose_fleet
 from chicorydoor.platform import documents
+from chicorydoor.platform import kv_store
 from chicorydoor.protocol import serving_config
 from chicorydoor.protocol import store_items
 from chicorydoor.standins import platform_store
@@ -801,6 +802,22 @@
 
         platform_cluster.run(scenario)
 
+    # Guards against a stop that ends with an error and its traceback.
+    def test_unexpected_error_of_the_withdrawal_does_not_fail_it(
+        self, monkeypatch, caplog
+    ):
+        async def fail(store, lease):
+            raise RuntimeError("unexpected")
+
+        monkeypatch.setattr(kv_store.KeyValueStore, "revoke_lease", fail)
+
+        async def scenario(cluster):
+            cluster.entries[0].request_stop()
+            await cluster.tasks[0]
+
+        platform_cluster.run(scenario)
+        assert "unexpected error" in caplog.messages
+
 
 _USES = ("callers", "readiness", "peers", "lookups", "relay", "metrics")
 
