Run without standard streams

Cause: a supervisor may start a process with closed standard streams. Its sockets then get the descriptors 0 to 2, and libuv aborts the process when one of them is closed ("uv__close: Assertion `fd > STDERR_FILENO' failed", SIGABRT); without standard output the logging could not be set up either.

Change: the null device is opened as the streams that are closed.

Result, arm64: the four new cases fail on the code before (exit by signal 6, or an error; with standard error closed only at the stop) and pass now.

--- a/chicorydoor/platform/daemon.py
+++ b/chicorydoor/platform/daemon.py
@@ -17,6 +17,8 @@
 from chicorydoor.transport import logs
 
 _SETTINGS_ERROR_EXIT_CODE = 2
+# The last of the standard streams' descriptors.
+_STDERR = 2
 # How long settings that cannot be read at the start are waited for: a file
 # that is just being written is complete well within it.
 _SETTINGS_WAIT_S = 2.0
@@ -94,8 +96,20 @@
     _LOG.info("settings read again", extra={"instance_id": settings.instance})
 
 
+def _open_missing_standard_streams() -> None:
+    """Open the null device as the standard streams that are closed.
+
+    Otherwise sockets get their descriptors, and libuv ends a process that
+    closes one of these.
+    """
+    while (descriptor := os.open(os.devnull, os.O_RDWR)) <= _STDERR:
+        pass
+    os.close(descriptor)
+
+
 def main() -> int:
     """Run the entry and return the exit code."""
+    _open_missing_standard_streams()
     try:
         uvloop.run(_serve())
     except errors.SettingsError as error:
--- a/chicorydoor/transport/logs.py
+++ b/chicorydoor/transport/logs.py
@@ -125,8 +125,12 @@
         level (str): Level name of ``logging``.
         instance (str): Instance id that is added to every line.
     """
-    sys.stdout.flush()
-    handler = NonBlockingLogHandler(sys.stdout.fileno())
+    if sys.stdout is None:
+        # The process was started without standard output.
+        handler = NonBlockingLogHandler()
+    else:
+        sys.stdout.flush()
+        handler = NonBlockingLogHandler(sys.stdout.fileno())
     formatter = msgspec_logger.MsgspecFormatter(
         _LINE_FORMAT, static_fields={"instance": instance}
     )
--- a/tests/test_platform_process.py
+++ b/tests/test_platform_process.py
@@ -1,6 +1,7 @@
 """Entries as real processes, from the settings file to the exit code."""
 
 import asyncio
+import contextlib
 import json
 import pathlib
 import re
@@ -178,6 +179,34 @@
         assert "entry-0.yaml" in line["reason"]
         assert "started" in [line["message"] for line in lines]
 
+    # Guards against processes that end because a supervisor starts them
+    # without standard streams.
+    @pytest.mark.parametrize("redirection", ["<&-", ">&-", "2>&-", ">&- 2>&-"])
+    def test_process_runs_without_standard_streams(
+        self, tmp_path, redirection
+    ):
+        entry = platform_site.EntryProcess("e", tmp_path, "127.0.0.1:1")
+        command = f"exec {sys.executable} -m chicorydoor.platform"
+        with subprocess.Popen(
+            ["/bin/sh", "-c", f"{command} {redirection}"],
+            env={
+                settings_file.SETTINGS_PATH_VARIABLE: str(tmp_path / "e.yaml"),
+                "PATH": "",
+            },
+            stdin=subprocess.DEVNULL,
+            stdout=subprocess.DEVNULL,
+            stderr=subprocess.DEVNULL,
+        ) as process:
+            for _ in range(1000):
+                with contextlib.suppress(OSError):
+                    socket.create_connection(entry.caller_address).close()
+                    break
+                if process.poll() is not None:
+                    break
+                time.sleep(0.01)
+            process.terminate()
+            assert process.wait(10.0) == 0
+
     def test_stop_ends_the_wait_for_settings(self, tmp_path):
         with subprocess.Popen(
             [sys.executable, "-m", "chicorydoor.platform"],
