Report settings that YAML's own types do not accept

Cause: YAML reads a date or a tagged number itself and raises a ValueError if it is not one, such as 2020-13-45. The start then ended with a traceback and exit code 1 instead of one line and 2, and would not have waited for a file that is being written; a SIGHUP did not log that the change is not valid.

Change: any ValueError means settings that are not valid.

--- a/chicorydoor/platform/settings_file.py
+++ b/chicorydoor/platform/settings_file.py
@@ -94,7 +94,8 @@
     except yaml.YAMLError as error:
         reason = " ".join(f"{error}".split())
         raise errors.SettingsError(f"{path}: {reason}") from error
-    except (msgspec.ValidationError, errors.ConfigurationError) as error:
+    # YAML's own types, such as dates, raise a ValueError.
+    except (ValueError, errors.ConfigurationError) as error:
         raise errors.SettingsError(f"{path}: {error}") from error
 
 
--- a/tests/test_platform_process.py
+++ b/tests/test_platform_process.py
@@ -223,7 +223,9 @@
             assert time.monotonic() - started_at < 1.0
             assert process.stderr.read() == b""
 
-    @pytest.mark.parametrize("text", [None, "self: [", "self: {}"])
+    @pytest.mark.parametrize(
+        "text", [None, "self: [", "self: {}", "a: 2020-13-45", "a: !!int b"]
+    )
     def test_rejects_invalid_settings_with_one_line(self, tmp_path, text):
         path = tmp_path / "settings.yaml"
         if text is not None:
