--- a/chicorydoor/standins/port_allocation.py
+++ b/chicorydoor/standins/port_allocation.py
@@ -10,13 +10,16 @@
 # Each process starts its search at another port, so that two concurrent
 # processes do not allocate the same port before either uses it.
 _SEARCH_START_STRIDE = 331
-_allocated_ports: set[int] = set()
+# Bound to each allocated port, so that no other process allocates it.
+_RESERVATION_ADDRESS = "127.0.0.99"
+_socket_by_port: dict[int, socket.socket] = {}
 
 
 def allocate_ports(count: int) -> list[int]:
     """Distinct TCP ports of the loopback interface that are free.
 
-    Within a process no port is returned twice.
+    No port is returned twice, neither within a process nor to two processes
+    that run at the same time.
 
     Args:
         count (int): Number of ports.
@@ -27,18 +30,26 @@
     port_count = _PORTS_END - _PORTS_START
     first_offset = os.getpid() * _SEARCH_START_STRIDE
     found: list[int] = []
+    for offset in range(port_count):
+        if len(found) == count:
+            return found
+        port = _PORTS_START + (first_offset + offset) % port_count
+        if port not in _socket_by_port and _reserve(port):
+            found.append(port)
+    raise OSError(f"only {len(found)} of {count} ports are free")
+
+
+def _reserve(port: int) -> bool:
+    """Reserve a port for this process if it is free."""
     with contextlib.ExitStack() as stack:
-        for offset in range(port_count):
-            port = _PORTS_START + (first_offset + offset) % port_count
-            if len(found) == count:
-                break
-            if port in _allocated_ports:
-                continue
-            probe_socket = stack.enter_context(socket.socket())
-            with contextlib.suppress(OSError):
-                probe_socket.bind(("127.0.0.1", port))
-                found.append(port)
-    if len(found) < count:
-        raise OSError(f"only {len(found)} of {count} ports are free")
-    _allocated_ports.update(found)
-    return found
+        reservation = stack.enter_context(socket.socket())
+        probe_socket = stack.enter_context(socket.socket())
+        try:
+            reservation.bind((_RESERVATION_ADDRESS, port))
+            probe_socket.bind(("127.0.0.1", port))
+        except OSError:
+            return False
+        probe_socket.close()
+        _socket_by_port[port] = reservation
+        stack.pop_all()
+    return True
--- a/tests/test_platform_entry.py
+++ b/tests/test_platform_entry.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import contextlib
 import json
 import random
 import socket
@@ -16,6 +17,7 @@
 
 from chicorydoor import compose_fleet
 from chicorydoor.platform import documents
+from chicorydoor.platform import kv_store
 from chicorydoor.protocol import serving_config
 from chicorydoor.protocol import store_items
 from chicorydoor.standins import platform_store
@@ -904,6 +906,22 @@
 
         platform_cluster.run(scenario)
 
+    # Guards against a stop that ends with an error and its traceback.
+    def test_unexpected_error_of_the_withdrawal_does_not_fail_it(
+        self, monkeypatch, caplog
+    ):
+        async def fail(store, lease):
+            raise RuntimeError("unexpected")
+
+        monkeypatch.setattr(kv_store.KeyValueStore, "revoke_lease", fail)
+
+        async def scenario(cluster):
+            cluster.entries[0].request_stop()
+            await cluster.tasks[0]
+
+        platform_cluster.run(scenario)
+        assert "unexpected error" in caplog.messages
+
 
 _USES = ("callers", "readiness", "peers", "lookups", "relay", "metrics")
 
@@ -1007,10 +1025,16 @@
             with _hold_port(settings.peers):
                 started_at = time.monotonic()
                 cluster.start_entry(settings)
-                with pytest.raises(AssertionError):
-                    await cluster.wait_until_ready(settings)
-                await cluster.wait_until_ready(settings)
-                assert time.monotonic() - started_at < 7.0
+
+                async def is_ready():
+                    url = f"http://{settings.readiness}/readiness"
+                    with contextlib.suppress(httpx.HTTPError):
+                        reply = await cluster.client.get(url)
+                        return reply.status_code == 200
+
+                await cluster.wait_until(is_ready, 10.0)
+                # Until then other entries serve better.
+                assert time.monotonic() - started_at >= 5.0
                 assert (await cluster.call()).status_code == 200
 
         platform_cluster.run(scenario, entries=0)
@@ -1039,7 +1063,7 @@
             for number in range(4)
         ]
         for registration in registrations:
-            components.fleet.record_registration(registration)
+            components.fleet.record_registration(registration, clock.now_s)
         shares = []
 
         async def run():
--- a/tests/test_platform_process.py
+++ b/tests/test_platform_process.py
@@ -1,6 +1,7 @@
 """Entries as real processes, from the settings file to the exit code."""
 
 import asyncio
+import contextlib
 import json
 import pathlib
 import re
@@ -181,6 +182,34 @@
         assert "entry-0.yaml" in line["reason"]
         assert "started" in [line["message"] for line in lines]
 
+    # Guards against processes that end because a supervisor starts them
+    # without standard streams.
+    @pytest.mark.parametrize("redirection", ["<&-", ">&-", "2>&-", ">&- 2>&-"])
+    def test_process_runs_without_standard_streams(
+        self, tmp_path, redirection
+    ):
+        entry = platform_site.EntryProcess("e", tmp_path, "127.0.0.1:1")
+        command = f"exec {sys.executable} -m chicorydoor.platform"
+        with subprocess.Popen(
+            ["/bin/sh", "-c", f"{command} {redirection}"],
+            env={
+                settings_file.SETTINGS_PATH_VARIABLE: str(tmp_path / "e.yaml"),
+                "PATH": "",
+            },
+            stdin=subprocess.DEVNULL,
+            stdout=subprocess.DEVNULL,
+            stderr=subprocess.DEVNULL,
+        ) as process:
+            for _ in range(1000):
+                with contextlib.suppress(OSError):
+                    socket.create_connection(entry.caller_address).close()
+                    break
+                if process.poll() is not None:
+                    break
+                time.sleep(0.01)
+            process.terminate()
+            assert process.wait(10.0) == 0
+
     def test_stop_ends_the_wait_for_settings(self, tmp_path):
         with subprocess.Popen(
             [sys.executable, "-m", "chicorydoor.platform"],
@@ -197,7 +226,9 @@
             assert time.monotonic() - started_at < 1.0
             assert process.stderr.read() == b""
 
-    @pytest.mark.parametrize("text", [None, "self: [", "self: {}"])
+    @pytest.mark.parametrize(
+        "text", [None, "self: [", "self: {}", "a: 2020-13-45", "a: !!int b"]
+    )
     def test_rejects_invalid_settings_with_one_line(self, tmp_path, text):
         path = tmp_path / "settings.yaml"
         if text is not None:
--- a/tests/test_port_allocation.py
+++ b/tests/test_port_allocation.py
@@ -1,6 +1,8 @@
 """Allocation of free ports for processes that start later."""
 
 import socket
+import subprocess
+import sys
 
 from chicorydoor.standins import port_allocation
 
@@ -24,5 +26,26 @@
             (port,) = port_allocation.allocate_ports(1)
             used_socket.bind(("127.0.0.1", port))
             # Only the socket keeps the port from being found now.
-            port_allocation._allocated_ports.discard(port)
+            port_allocation._socket_by_port.pop(port).close()
             assert port not in port_allocation.allocate_ports(50)
+
+    # Guards against two test runs at the same time whose entries take each
+    # other's ports.
+    def test_skips_ports_that_another_process_was_given(self):
+        code = (
+            "from chicorydoor.standins import port_allocation\n"
+            "print(*port_allocation.allocate_ports(1000), flush=True)\n"
+            "input()\n"
+        )
+        (start,) = port_allocation.allocate_ports(1)
+        with subprocess.Popen(
+            [sys.executable, "-c", code],
+            stdin=subprocess.PIPE,
+            stdout=subprocess.PIPE,
+            text=True,
+        ) as process:
+            theirs = {int(port) for port in process.stdout.readline().split()}
+            assert start not in theirs
+            ours = set(port_allocation.allocate_ports(2000))
+            process.stdin.write("\n")
+        assert not theirs & ours
