Bound how long an entry waits for those before it in rank

An entry that got no update of a part of the store read it itself after a time that grew with its rank in the region, 0.25 s for each rank, until its peers counted as silent after 2 s and a look every 0.5 s. Cut off from its peers, but not from the store, the last of twelve entries knew 2.88 s late that a target had left, allowed 2.5 s.

A FollowPolicy now names the longest such time at any rank: 1.8 s for targets, 2.1 s for configuration and evacuations. Up to rank 4 nothing changes.

test_store_follower.py::TestEntryCutOffFromPeers: 12 of 40 cases fail before the change ("assert {'p/a': b'1'} == {}": servers/ at rank 11, op/ and servers/ at rank 64), none after it.

--- a/chicorydoor/compose_fleet.py
+++ b/chicorydoor/compose_fleet.py
@@ -68,6 +68,7 @@
         read_interval_s=0.0,
         takeover_s=2.0,
         stagger_s=0.05,
+        max_takeover_s=2.1,
         values_within_s=0.4,
     ),
     # Targets write continuously; a read about every second meets the time
@@ -79,6 +80,7 @@
         read_interval_s=0.8,
         takeover_s=1.05,
         stagger_s=0.25,
+        max_takeover_s=1.8,
     ),
     # Entries register rarely; heartbeats carry everything else.
     store_follower.FollowPolicy(
@@ -88,6 +90,7 @@
         read_interval_s=1.0,
         takeover_s=7.5,
         stagger_s=0.25,
+        max_takeover_s=9.0,
     ),
 )
 # Interval of periodic tasks without precise timing.
--- a/chicorydoor/coordination/store_follower.py
+++ b/chicorydoor/coordination/store_follower.py
@@ -94,6 +94,9 @@
         takeover_s (float): Seconds without an update after which the next
             entry in rank reads too.
         stagger_s (float): Additional seconds for each further rank.
+        max_takeover_s (float): Seconds without an update after which an entry
+            of any rank reads. An entry that is cut off from its peers takes
+            those before it in rank for readers until they count as silent.
         values_within_s (float): If above 0, values are large: only the first
             reader publishes them, so that they do not saturate the links. The
             others publish that there is a change, and an entry that then gets
@@ -107,6 +110,7 @@
     read_interval_s: float
     takeover_s: float
     stagger_s: float
+    max_takeover_s: float
     values_within_s: float = 0.0
 
     def max_age_s(self, rank: int) -> float:
@@ -119,7 +123,10 @@
         """
         if rank < self.reader_count:
             return self.read_interval_s
-        return self.takeover_s + self.stagger_s * (rank - self.reader_count)
+        takeover_s = self.takeover_s + self.stagger_s * (
+            rank - self.reader_count
+        )
+        return min(takeover_s, self.max_takeover_s)
 
 
 ItemsCallback = abc.Callable[[list[store_items.StoreItemChange]], None]
--- a/tests/support/simulated_peers.py
+++ b/tests/support/simulated_peers.py
@@ -22,9 +22,9 @@
 from tests.support import config_builders
 from tests.support import virtual_time
 
-# After the prefix: watch_timeout_s, reader_count, read_interval_s, takeover_s
-# and stagger_s.
-_FOLLOW_POLICY = store_follower.FollowPolicy("p/", 1.0, 1, 0.0, 2.0, 0.1)
+# After the prefix: watch_timeout_s, reader_count, read_interval_s, takeover_s,
+# stagger_s and max_takeover_s.
+_FOLLOW_POLICY = store_follower.FollowPolicy("p/", 1.0, 1, 0.0, 2.0, 0.1, 2.5)
 
 
 class Network:
--- a/tests/test_store_follower.py
+++ b/tests/test_store_follower.py
@@ -4,9 +4,12 @@
 import itertools
 import random
 
+import msgspec
 import pytest
 
+from chicorydoor import compose_fleet
 from chicorydoor import errors
+from chicorydoor.coordination import peer_exchange
 from chicorydoor.coordination import store_follower
 from chicorydoor.protocol import gossip_messages
 from chicorydoor.protocol import store_items
@@ -15,6 +18,10 @@
 from chicorydoor.transport import clock as clock_module
 from tests.support import virtual_time
 
+# Tightest time within which an entry has to heed a change of the
+# configuration, and that a target leaves.
+_CHANGE_BOUND_S = 2.5
+
 
 class _FakeFeed:
     """A store of which tests can make the next calls fail.
@@ -96,20 +103,24 @@
         entries=1,
         readers=1,
         values_within_s=0.0,
+        policy=None,
     ):
+        self.rank = rank
         self.value_by_key = {}
         self.published = []
         self.contacts = 0
         self.follower = store_follower.StoreFollower(
             # After the prefix: watch_timeout_s, reader_count,
-            # read_interval_s, takeover_s and stagger_s.
-            policy=store_follower.FollowPolicy(
+            # read_interval_s, takeover_s, stagger_s and max_takeover_s.
+            policy=policy
+            or store_follower.FollowPolicy(
                 "p/",
                 1.0,
                 readers,
                 read_interval_s,
                 read_interval_s + 0.25,
                 0.25,
+                10.0,
                 values_within_s,
             ),
             feed=feed,
@@ -117,7 +128,7 @@
             clock=clock_module.EventLoopClock(),
             publish=self.published.append,
             on_items=self._apply_items,
-            get_rank=lambda: rank,
+            get_rank=lambda: self.rank,
             count_entries=lambda: entries,
             on_contact=self._count_contact,
         )
@@ -279,6 +290,44 @@
         _run_scenario(scenario, read_interval_s=0.8)
 
 
+class TestEntryCutOffFromPeers:
+    # Guards against requests to a target that had left 2.6 s before: the last
+    # of twelve entries, cut off from the others, read the store too late.
+    @pytest.mark.parametrize(
+        "policy", compose_fleet.FOLLOW_POLICIES[:2], ids=["op", "servers"]
+    )
+    @pytest.mark.parametrize("rank", [3, 5, 11, 64])
+    @pytest.mark.parametrize("listed_s", [0.1, 0.2, 0.3, 0.4, 0.5])
+    def test_reads_a_change_in_time(self, policy, rank, listed_s):
+        async def scenario(feed, harness):
+            await asyncio.sleep(listed_s)
+            feed.revision += 1
+            batch = store_items.StoreItemBatch([], feed.revision)
+            harness.follower.apply_changes(
+                gossip_messages.StoreChanges(
+                    "p/", harness.follower.mirror.as_of, batch
+                )
+            )
+            # From here on nothing arrives but a last heartbeat of each peer.
+            # Then they count as silent, and this entry is the first in rank.
+            feed.write("p/a", None)
+            silent_after_s = (
+                peer_exchange.HEARTBEAT_INTERVAL_S
+                + peer_exchange.PEER_SILENT_AFTER_S
+            )
+            asyncio.get_running_loop().call_later(
+                silent_after_s, setattr, harness, "rank", 0
+            )
+            await asyncio.sleep(_CHANGE_BOUND_S)
+            assert harness.value_by_key == {}
+
+        _run_scenario(
+            scenario,
+            rank=rank,
+            policy=msgspec.structs.replace(policy, prefix="p/"),
+        )
+
+
 class TestLargeValues:
     """Guards against a call of every entry for every configuration."""
 
