Do not take a pause of the entry for an outage of the store

An entry without contact to the store for 2.5 s took this for an outage, also if it had itself got no processor time meanwhile. It kept targets whose registrations ended for 2.5 s after the next contact. Now only time in which the entry ran counts.

test_target_registrations.py::TestPausedEntry: 3 cases fail with the rule of before ("assert not {'t0': ...}", a trial on a scratch copy in which record_running does nothing), none with the change. The other tests of the file now let the entry run, as the daemon does; their checks are the same.

--- a/chicorydoor/compose_fleet.py
+++ b/chicorydoor/compose_fleet.py
@@ -433,6 +433,7 @@
     async def run_maintenance(self) -> None:
         """Run the periodic steps without precise timing until cancelled."""
         steps = (
+            self.target_registrations.record_running,
             self._set_ready_once_configured,
             self._rebalance_rates,
             self._announce_reach,
--- a/chicorydoor/coordination/target_registrations.py
+++ b/chicorydoor/coordination/target_registrations.py
@@ -14,9 +14,12 @@
 from chicorydoor.transport import clock as clock_module
 
 # If the store answered no call of this entry, nor of a peer as far as known
-# here, for this long, it was unavailable; answers are usually less than a
-# second apart.
+# here, for this long while this entry ran, it was unavailable; answers are
+# usually less than a second apart.
 _OUTAGE_THRESHOLD_S = 2.5
+# An entry that runs says so four times a second. In a longer interval it got
+# no processor time, and does not know whether the store would have answered.
+_MAX_RUNNING_INTERVAL_S = 0.5
 # Live targets register again within two seconds after the store's return; the
 # registrations may be read up to another second later.
 _REGISTRATION_GRACE_S = 2.5
@@ -37,9 +40,17 @@
     ) -> None:
         self._targets = targets
         self._clock = clock
-        self._last_contact_at = clock.now()
+        self._ran_at = clock.now()
+        # Time for which this entry has run since its last contact.
+        self._silent_s = 0.0
         self._store_returned_at = float("-inf")
 
+    def record_running(self) -> None:
+        """Record that this entry runs; called a few times a second."""
+        now = self._clock.now()
+        self._silent_s += min(now - self._ran_at, _MAX_RUNNING_INTERVAL_S)
+        self._ran_at = now
+
     def record_store_contact(self) -> None:
         """Record that the store answered any call of this entry or a peer.
 
@@ -47,10 +58,10 @@
         outage: if a waiting call for one part of the store has gone silent,
         that part may be read again seconds after another.
         """
-        now = self._clock.now()
-        if now - self._last_contact_at > _OUTAGE_THRESHOLD_S:
-            self._store_returned_at = now
-        self._last_contact_at = now
+        self.record_running()
+        if self._silent_s > _OUTAGE_THRESHOLD_S:
+            self._store_returned_at = self._clock.now()
+        self._silent_s = 0.0
 
     def apply_registration(
         self, record: serving_config.TargetRegistration
--- a/tests/test_target_registrations.py
+++ b/tests/test_target_registrations.py
@@ -5,6 +5,8 @@
 
 import asyncio
 
+import pytest
+
 from chicorydoor.coordination import target_registrations
 from chicorydoor.state import target_views
 from chicorydoor.transport import clock as clock_module
@@ -12,6 +14,13 @@
 from tests.support import virtual_time
 
 
+async def _record_running(registrations):
+    """Record that the process runs, as an entry does all the time."""
+    while True:
+        registrations.record_running()
+        await asyncio.sleep(0.25)
+
+
 def _run(scenario):
     async def run():
         clock = clock_module.EventLoopClock()
@@ -23,7 +32,11 @@
             registrations.apply_registration(
                 make.build_target_registration(name)
             )
-        await scenario(registrations, targets)
+        running = asyncio.create_task(_record_running(registrations))
+        try:
+            await scenario(registrations, targets)
+        finally:
+            running.cancel()
 
     virtual_time.run(run())
 
@@ -102,3 +115,41 @@
             assert set(targets.target_by_id) == {"t1"}
 
         _run(scenario)
+
+
+class TestPausedEntry:
+    # Guards against requests to a target that had left 3.4 s before: an entry
+    # that had no processor time took that for an outage of the store.
+    @pytest.mark.parametrize(
+        ("awake_s", "paused_s"), [(0.0, 4.0), (1.0, 1.6), (1.5, 8.0)]
+    )
+    def test_pause_is_no_outage_of_the_store(self, awake_s, paused_s):
+        async def scenario():
+            clock = clock_module.EventLoopClock()
+            targets = target_views.TargetViews(make.REGION_BY_DOMAIN)
+            registrations = target_registrations.TargetRegistrations(
+                targets, clock
+            )
+            registrations.apply_registration(
+                make.build_target_registration("t0")
+            )
+            await _keep_contact(registrations, 3.0)
+            for _ in range(int(awake_s * 4)):
+                await asyncio.sleep(0.25)
+                registrations.record_running()
+            await asyncio.sleep(paused_s)
+            registrations.record_store_contact()
+            registrations.handle_removal("t0")
+            assert not targets.target_by_id
+
+        virtual_time.run(scenario())
+
+    def test_shortest_outage_is_recognised(self):
+        async def scenario(registrations, targets):
+            await _keep_contact(registrations, 1.0)
+            await asyncio.sleep(2.75)
+            registrations.record_store_contact()
+            registrations.handle_removal("t0")
+            assert set(targets.target_by_id) == {"t0", "t1"}
+
+        _run(scenario)
