Wait for the entry's log lines in the tests of its start

Cause: two new tests gave the process a fixed time to start. Beside other load (16 on 8 cores, arm64) it took over 2 s once; the SIGTERM then met the interpreter before the program's handler, and the exit code was -15 instead of 0 (1 of 312 tests in that run).

Change: they wait for the line that tells of the port, or of the start, up to 10 s. What is asserted stays as it was.

--- a/tests/test_platform_process.py
+++ b/tests/test_platform_process.py
@@ -25,6 +25,15 @@
     return bool(int(ignored, 16) & 1 << (signal.SIGHUP - 1))
 
 
+_NOT_BOUND = "port not bound, trying again"
+
+
+async def _wait_for_lines(log_path, message, count):
+    async with asyncio.timeout(10.0):
+        while log_path.read_text().count(message) < count:
+            await asyncio.sleep(0.02)
+
+
 def _catches_sigterm(pid):
     status = pathlib.Path(f"/proc/{pid}/status").read_text()
     (caught,) = re.findall(r"SigCgt:\s*(\w+)", status)
@@ -117,13 +126,14 @@
                 await entry.wait()
                 with socket.create_server(entry.caller_address):
                     await entry.start(waits_for_ready=False)
-                    await asyncio.sleep(2.0)
+                    await _wait_for_lines(entry.log_path, _NOT_BOUND, 1)
+                    await asyncio.sleep(1.0)
                 await entry.wait_until_ready()
                 entry.send_signal(signal.SIGKILL)
                 await entry.wait()
                 with socket.create_server(entry.caller_address):
                     await entry.start(waits_for_ready=False)
-                    await asyncio.sleep(2.0)
+                    await _wait_for_lines(entry.log_path, _NOT_BOUND, 2)
                     entry.send_signal(signal.SIGTERM)
                     async with asyncio.timeout(1.0):
                         return await entry.wait(), entry.log_path
@@ -135,11 +145,7 @@
         lines = [
             json.loads(line) for line in log_path.read_text().splitlines()
         ]
-        not_bound = [
-            line
-            for line in lines
-            if line["message"] == "port not bound, trying again"
-        ]
+        not_bound = [line for line in lines if line["message"] == _NOT_BOUND]
         assert [line["use"] for line in not_bound] == ["callers", "callers"]
 
     # Guards against a process that ends because its settings are written
@@ -162,7 +168,7 @@
                 await _wait_until_started(entry.pid)
                 await asyncio.sleep(0.5)
                 path.write_text(text)
-                await asyncio.sleep(1.0)
+                await _wait_for_lines(entry.log_path, '"started"', 1)
                 entry.send_signal(signal.SIGTERM)
                 return await entry.wait(), entry.log_path.read_text()
             finally:
