Keep a quarter of the descriptors for targets, peers and the store

Cause: connections of callers could use up all descriptors of an entry. Then none could be opened to a target; each failure counted as the target's, so that all were taken out of use and all requests refused, also on the connections that callers had kept, until the others were closed.

Change: connections are accepted only while the lowest free descriptor lies in the first three quarters of the limit; others wait as they did when none was free.

Test: test_connections_leave_a_quarter_of_the_descriptors fails without the change (30 of 30 accepted).

--- a/chicorydoor/transport/http_server.py
+++ b/chicorydoor/transport/http_server.py
@@ -5,6 +5,8 @@
 import contextlib
 import errno
 import logging
+import os
+import resource
 import select
 import socket
 import typing
@@ -16,7 +18,10 @@
 _LISTEN_BACKLOG = 1024
 # Bounds the length of a turn of the event loop.
 _MAX_ACCEPTS_PER_TURN = 128
-# Pause before accepting again after all descriptors were in use.
+# Part of the process's descriptors that connections of callers leave to those
+# to targets, peers and the store. Without them no request could be served.
+_RESERVED_DESCRIPTORS = 0.25
+# Pause before accepting again after all other descriptors were in use.
 _DESCRIPTOR_PAUSE_S = 0.1
 # Time for the kernel to complete a handshake whose caller has sent its last
 # packet.
@@ -79,6 +84,7 @@
     def _accept_waiting(self) -> None:
         for _ in range(_MAX_ACCEPTS_PER_TURN):
             try:
+                self._check_descriptors()
                 self._serve_next()
             except BlockingIOError:
                 return
@@ -91,6 +97,17 @@
                     )
                     return
 
+    def _check_descriptors(self) -> None:
+        """Raise EMFILE if only reserved descriptors are left.
+
+        A new descriptor gets the lowest number that is not in use.
+        """
+        lowest_free = os.dup(self._listener.fileno())
+        os.close(lowest_free)
+        limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+        if lowest_free >= (1.0 - _RESERVED_DESCRIPTORS) * limit:
+            raise OSError(errno.EMFILE, "only reserved descriptors are free")
+
     def _serve_next(self) -> None:
         connection, _ = self._listener.accept()
         connection.setblocking(False)
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import errno
+import os
+import resource
 import socket
 import time
 
@@ -161,6 +163,46 @@
         with asyncio.Runner(loop_factory=loop_factory) as runner:
             runner.run(scenario())
 
+    # Guards against callers whose connections use up all descriptors, so that
+    # none can be opened to targets: all requests were refused.
+    def test_connections_leave_a_quarter_of_the_descriptors(self, monkeypatch):
+        def connect(port):
+            connection = socket.create_connection(("127.0.0.1", port), 1.0)
+            connection.sendall(_REQUEST)
+            return connection
+
+        def count_answered(connections):
+            count = 0
+            for connection in connections:
+                connection.setblocking(False)
+                try:
+                    count += connection.recv(12) == b"HTTP/1.1 200"
+                except BlockingIOError:
+                    pass
+            return count
+
+        async def scenario():
+            server = http_server.HttpServer(_answer, "127.0.0.1", 0)
+            await server.start()
+            connections = [connect(server.port) for _ in range(30)]
+            lowest_free = os.dup(0)
+            os.close(lowest_free)
+            limit = (lowest_free + 10) * 4 / 3
+            with monkeypatch.context() as patch:
+                patch.setattr(resource, "getrlimit", lambda _: (limit, limit))
+                await asyncio.sleep(0.3)
+                assert count_answered(connections) == 10
+                for connection in connections[:15]:
+                    connection.close()
+                await asyncio.sleep(0.5)
+                assert count_answered(connections[15:]) == 15
+            for connection in connections:
+                connection.close()
+            await server.stop()
+
+        with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+            runner.run(scenario())
+
     # Guards against a port that stays closed after all descriptors were in
     # use, or keeps the event loop busy until one is free.
     def test_callers_are_accepted_when_descriptors_are_free_again(
