Do not take the trailers of a request for headers

Cause: uvicorn appends what its parser reads after a chunked body to the list of headers that the application has. Trailers were so passed on as headers. A second request id among them was echoed by the target, whose response then belonged to no request: 504 after the request had run.

Change: once the headers are complete, later ones are dropped.

Test: TestTrailers fails without the change, with the body in the same read and in a later one (arm64).

--- a/chicorydoor/transport/caller_protocol.py
+++ b/chicorydoor/transport/caller_protocol.py
@@ -84,6 +84,8 @@
             self._connection.add_to_scope(self.scope)
         asgi.set_read_time(self.scope, _CLOCK.now())
         super().on_headers_complete()
+        # The scope has the list of headers; trailers are not to join them.
+        self.headers = []
         self._unfinished_cycles = [
             each
             for each in self._unfinished_cycles
--- a/tests/test_caller_protocol.py
+++ b/tests/test_caller_protocol.py
@@ -21,10 +21,10 @@
 
 
 class _App:
-    """Answers after 0.2 s; counts requests whose body was read."""
+    """Answers after 0.2 s; keeps the headers of requests that were read."""
 
     def __init__(self):
-        self.read_count = 0
+        self.received_headers = []
 
     async def __call__(self, scope, receive, send):
         while True:
@@ -33,7 +33,7 @@
                 return
             if not event.get("more_body", False):
                 break
-        self.read_count += 1
+        self.received_headers.append(scope["headers"])
         await asyncio.sleep(0.2)
         headers = [(b"content-length", b"2")]
         await send(
@@ -148,6 +148,30 @@
         assert _statuses(_exchange(*pieces)) == [200, 431]
 
 
+class TestTrailers:
+    # Guards against trailers that are passed on as headers, such as a second
+    # request id, by which the target's response was taken for another one's.
+    @pytest.mark.parametrize("is_one_read", [True, False])
+    def test_they_do_not_join_the_headers(self, is_one_read):
+        head = b"POST / HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n"
+        pieces = [head + b"\r\n", b"1\r\nx\r\n0\r\nrequest-id: z\r\n\r\n"]
+        if is_one_read:
+            pieces = [b"".join(pieces)]
+
+        async def scenario():
+            exchange = _Exchange()
+            received = await exchange.run(*pieces, _REQUEST)
+            assert _statuses(received) == [200, 200]
+            names = [
+                [name for name, _ in headers]
+                for headers in exchange.app.received_headers
+            ]
+            assert names == [[b"host", b"transfer-encoding"], [b"host"]]
+
+        with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+            runner.run(scenario())
+
+
 class TestStop:
     @staticmethod
     async def _stop(server):
