--- a/chicorydoor/transport/caller_protocol.py
+++ b/chicorydoor/transport/caller_protocol.py
@@ -99,6 +99,8 @@
         asgi.set_read_time(self.scope, _CLOCK.now())
         self._drops_body = not self.admit_body(self.scope)
         super().on_headers_complete()
+        # The scope has the list of headers; trailers are not to join them.
+        self.headers = []
         self._unfinished_cycles = [
             each
             for each in self._unfinished_cycles
