Ignore a replaced start of a target that comes from a copy

Since a target's start with an earlier time counts as another incarnation, a store that was restored from a copy could put the incarnation before in the place of the running one: it is READY in the copy, and what the running one had said of leaving, in its registration or in answers, was gone. A target that leaves then got requests until it wrote again.

A start that the known one has replaced, with an earlier time, is ignored. A start after a step of a clock has a time that was not seen before.

test_earlier_start_that_was_replaced_is_ignored fails before (t0 usable). Found by reading; not seen with real processes.

--- a/chicorydoor/coordination/target_registrations.py
+++ b/chicorydoor/coordination/target_registrations.py
@@ -20,6 +20,9 @@
 # Live targets register again within two seconds after the store's return; the
 # registrations may be read up to another second later.
 _REGISTRATION_GRACE_S = 2.5
+# Replaced incarnations that are remembered: room for several replacements of
+# all targets of a large deployment.
+_MAX_REPLACED = 10_000
 
 _LOG = logging.getLogger(__name__)
 
@@ -37,6 +40,8 @@
     ) -> None:
         self._targets = targets
         self._clock = clock
+        # The first to be replaced first.
+        self._replaced: dict[ids.TargetIncarnation, None] = {}
         self._last_contact_at = clock.now()
         self._store_returned_at = float("-inf")
 
@@ -59,19 +64,28 @@
 
         One that its target wrote before the known one is ignored: a store
         that comes back from a copy shows such until the target writes again.
+        So is one of an earlier incarnation that the known one has replaced;
+        after a step of a clock, a new one may have an earlier start too.
         """
         known = self._targets.target_by_id.get(record.target_id)
         previous = known.record if known is not None else None
-        if previous is not None and _was_written_before(record, previous):
+        if previous is not None and (
+            _was_written_before(record, previous)
+            or self._was_replaced_by(record, previous)
+        ):
             _LOG.info(
                 "outdated registration ignored",
                 extra={
                     "target": record.target_id,
                     "sequence": record.sequence,
                     "known": previous.sequence,
+                    "started_ms": record.started_ms,
+                    "known_started_ms": previous.started_ms,
                 },
             )
             return
+        if known is not None and known.record.started_ms != record.started_ms:
+            self._remember_replaced(known.incarnation_key)
         self._targets.add_or_update(record, self._clock.now())
         if previous is None or _should_log_change(previous, record):
             _LOG.info(
@@ -87,6 +101,22 @@
                 },
             )
 
+    def _was_replaced_by(
+        self,
+        record: serving_config.TargetRegistration,
+        known: serving_config.TargetRegistration,
+    ) -> bool:
+        """Whether a registration is of an incarnation before the known one."""
+        return (
+            record.started_ms < known.started_ms
+            and (record.target_id, record.started_ms) in self._replaced
+        )
+
+    def _remember_replaced(self, incarnation: ids.TargetIncarnation) -> None:
+        self._replaced[incarnation] = None
+        if len(self._replaced) > _MAX_REPLACED:
+            del self._replaced[next(iter(self._replaced))]
+
     def handle_removal(self, target_id: ids.TargetId) -> None:
         """Handle the end of a registration.
 
--- a/tests/test_target_registrations.py
+++ b/tests/test_target_registrations.py
@@ -148,3 +148,22 @@
             assert names == ["t1"]
 
         _run(scenario)
+
+    # Guards against requests to a target that leaves: a store that came back
+    # from a copy named its start before, which had not said so.
+    def test_earlier_start_that_was_replaced_is_ignored(self):
+        async def scenario(registrations, targets):
+            leaving = make.serving_config.TargetLifecycle.LEAVING
+            earlier = make.build_target_registration("t0", started_ms=4)
+            registrations.apply_registration(earlier)
+            for lifecycle in (earlier.lifecycle, leaving):
+                registrations.apply_registration(
+                    make.build_target_registration(
+                        "t0", started_ms=9, lifecycle=lifecycle
+                    )
+                )
+            registrations.apply_registration(earlier)
+            names = [view.target_id for view in targets.usable_targets("svc")]
+            assert names == ["t1"]
+
+        _run(scenario)
