Let a chunked body take no more memory than it needs

A body without a length got its first 320 KiB from the part for beginnings of bodies that wait, and kept them until its request was answered.

The first piece now comes from the memory for large bodies, as long as there is room, and a body that has been read keeps its length only.

test_chunked_ones_take_what_they_need fails before: 32 of 300 were read (arm64). Found in review.

--- a/chicorydoor/coordination/body_reader.py
+++ b/chicorydoor/coordination/body_reader.py
@@ -134,9 +134,12 @@
         length = body_length(scope)
         if length == 0:
             return True
-        reservation = None
-        if length is not None:
-            reservation = self._part(length).try_reserve(length)
+        if length is None:
+            reservation = self._memory.large_requests.try_reserve(
+                body_memory.BEGINNING_BYTES
+            )
+        else:
+            reservation = self._try_reserve(length)
         if reservation is None and _is_large(length):
             reservation = self._memory.beginnings.try_reserve(
                 body_memory.BEGINNING_BYTES
@@ -183,6 +186,8 @@
         except BaseException:
             body.release()
             raise
+        if length is None:
+            self._reserve_anew(body)
         return body
 
     async def _read_into(
@@ -241,10 +246,23 @@
             raise self._refuse(size)
         body.reservations.append(reservation)
 
-    def _part(self, length: int) -> body_memory.MemoryPart:
-        if _is_large(length):
-            return self._memory.large_requests
-        return self._memory.small_requests
+    def _try_reserve(self, length: int) -> body_memory.Reservation | None:
+        """Reserve memory for a whole body; None without room."""
+        memory = self._memory
+        part = (
+            memory.large_requests
+            if _is_large(length)
+            else memory.small_requests
+        )
+        return part.try_reserve(length)
+
+    def _reserve_anew(self, body: Body) -> None:
+        """Let a body whose length is now known take no more than that."""
+        reservation = self._try_reserve(sum(map(len, body.chunks)))
+        if reservation is not None:
+            kept, body.reservations = body.reservations, [reservation]
+            for each in kept:
+                each.release()
 
     def _refuse(self, size: int | None) -> request_types.RefusedError:
         in_use = ", ".join(
--- a/tests/test_body_memory.py
+++ b/tests/test_body_memory.py
@@ -242,6 +242,43 @@
         assert self._read(body, 20, remaining_s=0.05) is _CODES.BODY_LATE
 
 
+class TestManySmallBodies:
+    LIMIT = 300 * _MB
+    CALLERS = 300
+
+    def _read_all(self, framing, size):
+        """Read many bodies and keep them; how many could be read."""
+
+        async def run():
+            clock = clock_module.SystemClock()
+            memory = body_memory.BodyMemory(self.LIMIT)
+            reader = body_reader.BodyReader(memory, clock)
+            scopes = [{"headers": [framing]} for _ in range(self.CALLERS)]
+            bodies = []
+            # Each is still held, for its answer, when the next one comes.
+            for scope in scopes:
+                reader.admit(scope)
+                with contextlib.suppress(request_types.RefusedError):
+                    body = await reader.read(
+                        scope, _Body([size]).receive, _MB, clock.now() + 5.0
+                    )
+                    bodies.append(body)
+            held = sum(part.used for part in memory.parts)
+            for body in bodies:
+                body.release()
+            assert all(part.used == 0 for part in memory.parts)
+            return len(bodies), held
+
+        return asyncio.run(run())
+
+    # Guards against refusals of small bodies sent in chunks: each took the
+    # room of a large one's beginning until its request was answered.
+    def test_chunked_ones_take_what_they_need(self):
+        count, held = self._read_all((b"transfer-encoding", b"chunked"), 100)
+        assert count == self.CALLERS
+        assert held == self.CALLERS * 100
+
+
 class TestBodiesThatAreNotRead:
     # Guards against memory that stays reserved for a body whose request was
     # refused, as long as its caller keeps the connection.
