Free the memory of pipelined requests whose caller left

A request that waits behind another one on its connection has reserved the memory for its body. If the caller left before it was begun, no handler gave the memory back: a connection's protocol refers to itself, so that it was freed only by a garbage collection.

Requests that no application will see are dropped with their connection, or when their body turns out to be malformed.

test_memory_of_requests_that_were_not_begun_is_given_back fails before (1000 of 1000 bytes left). Found in review.

--- a/chicorydoor/transport/caller_protocol.py
+++ b/chicorydoor/transport/caller_protocol.py
@@ -148,6 +148,10 @@
             if not cycle.response_complete:
                 cycle.disconnected = True
                 cycle.message_event.set()
+        # No application will run them, and this object is freed only when
+        # garbage is collected.
+        while self.pipeline:
+            _drop_unused(self.pipeline.pop()[0])
 
     def data_received(self, data: bytes) -> None:
         """Parse data and enforce the limit on the header size."""
@@ -200,6 +204,7 @@
         cycle = self._unfinished_cycles.pop()
         if self.pipeline and self.pipeline[0][0] is cycle:
             self.pipeline.popleft()
+            _drop_unused(cycle)
         cycle.disconnected = True
         cycle.message_event.set()
 
@@ -226,6 +231,12 @@
         self.transport.close()
 
 
+def _drop_unused(cycle: httptools_impl.RequestResponseCycle) -> None:
+    """Drop what was kept for a request that no application will see."""
+    cycle.body = bytearray()
+    cycle.scope.get("extensions", {}).clear()
+
+
 def bind_limits(
     limits: abc.Callable[[], ConnectionLimits],
     admit_body: abc.Callable[[asgi.Scope], bool] = lambda scope: True,
--- a/tests/test_body_memory.py
+++ b/tests/test_body_memory.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import gc
 import pathlib
 import signal
 import socket
@@ -20,6 +21,7 @@
 from chicorydoor.transport import body_memory
 from chicorydoor.transport import buffered_connection
 from chicorydoor.transport import clock as clock_module
+from chicorydoor.transport import http_server
 from chicorydoor.transport import metrics
 from tests.support import platform_cluster
 
@@ -322,6 +324,43 @@
             body_reader.discard(scope)
         assert all(part.used == 0 for part in memory.parts)
 
+    # Guards against memory that requests behind another one on a connection
+    # keep after their caller has left, until garbage is collected.
+    def test_memory_of_requests_that_were_not_begun_is_given_back(self):
+        async def run():
+            memory = body_memory.BodyMemory()
+            reader = body_reader.BodyReader(memory, clock_module.SystemClock())
+            has_begun = asyncio.Event()
+
+            async def app(scope, receive, send):
+                has_begun.set()
+                while (await receive())["type"] != "http.disconnect":
+                    pass
+                body_reader.discard(scope)
+
+            server = http_server.HttpServer(
+                app, "127.0.0.1", admit_body=reader.admit
+            )
+            await server.start()
+            body = b"x" * 1000
+            head = b"POST / HTTP/1.1\r\nhost: a\r\ncontent-length: %d\r\n\r\n"
+            _, writer = await asyncio.open_connection("127.0.0.1", server.port)
+            writer.write((head % len(body) + body) * 2)
+            await has_begun.wait()
+            while memory.small_requests.used < 2 * len(body):
+                await asyncio.sleep(0.01)
+            writer.close()
+            await asyncio.sleep(0.1)
+            left = memory.small_requests.used
+            await server.stop()
+            return left
+
+        gc.disable()
+        try:
+            assert asyncio.run(run()) == 0
+        finally:
+            gc.enable()
+
 
 class _Target(asyncio.Protocol):
     """Answers a request with a body of the length that its path names."""
