Reserve no memory for bodies on ports that read none

Memory is reserved for bodies on the callers' and the relay port only. What is sent of others is dropped as it is read.

test_bodies_of_lookups_take_no_memory fails before: 503 instead of 200 (arm64, real process).

--- a/chicorydoor/fleet_entry.py
+++ b/chicorydoor/fleet_entry.py
@@ -190,8 +190,16 @@
                 active_limits.idle_timeout_s,
             )
 
+        callers_port = _port(settings.callers)
+
+        def admit_body(scope: asgi.Scope) -> bool:
+            # Only callers' requests are read with their body.
+            return scope["server"][1] == callers_port and (
+                components.bodies.admit(scope)
+            )
+
         return http_server.HttpServer(
-            dispatch, limits=limits, admit_body=components.bodies.admit
+            dispatch, limits=limits, admit_body=admit_body
         )
 
     def _make_relay_server(
--- a/tests/test_body_memory.py
+++ b/tests/test_body_memory.py
@@ -16,6 +16,7 @@
 
 from chicorydoor.coordination import body_reader
 from chicorydoor.coordination import request_types
+from chicorydoor.platform import settings_file
 from chicorydoor.protocol import result_codes
 from chicorydoor.standins import platform_site
 from chicorydoor.transport import body_memory
@@ -583,3 +584,43 @@
         assert most_mb < self.LIMIT_MB
         assert lost == [0] * self.CALLERS
         assert exit_code == 0
+
+    # Guards against memory that a request to another port than the callers'
+    # holds for a body that nobody reads.
+    def test_bodies_of_lookups_take_no_memory(self, tmp_path):
+        async def run():
+            site = platform_site.PlatformSite(tmp_path, entry_count=1)
+            entry = site.entries[0]
+            path = tmp_path / f"{entry.name}.yaml"
+            document = yaml.safe_load(path.read_text())
+            document["self"]["limits"] = {"memoryMb": self.LIMIT_MB}
+            path.write_text(yaml.safe_dump(document))
+            await site.start()
+            settings = settings_file.read_settings(path)
+            length = body_memory.BodyMemory(
+                settings.memory_limit_bytes
+            ).large_requests.capacity
+            host, _, port = settings.lookups.rpartition(":")
+            reader, writer = await asyncio.open_connection(host, int(port))
+            try:
+                writer.write(
+                    b"POST / HTTP/1.1\r\nhost: a\r\ncontent-length: %d\r\n\r\n"
+                    % length
+                )
+                await reader.readuntil(b"\r\n\r\n")
+                async with httpx.AsyncClient(trust_env=False) as client:
+                    reply = await client.post(
+                        f"http://{entry.caller_endpoint}/order/1",
+                        headers={
+                            "host": platform_site.HOST,
+                            "request-id": "order",
+                            "x-api-key": platform_site.CUSTOMER_KEY,
+                        },
+                        content=b"x" * _MB,
+                    )
+                return reply.status_code
+            finally:
+                writer.close()
+                await site.stop()
+
+        assert asyncio.run(run()) == 200
