Refuse an upgrade offer whose request has a body

httptools ends a request that offers an upgrade (connection: upgrade, upgrade: h2c) at its headers, and uvicorn, which does not upgrade, passes it on as complete. Such an order ran with an empty body, whatever its content-length was, and what followed it in the same read was not answered. Clients of HTTP/2 make such offers on connections without TLS.

Requests with a body that offer an upgrade are refused as malformed and not run. Those without one are answered as before.

test_request_with_a_body_is_refused_as_not_run fails before: 200, with length and with chunks.

--- a/chicorydoor/transport/caller_protocol.py
+++ b/chicorydoor/transport/caller_protocol.py
@@ -13,6 +13,7 @@
 
 from uvicorn.protocols.http import httptools_impl
 
+from chicorydoor.protocol import headers as http_headers
 from chicorydoor.transport import asgi
 from chicorydoor.transport import caller_connection
 from chicorydoor.transport import clock as clock_module
@@ -79,10 +80,17 @@
         super().on_message_begin()
 
     def on_headers_complete(self) -> None:
-        """Stop the header timeout and reset the size count."""
+        """Stop the header timeout and reset the size count.
+
+        Raises:
+            ValueError: If the request cannot be read; it is refused.
+        """
         self._is_reading_headers = False
         self._header_bytes = 0
         self._stop_header_timer()
+        if self.parser.should_upgrade() and _has_body(self.headers):
+            # The parser would end the request before its body.
+            raise ValueError("offer of an upgrade with a body")
         if self._connection is not None:
             self._connection.add_to_scope(self.scope)
         asgi.set_read_time(self.scope, _CLOCK.now())
@@ -237,6 +245,14 @@
     cycle.scope.get("extensions", {}).clear()
 
 
+def _has_body(headers: http_headers.Headers) -> bool:
+    return any(
+        name == b"transfer-encoding"
+        or (name == http_headers.CONTENT_LENGTH and value.strip(b"0") != b"")
+        for name, value in headers
+    )
+
+
 def bind_limits(
     limits: abc.Callable[[], ConnectionLimits],
     admit_body: abc.Callable[[asgi.Scope], bool] = lambda scope: True,
--- a/tests/test_caller_protocol.py
+++ b/tests/test_caller_protocol.py
@@ -130,6 +130,35 @@
         assert _statuses(_exchange(_BROKEN_CHUNK)) == [400]
 
 
+class TestUpgradeOffers:
+    _OFFER = (
+        b"/ HTTP/1.1\r\nhost: a\r\nconnection: upgrade\r\nupgrade: h2c\r\n"
+    )
+
+    # Guards against an order that runs without its body: the parser takes what
+    # follows the headers of such a request for another protocol.
+    @pytest.mark.parametrize(
+        "rest",
+        [
+            b"content-length: 3\r\n\r\nabc",
+            b"transfer-encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
+        ],
+    )
+    def test_request_with_a_body_is_refused_as_not_run(self, rest):
+        exchange = _Exchange()
+        received = asyncio.run(exchange.run(b"POST " + self._OFFER + rest))
+        assert received.startswith(b"HTTP/1.1 400 ")
+        assert b"x-chicorydoor-outcome: not-run" in received
+        assert exchange.app.read_count == 0
+
+    def test_request_without_a_body_is_answered(self):
+        exchange = _Exchange()
+        received = asyncio.run(
+            exchange.run(b"GET " + self._OFFER + b"\r\n", _REQUEST)
+        )
+        assert received.count(_OK) == 2
+
+
 class TestHeaderSize:
     # Guards against a body, or other requests, that count towards the size of
     # the headers that begin in the same read.
