--- a/tests/test_body_memory.py
+++ b/tests/test_body_memory.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import gc
 import pathlib
 import signal
 import socket
@@ -15,11 +16,13 @@
 
 from chicorydoor.coordination import body_reader
 from chicorydoor.coordination import request_types
+from chicorydoor.platform import settings_file
 from chicorydoor.protocol import result_codes
 from chicorydoor.standins import platform_site
 from chicorydoor.transport import body_memory
 from chicorydoor.transport import buffered_connection
 from chicorydoor.transport import clock as clock_module
+from chicorydoor.transport import http_server
 from chicorydoor.transport import metrics
 from tests.support import platform_cluster
 
@@ -242,6 +245,50 @@
         assert self._read(body, 20, remaining_s=0.05) is _CODES.BODY_LATE
 
 
+class TestManySmallBodies:
+    LIMIT = 300 * _MB
+    CALLERS = 300
+
+    def _read_all(self, framing, size):
+        """Read many bodies and keep them; how many could be read."""
+
+        async def run():
+            clock = clock_module.SystemClock()
+            memory = body_memory.BodyMemory(self.LIMIT)
+            reader = body_reader.BodyReader(memory, clock)
+            scopes = [{"headers": [framing]} for _ in range(self.CALLERS)]
+            bodies = []
+            # Each is still held, for its answer, when the next one comes.
+            for scope in scopes:
+                reader.admit(scope)
+                with contextlib.suppress(request_types.RefusedError):
+                    body = await reader.read(
+                        scope, _Body([size]).receive, _MB, clock.now() + 5.0
+                    )
+                    bodies.append(body)
+            held = sum(part.used for part in memory.parts)
+            for body in bodies:
+                body.release()
+            assert all(part.used == 0 for part in memory.parts)
+            return len(bodies), held
+
+        return asyncio.run(run())
+
+    # Guards against refusals of small bodies sent in chunks: each took the
+    # room of a large one's beginning until its request was answered.
+    def test_chunked_ones_take_what_they_need(self):
+        count, held = self._read_all((b"transfer-encoding", b"chunked"), 100)
+        assert count == self.CALLERS
+        assert held == self.CALLERS * 100
+
+    # Guards against refusals of small bodies while there is memory.
+    def test_they_use_the_memory_that_large_ones_leave(self):
+        size = body_memory.SMALL_BODY_BYTES
+        count, held = self._read_all((b"content-length", b"%d" % size), size)
+        assert count == self.CALLERS
+        assert held == self.CALLERS * size
+
+
 class TestBodiesThatAreNotRead:
     # Guards against memory that stays reserved for a body whose request was
     # refused, as long as its caller keeps the connection.
@@ -278,6 +325,43 @@
             body_reader.discard(scope)
         assert all(part.used == 0 for part in memory.parts)
 
+    # Guards against memory that requests behind another one on a connection
+    # keep after their caller has left, until garbage is collected.
+    def test_memory_of_requests_that_were_not_begun_is_given_back(self):
+        async def run():
+            memory = body_memory.BodyMemory()
+            reader = body_reader.BodyReader(memory, clock_module.SystemClock())
+            has_begun = asyncio.Event()
+
+            async def app(scope, receive, send):
+                has_begun.set()
+                while (await receive())["type"] != "http.disconnect":
+                    pass
+                body_reader.discard(scope)
+
+            server = http_server.HttpServer(
+                app, "127.0.0.1", admit_body=reader.admit
+            )
+            await server.start()
+            body = b"x" * 1000
+            head = b"POST / HTTP/1.1\r\nhost: a\r\ncontent-length: %d\r\n\r\n"
+            _, writer = await asyncio.open_connection("127.0.0.1", server.port)
+            writer.write((head % len(body) + body) * 2)
+            await has_begun.wait()
+            while memory.small_requests.used < 2 * len(body):
+                await asyncio.sleep(0.01)
+            writer.close()
+            await asyncio.sleep(0.1)
+            left = memory.small_requests.used
+            await server.stop()
+            return left
+
+        gc.disable()
+        try:
+            assert asyncio.run(run()) == 0
+        finally:
+            gc.enable()
+
 
 class _Target(asyncio.Protocol):
     """Answers a request with a body of the length that its path names."""
@@ -500,3 +584,43 @@
         assert most_mb < self.LIMIT_MB
         assert lost == [0] * self.CALLERS
         assert exit_code == 0
+
+    # Guards against memory that a request to another port than the callers'
+    # holds for a body that nobody reads.
+    def test_bodies_of_lookups_take_no_memory(self, tmp_path):
+        async def run():
+            site = platform_site.PlatformSite(tmp_path, entry_count=1)
+            entry = site.entries[0]
+            path = tmp_path / f"{entry.name}.yaml"
+            document = yaml.safe_load(path.read_text())
+            document["self"]["limits"] = {"memoryMb": self.LIMIT_MB}
+            path.write_text(yaml.safe_dump(document))
+            await site.start()
+            settings = settings_file.read_settings(path)
+            length = body_memory.BodyMemory(
+                settings.memory_limit_bytes
+            ).large_requests.capacity
+            host, _, port = settings.lookups.rpartition(":")
+            reader, writer = await asyncio.open_connection(host, int(port))
+            try:
+                writer.write(
+                    b"POST / HTTP/1.1\r\nhost: a\r\ncontent-length: %d\r\n\r\n"
+                    % length
+                )
+                await reader.readuntil(b"\r\n\r\n")
+                async with httpx.AsyncClient(trust_env=False) as client:
+                    reply = await client.post(
+                        f"http://{entry.caller_endpoint}/order/1",
+                        headers={
+                            "host": platform_site.HOST,
+                            "request-id": "order",
+                            "x-api-key": platform_site.CUSTOMER_KEY,
+                        },
+                        content=b"x" * _MB,
+                    )
+                return reply.status_code
+            finally:
+                writer.close()
+                await site.stop()
+
+        assert asyncio.run(run()) == 200
