Use failure domains that are added to a running entry's settings

A running entry read its settings file again on SIGHUP only to validate it, and not at all if the file changed without a signal, as the platform may do. A target in a domain that the settings named later had no region: requests bound to regions were refused, and others did not choose it.

Other settings still hold from the start.

test_target_of_an_added_domain_is_used fails before, with and without SIGHUP (503 for a customer bound to the new domain's region).

--- a/chicorydoor/fleet_entry.py
+++ b/chicorydoor/fleet_entry.py
@@ -52,6 +52,21 @@
     ) -> None:
         self._settings = settings
         self._stop_requested = asyncio.Event()
+        self._components: compose_fleet.FleetComponents | None = None
+
+    def apply_settings(
+        self, settings: fleet_entry_settings.FleetEntrySettings
+    ) -> None:
+        """Apply changed settings to the running entry.
+
+        Only the regions of the failure domains change; everything else stays
+        until the entry starts again.
+        """
+        self._settings = msgspec.structs.replace(
+            self._settings, region_by_domain=settings.region_by_domain
+        )
+        if self._components is not None:
+            self._components.targets.set_regions(settings.region_by_domain)
 
     def request_stop(self) -> None:
         """Begin a graceful stop."""
@@ -72,6 +87,7 @@
             rng=random.Random(),
             incarnation=time.time_ns() // 1_000_000,
         )
+        self._components = components
         store.restore_observers.append(components.handle_store_restore)
         server = self._make_server(components)
         relay_server = self._make_relay_server(components)
--- a/chicorydoor/state/target_views.py
+++ b/chicorydoor/state/target_views.py
@@ -308,10 +308,7 @@
         """
         view = self.target_by_id.get(record.target_id)
         if view is None or record.started_ms > view.record.started_ms:
-            region = self._region_by_domain.get(
-                record.domain, ids.RegionId("")
-            )
-            view = TargetView(record, region, now)
+            view = TargetView(record, self._region_of(record.domain), now)
             view.has_said_leaving = view.incarnation_key in self._said_leaving
             self.target_by_id[record.target_id] = view
         else:
@@ -326,6 +323,19 @@
         self.rebuild_index()
         return view
 
+    def _region_of(self, domain: ids.DomainId) -> ids.RegionId:
+        """Return a failure domain's region; empty if it is not known."""
+        return self._region_by_domain.get(domain, ids.RegionId(""))
+
+    def set_regions(
+        self, region_by_domain: abc.Mapping[ids.DomainId, ids.RegionId]
+    ) -> None:
+        """Set the regions of the failure domains."""
+        self._region_by_domain = region_by_domain
+        for view in self.target_by_id.values():
+            view.region = self._region_of(view.record.domain)
+        self.rebuild_index()
+
     def set_evacuated_domains(
         self, domains: abc.Iterable[ids.DomainId], cold_until: float
     ) -> None:
--- a/tests/test_platform_process.py
+++ b/tests/test_platform_process.py
@@ -11,10 +11,13 @@
 
 import pytest
 import uvloop
+import yaml
 
 from chicorydoor.demo import platform_demo
+from chicorydoor.platform import documents
 from chicorydoor.platform import settings_file
 from chicorydoor.standins import platform_site
+from chicorydoor.standins import platform_target
 
 
 def _ignores_sighup(pid):
@@ -106,3 +109,51 @@
         assert completed.returncode == 2
         assert completed.stderr.startswith("chicorydoor: ")
         assert len(completed.stderr.splitlines()) == 1
+
+
+class TestChangedSettings:
+    async def _serve_from_a_new_domain(self, tmp_path, has_signal):
+        """Return the statuses before and after the settings name a domain."""
+        site = platform_site.PlatformSite(tmp_path, entry_count=1)
+        await site.start()
+        new = platform_target.PlatformTarget("t-new", "shop", "kisumu-a")
+        site.targets.append(new)
+        (entry,) = site.entries
+        try:
+            await new.start()
+            new.register(site.store)
+            customer = platform_site.build_customer(
+                platform_site.CUSTOMER, [platform_site.CUSTOMER_KEY]
+            ) | {"allowedRegions": ["kisumu"]}
+            site.store.put(
+                documents.CONFIGURATION_KEY,
+                platform_site.build_configuration(2, [customer]),
+            )
+            await asyncio.sleep(1.5)
+            before = await site.call(entry, "GET", "/read/1", "before")
+            path = tmp_path / f"{entry.name}.yaml"
+            settings = yaml.safe_load(path.read_text())
+            settings["network"]["zones"]["kisumu-a"] = "kisumu"
+            text = yaml.safe_dump(settings)
+            # The file is broken for a moment, then replaced.
+            path.write_text(text[: len(text) // 2])
+            await asyncio.sleep(2.5)
+            replacement = tmp_path / "replacement"
+            replacement.write_text(text)
+            replacement.rename(path)
+            if has_signal:
+                entry.send_signal(signal.SIGHUP)
+            await asyncio.sleep(0.3 if has_signal else 2.3)
+            after = await site.call(entry, "GET", "/read/1", "after")
+            return before.status_code, after.status_code
+        finally:
+            await site.stop()
+
+    # Guards against targets of a failure domain that was added to the
+    # settings and that get no requests until the entry starts again.
+    @pytest.mark.parametrize("has_signal", [True, False])
+    def test_target_of_an_added_domain_is_used(self, tmp_path, has_signal):
+        statuses = asyncio.run(
+            self._serve_from_a_new_domain(tmp_path, has_signal)
+        )
+        assert statuses == (503, 200)
