Take a target's start with an earlier time for a new incarnation

A target's `born` is a time of day. If its machine's clock was set back, a start under the same id has a lower one. It was taken for the incarnation before: what that had said of leaving, its reach and its region stayed. The new start got no requests, or counted for a region in which it is not.

Registrations arrive in the store's order, so another time of start is another incarnation, earlier or later. What an incarnation said of leaving is still remembered if the store's copy names it again.

test_start_with_an_earlier_time_is_a_new_incarnation and test_region_is_that_of_the_new_start fail before.

--- a/chicorydoor/state/target_views.py
+++ b/chicorydoor/state/target_views.py
@@ -303,11 +303,11 @@
         """Add or update a target from its registration.
 
         Returns:
-            The target's view; a new one if the incarnation is later than
-            the known one.
+            The target's view; a new one if the incarnation is not
+            the known one. Times of start may go back with a clock.
         """
         view = self.target_by_id.get(record.target_id)
-        if view is None or record.started_ms > view.record.started_ms:
+        if view is None or record.started_ms != view.record.started_ms:
             view = TargetView(record, self._region_of(record.domain), now)
             view.has_said_leaving = view.incarnation_key in self._said_leaving
             self.target_by_id[record.target_id] = view
--- a/tests/test_target_registrations.py
+++ b/tests/test_target_registrations.py
@@ -102,3 +102,49 @@
             assert set(targets.target_by_id) == {"t1"}
 
         _run(scenario)
+
+
+class TestStartAfterAClockStep:
+    # Guards against a target that gets no requests because an earlier start,
+    # with a later time of day, had said that it leaves.
+    def test_start_with_an_earlier_time_is_a_new_incarnation(self):
+        async def scenario(registrations, targets):
+            registrations.apply_registration(
+                make.build_target_registration("t0", started_ms=9)
+            )
+            targets.record_said_leaving(targets.target_by_id["t0"])
+            registrations.apply_registration(
+                make.build_target_registration("t0", "nb", started_ms=4)
+            )
+            names = {view.target_id for view in targets.usable_targets("svc")}
+            assert names == {"t0", "t1"}
+
+        _run(scenario)
+
+    # Guards against a request that leaves its home: a target that starts again
+    # under its id may be in another region.
+    def test_region_is_that_of_the_new_start(self):
+        async def scenario(registrations, targets):
+            for started_ms, domain in ((9, "na"), (4, "ma")):
+                registrations.apply_registration(
+                    make.build_target_registration(
+                        "t0", domain, started_ms=started_ms
+                    )
+                )
+            assert targets.target_by_id["t0"].region == "m"
+
+        _run(scenario)
+
+    def test_earlier_start_that_said_it_leaves_is_remembered(self):
+        async def scenario(registrations, targets):
+            leaving = make.build_target_registration("t0", started_ms=9)
+            registrations.apply_registration(leaving)
+            targets.record_said_leaving(targets.target_by_id["t0"])
+            registrations.apply_registration(
+                make.build_target_registration("t0", started_ms=4)
+            )
+            registrations.apply_registration(leaving)
+            names = [view.target_id for view in targets.usable_targets("svc")]
+            assert names == ["t1"]
+
+        _run(scenario)
