Use no target whose registration became unreadable

A registration in the store that cannot be read, from another writer, names no target to use. It was ignored, so that the target it replaced stayed in use. If a target said that it leaves and its registration was overwritten before an entry read it, by a listing or in a peer's copy, the entry went on sending requests to it. It is now handled as a removed registration until it can be read again.

test_target_without_readable_registration_gets_no_requests fails before, in all three forms.

--- a/chicorydoor/platform/store_updates.py
+++ b/chicorydoor/platform/store_updates.py
@@ -101,15 +101,17 @@
         _apply_each(items, self._apply_target_item)
 
     def _apply_target_item(self, item: store_items.StoreItemChange) -> None:
-        if item.value is None:
-            name = item.key.removeprefix(documents.TARGET_PREFIX)
-            self._registrations.handle_removal(ids.TargetId(name))
-            return
-        record = _decode_registration(
-            item, documents.decode_target_registration
-        )
+        """Apply a registration; an invalid one names no target to use."""
+        record = None
+        if item.value is not None:
+            record = _decode_registration(
+                item, documents.decode_target_registration
+            )
         if record is not None:
             self._registrations.apply_registration(record)
+            return
+        name = item.key.removeprefix(documents.TARGET_PREFIX)
+        self._registrations.handle_removal(ids.TargetId(name))
 
     def apply_entry_items(
         self, items: list[store_items.StoreItemChange]
--- a/tests/test_platform_entry.py
+++ b/tests/test_platform_entry.py
@@ -498,6 +498,40 @@
 
         platform_cluster.run(scenario)
 
+    # Guards against requests to a target that left while its registration was
+    # overwritten: an unreadable one names no target to use.
+    @pytest.mark.parametrize(
+        "registration",
+        [
+            b"\xff",
+            b'{"address": "127.0.0.1:1"}',
+            b'{"address": "127.0.0.1:1", "born": 1, "info": {"service": "s",'
+            b' "zone": "na", "slots": 4}, "status": {"state": "resting"}}',
+        ],
+    )
+    def test_target_without_readable_registration_gets_no_requests(
+        self, registration
+    ):
+        async def scenario(cluster):
+            async def count_runs():
+                before = len(cluster.targets[0].received_headers)
+                for key in range(8):
+                    await cluster.call(headers={"affinity-key": str(key)})
+                return len(cluster.targets[0].received_headers) - before
+
+            assert await count_runs() > 0
+            cluster.store.put("servers/t0", registration)
+            await asyncio.sleep(1.3)
+            assert await count_runs() == 0
+            cluster.store.put(
+                "servers/t0",
+                platform_cluster.build_registration(cluster.targets[0]),
+            )
+            await asyncio.sleep(1.3)
+            assert await count_runs() > 0
+
+        platform_cluster.run(scenario)
+
     def test_evacuated_domain_gets_no_requests(self):
         async def scenario(cluster):
             cluster.store.put("op/evacuate/na", b"{}")
