Apply registrations whose sequence number cannot be read

A target's registration without a readable sequence number counted as 0 and so as outdated once a known one had a number. One that said that the target leaves was ignored, and requests still went there.

Only numbers are compared now. test_registration_without_a_sequence_is_no_outdated_one fails before.

--- a/chicorydoor/coordination/target_registrations.py
+++ b/chicorydoor/coordination/target_registrations.py
@@ -134,7 +134,7 @@
     """Whether the same incarnation wrote a registration before another."""
     return (
         0 < record.started_ms == known.started_ms
-        and record.sequence < known.sequence
+        and 0 < record.sequence < known.sequence
     )
 
 
--- a/chicorydoor/protocol/serving_config.py
+++ b/chicorydoor/protocol/serving_config.py
@@ -212,8 +212,8 @@
         domain (str): Its failure domain.
         slots (int): Number of requests that it handles concurrently.
         lifecycle (TargetLifecycle): Its lifecycle state.
-        started_ms (int): Start time, milliseconds since the epoch; a later
-            value under the same id means a new incarnation. Defaults to 0.
+        started_ms (int): Start time, milliseconds since the epoch; another
+            value under the same id means another incarnation. Defaults to 0.
         warm_up_remaining_s (float): Rest of the warm-up as last reported.
             Defaults to 0.
         sequence (int): Counts up with each registration that an incarnation
--- a/tests/test_target_registrations.py
+++ b/tests/test_target_registrations.py
@@ -104,6 +104,26 @@
         _run(scenario)
 
 
+class TestSequence:
+    # Guards against requests to a target whose registration says that it
+    # leaves, but has no readable sequence number.
+    def test_registration_without_a_sequence_is_no_outdated_one(self):
+        async def scenario(registrations, targets):
+            for sequence, lifecycle in (
+                (5, make.serving_config.TargetLifecycle.READY),
+                (0, make.serving_config.TargetLifecycle.LEAVING),
+            ):
+                registrations.apply_registration(
+                    make.build_target_registration(
+                        "t0", sequence=sequence, lifecycle=lifecycle
+                    )
+                )
+            names = [view.target_id for view in targets.usable_targets("svc")]
+            assert names == ["t1"]
+
+        _run(scenario)
+
+
 class TestStartAfterAClockStep:
     # Guards against a target that gets no requests because an earlier start,
     # with a later time of day, had said that it leaves.
