Use a replaced start of a target that writes again

If what replaced it came from a copy and had a later time, from before a step of the target's clock, the running start would have stayed ignored.

What counts now is whether it has written since: only sequences up to the last known one are ignored.

test_earlier_start_that_writes_again_is_used fails before (9 instead of 4). Found by reading.

--- a/chicorydoor/coordination/target_registrations.py
+++ b/chicorydoor/coordination/target_registrations.py
@@ -40,8 +40,8 @@
     ) -> None:
         self._targets = targets
         self._clock = clock
-        # The first to be replaced first.
-        self._replaced: dict[ids.TargetIncarnation, None] = {}
+        # The latest sequence of each, the first to be replaced first.
+        self._replaced: dict[ids.TargetIncarnation, int] = {}
         self._last_contact_at = clock.now()
         self._store_returned_at = float("-inf")
 
@@ -85,7 +85,7 @@
             )
             return
         if known is not None and known.record.started_ms != record.started_ms:
-            self._remember_replaced(known.incarnation_key)
+            self._remember_replaced(known)
         self._targets.add_or_update(record, self._clock.now())
         if previous is None or _should_log_change(previous, record):
             _LOG.info(
@@ -106,14 +106,17 @@
         record: serving_config.TargetRegistration,
         known: serving_config.TargetRegistration,
     ) -> bool:
-        """Whether a registration is of an incarnation before the known one."""
+        """Whether it was known before an incarnation that replaced it.
+
+        One that writes again is running.
+        """
+        latest = self._replaced.get((record.target_id, record.started_ms), -1)
         return (
-            record.started_ms < known.started_ms
-            and (record.target_id, record.started_ms) in self._replaced
+            record.started_ms < known.started_ms and record.sequence <= latest
         )
 
-    def _remember_replaced(self, incarnation: ids.TargetIncarnation) -> None:
-        self._replaced[incarnation] = None
+    def _remember_replaced(self, view: target_views.TargetView) -> None:
+        self._replaced[view.incarnation_key] = view.record.sequence
         if len(self._replaced) > _MAX_REPLACED:
             del self._replaced[next(iter(self._replaced))]
 
--- a/tests/test_target_registrations.py
+++ b/tests/test_target_registrations.py
@@ -167,3 +167,15 @@
             assert names == ["t1"]
 
         _run(scenario)
+
+    def test_earlier_start_that_writes_again_is_used(self):
+        async def scenario(registrations, targets):
+            for started_ms, sequence in ((4, 1), (9, 7), (4, 1), (4, 2)):
+                registrations.apply_registration(
+                    make.build_target_registration(
+                        "t0", started_ms=started_ms, sequence=sequence
+                    )
+                )
+            assert targets.target_by_id["t0"].record.started_ms == 4
+
+        _run(scenario)
