--- a/chicorydoor/coordination/target_registrations.py
+++ b/chicorydoor/coordination/target_registrations.py
@@ -46,8 +46,8 @@
         self._ran_at = clock.now()
         # Time for which this entry has run since its last contact.
         self._silent_s = 0.0
-        # The first to be replaced first.
-        self._replaced: dict[ids.TargetIncarnation, None] = {}
+        # The latest sequence of each, the first to be replaced first.
+        self._replaced: dict[ids.TargetIncarnation, int] = {}
         self._store_returned_at = float("-inf")
 
     def record_running(self) -> None:
@@ -96,7 +96,7 @@
             )
             return
         if known is not None and known.record.started_ms != record.started_ms:
-            self._remember_replaced(known.incarnation_key)
+            self._remember_replaced(known)
         self._targets.add_or_update(record, self._clock.now())
         if previous is None or _should_log_change(previous, record):
             _LOG.info(
@@ -117,14 +117,17 @@
         record: serving_config.TargetRegistration,
         known: serving_config.TargetRegistration,
     ) -> bool:
-        """Whether a registration is of an incarnation before the known one."""
+        """Whether it was known before an incarnation that replaced it.
+
+        One that writes again is running.
+        """
+        latest = self._replaced.get((record.target_id, record.started_ms), -1)
         return (
-            record.started_ms < known.started_ms
-            and (record.target_id, record.started_ms) in self._replaced
+            record.started_ms < known.started_ms and record.sequence <= latest
         )
 
-    def _remember_replaced(self, incarnation: ids.TargetIncarnation) -> None:
-        self._replaced[incarnation] = None
+    def _remember_replaced(self, view: target_views.TargetView) -> None:
+        self._replaced[view.incarnation_key] = view.record.sequence
         if len(self._replaced) > _MAX_REPLACED:
             del self._replaced[next(iter(self._replaced))]
 
