--- a/chicorydoor/transport/body_memory.py
+++ b/chicorydoor/transport/body_memory.py
@@ -29,6 +29,7 @@
 _LARGE_REQUEST_SHARE = 0.35
 _RESPONSE_SHARE = 0.15
 _SMALL_REQUEST_SHARE = 0.05
+_BEGINNINGS_SHARE = 0.05
 # Taken where the platform names no limit.
 _DEFAULT_LIMIT_BYTES = 512_000_000
 
@@ -173,7 +174,12 @@
             _MAX_WAITING_REQUESTS,
         )
         self.beginnings = MemoryPart(
-            "beginnings", _MAX_WAITING_REQUESTS * BEGINNING_BYTES, 0
+            "beginnings",
+            min(
+                _MAX_WAITING_REQUESTS * BEGINNING_BYTES,
+                int(limit_bytes * _BEGINNINGS_SHARE),
+            ),
+            0,
         )
         self.responses = MemoryPart(
             "responses", int(limit_bytes * _RESPONSE_SHARE), math.inf
--- a/tests/test_body_memory.py
+++ b/tests/test_body_memory.py
@@ -163,6 +163,15 @@
         }
 
 
+class TestBodyMemory:
+    # Guards against parts that together leave too little to the program.
+    @pytest.mark.parametrize("limit_mb", [60, 100, 300, 4000])
+    def test_parts_take_at_most_three_fifths(self, limit_mb):
+        memory = body_memory.BodyMemory(limit_mb * _MB)
+        capacity = sum(part.capacity for part in memory.parts)
+        assert capacity <= 0.6 * limit_mb * _MB
+
+
 class TestBodyReader:
     LIMIT = 10 * _MB
 
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -3,6 +3,7 @@
 import asyncio
 import errno
 import fcntl
+import gc
 import os
 import resource
 import select
@@ -216,6 +217,8 @@
             return count
 
         async def scenario():
+            # What earlier tests left must not free descriptors meanwhile.
+            gc.collect()
             server = http_server.HttpServer(_answer, "127.0.0.1", 0)
             await server.start()
             connections = [connect(server.port) for _ in range(30)]
