--- a/chicorydoor/compose_fleet.py
+++ b/chicorydoor/compose_fleet.py
@@ -104,9 +104,6 @@
 # heartbeats of most others releases its rate shares: the others may take them
 # over once the registration has expired.
 _ISOLATION_THRESHOLD_S = entry_registration.REGISTRATION_LEASE_S - 2.0
-# Rates that another region announced earlier are not relied on: two digests in
-# a row are seldom lost.
-_REGION_RATES_VALID_S = 2.1 * peer_exchange.DIGEST_INTERVAL_S
 # An entry that cannot listen to its peers is not ready for this long: others
 # serve better meanwhile, and a port is seldom held longer. After it, all
 # entries may be in the same state.
@@ -534,7 +531,6 @@
             now,
             fair_shares=self.rate_limiter,
             is_isolated=self._is_isolated(now),
-            hears_all=self.fleet.hears_all_regions(now, _REGION_RATES_VALID_S),
         )
 
     def _is_isolated(self, now: float) -> bool:
--- a/chicorydoor/state/fleet_view.py
+++ b/chicorydoor/state/fleet_view.py
@@ -498,20 +498,6 @@
             reported.append(rate_shares.AnnouncedRates(len(peers), table))
         return reported
 
-    def hears_all_regions(self, now: float, silence_s: float) -> bool:
-        """Whether there is a recent digest of each other region.
-
-        Args:
-            now (float): Current time in seconds.
-            silence_s (float): Seconds without a digest after which a region
-                counts as silent.
-        """
-        return all(
-            region in self._digest_by_region
-            and now - self._digest_by_region[region].received_at < silence_s
-            for region in self.peers_by_remote_region()
-        )
-
     def is_in_minority(self, now: float, silence_s: float) -> bool:
         """Whether fewer than half of the peers were recently seen.
 
--- a/chicorydoor/state/rate_shares.py
+++ b/chicorydoor/state/rate_shares.py
@@ -6,9 +6,7 @@
 sides of a network partition, until the entry is removed from the fleet view.
 So the sum of the shares is at most 1 under any partition, except in the time
 between two announcements and after a removal. As an entry that is cut off may
-be removed while it still runs, it caps its share (``is_isolated``). Two sides
-that do not hear each other would both grow into what a third one frees, so
-that each entry then takes only its own part of that (``hears_all``).
+be removed while it still runs, it caps its share (``is_isolated``).
 """
 
 import collections
@@ -269,8 +267,6 @@
     def __init__(self, now: float) -> None:
         self.customer: serving_config.CustomerConfig | None = None
         self.share = 0.0
-        # The share when peers fell silent; None while all are heard.
-        self.share_before_silence: float | None = None
         self.tokens = 0.0
         self.refilled_at = now
         self.demand_per_s = 0.0
@@ -442,7 +438,6 @@
         *,
         fair_shares: FairShares | None = None,
         is_isolated: bool = False,
-        hears_all: bool = True,
     ) -> None:
         """Move the shares towards the demand.
 
@@ -456,8 +451,6 @@
             is_isolated (bool): Whether peers may claim this entry's share;
                 it is then capped at an equal part of
                 ``_MIN_FAIR_SHARE_WEIGHT`` of the rate. Defaults to False.
-            hears_all (bool): Whether the announcements of all peers are
-                recent. Defaults to True.
         """
         announced = self._announced_sum = _AnnouncedSum(others)
         self._fair_shares = fair_shares or EqualShares(announced.entry_count)
@@ -471,10 +464,6 @@
                 continue
             self._refill(customer, bucket, now)
             self._measure_demand(bucket, now)
-            if hears_all:
-                bucket.share_before_silence = None
-            elif bucket.share_before_silence is None:
-                bucket.share_before_silence = bucket.share
             share = self._next_share(customer, bucket, fair)
             if is_isolated:
                 share = min(
@@ -522,12 +511,6 @@
         wanted = (
             fair_share_weight * fair + (1.0 - fair_share_weight) * demand_share
         )
-        held = bucket.share_before_silence
-        if held is not None:
-            # The fair shares of all entries add up to 1.
-            wanted = min(
-                wanted, held + fair * max(0.0, 1 - taken_share - held)
-            )
         return min(wanted, max(0.0, 1.0 - taken_share))
 
 
