Count the descriptors of a test from a range without gaps

Cause: a new descriptor gets the lowest free number, and ports reserved by earlier tests leave gaps, so that fewer connections than the test counts fit below the limit. The gaps are filled first; the check is the same.

--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -169,6 +169,15 @@
 _LOOP_FACTORIES = [asyncio.new_event_loop, uvloop.new_event_loop]
 
 
+def _fill_descriptor_gaps():
+    """Open descriptors until the next ones are consecutive; returns them."""
+    highest = max(int(name) for name in os.listdir("/proc/self/fd"))
+    opened = [os.dup(0)]
+    while opened[-1] < highest:
+        opened.append(os.dup(0))
+    return opened
+
+
 class TestBusyEventLoop:
     # Guards against callers on new connections each waiting for another turn
     # of a busy event loop: a crowd of retries that is answered too late.
@@ -219,6 +228,7 @@
         async def scenario():
             # What earlier tests left must not free descriptors meanwhile.
             gc.collect()
+            gaps = _fill_descriptor_gaps()
             server = http_server.HttpServer(_answer, "127.0.0.1", 0)
             await server.start()
             connections = [connect(server.port) for _ in range(30)]
@@ -236,6 +246,8 @@
             for connection in connections:
                 connection.close()
             await server.stop()
+            for descriptor in gaps:
+                os.close(descriptor)
 
         with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
             runner.run(scenario())
