Take the ports of tests from a range that no probe uses

Its log has "port not bound, trying again": a script that chooses its ports at random from 16,000 on had one of them. Change: tests and stand-ins take theirs from 6,000 to 16,000.

--- a/chicorydoor/standins/port_allocation.py
+++ b/chicorydoor/standins/port_allocation.py
@@ -6,7 +6,8 @@
 
 # Below the ephemeral range of common systems: an outgoing connection could
 # otherwise take a port before the process that it was given to has started.
-_PORTS_START, _PORTS_END = 16_000, 32_000
+# Scripts of the review choose theirs at random from 16,000 on.
+_PORTS_START, _PORTS_END = 6_000, 16_000
 # Each process starts its search at another port, so that two concurrent
 # processes do not allocate the same port before either uses it.
 _SEARCH_START_STRIDE = 331
