Use the load of targets that also report how slow their machine is

Cause: a load header with a fourth figure, the processing time on the target's machine at the moment in percent of the usual one, was dropped as malformed. Entries then knew nothing of the load that others put on a target. Routes of the kind download were treated as not idempotent.

Change: the fourth figure is read, bounded, shared with the region's peers together with its age, and multiplies the expected time at the target; it decays within a second. Downloads may be sent again.

--- a/chicorydoor/coordination/peer_exchange.py
+++ b/chicorydoor/coordination/peer_exchange.py
@@ -259,7 +259,7 @@
             for peer in self._fleet.region_peers()
             if not peer.is_recently_seen(now, PEER_SILENT_AFTER_S)
         ]
-        target_reports = self._targets.pop_reports()
+        target_reports = self._targets.pop_reports(now)
         if self._reach.is_cut_off:
             # The failures say nothing about the targets.
             target_reports = []
--- a/chicorydoor/coordination/target_selection.py
+++ b/chicorydoor/coordination/target_selection.py
@@ -422,8 +422,10 @@
             route, expects_cache_hit
         )
         is_cold = view.is_cold(now)
-        slowdown = view.latency_ratio(now) * (
-            _COLD_SLOWDOWN if is_cold else 1.0
+        slowdown = (
+            view.latency_ratio(now)
+            * view.slowdown(now)
+            * (_COLD_SLOWDOWN if is_cold else 1.0)
         )
         cache_hit_s = self.processing_times.expected_s(route, True)
         wait_s = target_views.expected_wait_s(
--- a/chicorydoor/coordination/target_sender.py
+++ b/chicorydoor/coordination/target_sender.py
@@ -42,8 +42,12 @@
 # A target rejects requests that name another target with this status.
 _MISDIRECTED = 421
 _UNAVAILABLE = 503
-# Running requests, waiting requests and slots.
+# Running requests, waiting requests and slots; some targets add how long work
+# takes on their machine at the moment, in percent of the usual time.
 _LOAD_FIELDS = 3
+_LOAD_FIELDS_WITH_SLOWDOWN = 4
+# Other figures are taken for an error of the target.
+_PLAUSIBLE_SLOWDOWNS_PERCENT = range(1, 10_001)
 
 _LOG = logging.getLogger(__name__)
 
@@ -395,11 +399,20 @@
             http_headers.parse_whole_number(field.strip())
             for field in value.split(b",")
         ]
-        if len(fields) != _LOAD_FIELDS or None in fields:
+        if (
+            len(fields) not in (_LOAD_FIELDS, _LOAD_FIELDS_WITH_SLOWDOWN)
+            or None in fields
+        ):
             metrics.TARGET_LOAD_PARSE_ERRORS.inc()
             return
-        running, waiting, _slots = fields
+        running, waiting, _slots, *slowdown = fields
         view.record_load(running + waiting, now)
+        if not slowdown:
+            return
+        if slowdown[0] not in _PLAUSIBLE_SLOWDOWNS_PERCENT:
+            metrics.TARGET_LOAD_PARSE_ERRORS.inc()
+            return
+        view.record_slowdown(slowdown[0] / 100, now)
 
     def record_announcements(
         self,
--- a/chicorydoor/model/model_fleet.py
+++ b/chicorydoor/model/model_fleet.py
@@ -293,7 +293,7 @@
     def _send_heartbeat(self, entry: ModelEntry, now: float) -> None:
         self._schedule(now + self._heartbeat_interval_s, entry)
         published_objects = entry.selection.cache_index.pop_unpublished(now)
-        reports = entry.targets.pop_reports()
+        reports = entry.targets.pop_reports(now)
         limit_reports = entry.rate_limits.pop_reports(now)
         for peer in self._entries_by_region[entry.region]:
             if peer is entry:
--- a/chicorydoor/platform/documents.py
+++ b/chicorydoor/platform/documents.py
@@ -25,9 +25,9 @@
 CONFIGURATION_KEY = "op/config"
 EVACUATION_PREFIX = "op/evacuate/"
 
-# Kind of the routes whose requests may be sent again although they may have
-# run.
-_IDEMPOTENT_KIND = "safe"
+# Kinds of the routes whose requests may be sent again although they may have
+# run. Downloads have large responses.
+_IDEMPOTENT_KINDS = frozenset({"safe", "download"})
 _LIFECYCLE_BY_STATE = {
     "ready": serving_config.TargetLifecycle.READY,
     "draining": serving_config.TargetLifecycle.LEAVING,
@@ -174,7 +174,7 @@
         host=route.host,
         prefix=route.prefix,
         weighted_services=weighted_services,
-        is_idempotent=route.kind == _IDEMPOTENT_KIND,
+        is_idempotent=route.kind in _IDEMPOTENT_KINDS,
         timeout_s=durations.parse_duration_s(route.timeout),
         latency_objective_s=durations.parse_duration_s(route.target_latency),
         max_attempts=route.max_attempts,
--- a/chicorydoor/state/target_report.py
+++ b/chicorydoor/state/target_report.py
@@ -24,6 +24,11 @@
         failures (int): Requests among these that failed.
         latency_ratio_percent (int): Mean latency of the successful requests
             in percent of the expected latency; 100 without any.
+        slowdown_percent (int): Processing time in percent of the usual one
+            that the target reported last for its machine; -1 if it reported
+            none. Defaults to -1.
+        slowdown_age_ms (int): Age of that figure when the report was built, in
+            milliseconds. Defaults to 0.
     """
 
     target_id: ids.TargetId
@@ -32,6 +37,9 @@
     answers: int
     failures: int
     latency_ratio_percent: int
+    # Earlier builds neither send nor read the fields from here on.
+    slowdown_percent: int = -1
+    slowdown_age_ms: int = 0
 
 
 class PendingReport:
@@ -43,11 +51,30 @@
         self.failures = 0
         self.latency_ratio_count = 0
         self.latency_ratio_sum = 0.0
+        self._slowdown: float | None = None
+        self._slowdown_at = 0.0
+
+    def record_slowdown(self, slowdown: float, now: float) -> None:
+        """Record a slowdown that the target reported.
+
+        Args:
+            slowdown (float): Processing time over the usual one.
+            now (float): Current time in seconds.
+        """
+        self._slowdown = slowdown
+        self._slowdown_at = now
 
     def build_report(
-        self, target_id: ids.TargetId, started_ms: int
+        self, target_id: ids.TargetId, started_ms: int, now: float
     ) -> TargetReport:
-        """Build the report on an incarnation of the target."""
+        """Build the report on an incarnation of the target.
+
+        Args:
+            target_id (str): The target.
+            started_ms (int): Start of its incarnation, milliseconds since the
+                epoch.
+            now (float): Current time in seconds.
+        """
         mean_ratio = (
             self.latency_ratio_sum / self.latency_ratio_count
             if self.latency_ratio_count
@@ -60,4 +87,6 @@
             self.ended_requests,
             self.failures,
             round(100 * mean_ratio),
+            -1 if self._slowdown is None else round(100 * self._slowdown),
+            round(1000 * (now - self._slowdown_at)) if self._slowdown else 0,
         )
--- a/chicorydoor/state/target_views.py
+++ b/chicorydoor/state/target_views.py
@@ -24,6 +24,12 @@
 _AVERAGE_HALF_LIFE_S = 4.0
 # Half-life of the weight of a load reported by a target.
 _LOAD_HALF_LIFE_S = 1.0
+# Half-life with which a reported slowdown of a target's machine returns to
+# normal: targets report a new one several times a second.
+_SLOWDOWN_HALF_LIFE_S = 0.3
+# Bounds of a reported slowdown, so that an absurd one neither attracts all
+# requests nor rules the target out for longer than a few half-lives.
+_MIN_SLOWDOWN, _MAX_SLOWDOWN = 0.5, 10.0
 # Bounds of an own latency ratio or of the mean that a peer reports, so that a
 # single outlier does not dominate the average.
 _MIN_LATENCY_RATIO, _MAX_LATENCY_RATIO = 0.5, 20.0
@@ -97,6 +103,8 @@
         self.has_said_leaving = False
         self._other_requests = 0.0
         self._load_reported_at = float("-inf")
+        self._reported_slowdown = 1.0
+        self._slowdown_reported_at = float("-inf")
         self._average_latency_ratio = 1.0
         self._average_failure_share = 0.0
         self._averaged_at = now
@@ -142,6 +150,35 @@
         self._set_load(load, now)
         self._get_pending_report().reported_load = load
 
+    def record_slowdown(self, slowdown: float, now: float) -> None:
+        """Record how slow the target reported its machine to be.
+
+        Args:
+            slowdown (float): Processing time at the moment of the report over
+                the usual one; 1 means as usual.
+            now (float): Current time in seconds.
+        """
+        self._set_slowdown(slowdown, now)
+        self._get_pending_report().record_slowdown(slowdown, now)
+
+    def _set_slowdown(self, slowdown: float, reported_at: float) -> None:
+        if reported_at < self._slowdown_reported_at:
+            return
+        self._reported_slowdown = min(
+            max(slowdown, _MIN_SLOWDOWN), _MAX_SLOWDOWN
+        )
+        self._slowdown_reported_at = reported_at
+
+    def slowdown(self, now: float) -> float:
+        """Processing time over the usual one, by the latest report.
+
+        Returns:
+            The ratio; its difference from 1 decays with the report's age.
+        """
+        age_s = max(0.0, now - self._slowdown_reported_at)
+        decay = 0.5 ** (age_s / _SLOWDOWN_HALF_LIFE_S)
+        return 1.0 + (self._reported_slowdown - 1.0) * decay
+
     def _set_load(self, load: int, now: float) -> None:
         self._other_requests = max(0.0, load - self.own_requests_in_flight)
         self._load_reported_at = now
@@ -151,16 +188,21 @@
             self._pending_report = target_report.PendingReport()
         return self._pending_report
 
-    def pop_report(self) -> target_report.TargetReport | None:
+    def pop_report(self, now: float) -> target_report.TargetReport | None:
         """Remove and return the report for region peers.
 
+        Args:
+            now (float): Current time in seconds.
+
         Returns:
             Observations since the last report; None without any.
         """
         pending, self._pending_report = self._pending_report, None
         if pending is None:
             return None
-        return pending.build_report(self.target_id, self.record.started_ms)
+        return pending.build_report(
+            self.target_id, self.record.started_ms, now
+        )
 
     def apply_report(
         self, report: target_report.TargetReport, now: float
@@ -174,6 +216,11 @@
         self.has_received_requests = True
         if report.reported_load >= 0:
             self._set_load(report.reported_load, now)
+        if report.slowdown_percent >= 0:
+            self._set_slowdown(
+                report.slowdown_percent / 100,
+                now - report.slowdown_age_ms / 1000,
+            )
         if report.answers > 0:
             weight = 1.0 - (1.0 - _PEER_OBSERVATION_WEIGHT) ** report.answers
             latency_ratio = report.latency_ratio_percent / 100
@@ -366,9 +413,13 @@
         self.evacuated_domains = new_domains
         self.rebuild_index()
 
-    def pop_reports(self) -> list[target_report.TargetReport]:
-        """Remove and return this entry's observations since the last call."""
-        reports = [view.pop_report() for view in self.target_by_id.values()]
+    def pop_reports(self, now: float) -> list[target_report.TargetReport]:
+        """Remove and return this entry's observations since the last call.
+
+        Args:
+            now (float): Current time in seconds.
+        """
+        reports = [view.pop_report(now) for view in self.target_by_id.values()]
         return [report for report in reports if report is not None]
 
     def apply_reports(
--- a/tests/test_header_numbers.py
+++ b/tests/test_header_numbers.py
@@ -76,6 +76,43 @@
         platform_cluster.run(scenario, entries=2)
 
 
+class TestLoadHeader:
+    # Guards against loads that are dropped because the target also says how
+    # slow its machine is. The request itself is no part of the others' load.
+    @pytest.mark.parametrize(
+        ("value", "load", "slowdown"),
+        [
+            (b"3,2,4", 4.0, 1.0),
+            (b"3,2,4,250", 4.0, 2.5),
+            (b"3, 2, 4, 80", 4.0, 0.8),
+            # Absurd figures count as none.
+            (b"3,2,4,0", 4.0, 1.0),
+            (b"3,2,4," + b"9" * 30, 4.0, 1.0),
+            (b"3,2,4,-250", 0.0, 1.0),
+            (b"3,2,4,2.5", 0.0, 1.0),
+            (b"3,2,4,250,1", 0.0, 1.0),
+            (b"3,2", 0.0, 1.0),
+        ],
+    )
+    def test_load_and_slowdown(self, value, load, slowdown):
+        async def scenario(cluster):
+            cluster.targets[0].load = cluster.targets[1].load = value
+            await cluster.call()
+            views = cluster.entries[
+                0
+            ]._components.targets.target_by_id.values()
+            loads = [
+                view for view in views if view.load_age_s(0.0) is not None
+            ]
+            assert len(loads) == (load > 0)
+            for view in loads:
+                reported_at = -view.load_age_s(0.0)
+                assert view.estimated_requests(reported_at) == load
+                assert view.slowdown(reported_at) == slowdown
+
+        platform_cluster.run(scenario)
+
+
 class TestRegistrations:
     # Guards against a number that no message between entries can hold.
     @pytest.mark.parametrize("number", [2**64, 10**30, -1])
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -106,6 +106,17 @@
 
 
 class TestConfiguration:
+    # Guards against downloads that are not sent again after a failure.
+    @pytest.mark.parametrize(
+        ("kind", "is_idempotent"),
+        [("safe", True), ("download", True), ("unsafe", False), ("x", False)],
+    )
+    def test_kinds_that_may_be_sent_again(self, kind, is_idempotent):
+        route = _CONFIGURATION_DOCUMENT["routes"][0] | {"kind": kind}
+        document = _CONFIGURATION_DOCUMENT | {"routes": [route]}
+        config = documents.decode_configuration(json.dumps(document).encode())
+        assert config.route_by_id["r1"].is_idempotent is is_idempotent
+
     def test_routes_are_decoded(self):
         config = documents.decode_configuration(
             json.dumps(_CONFIGURATION_DOCUMENT).encode()
--- a/tests/test_target_selection.py
+++ b/tests/test_target_selection.py
@@ -321,6 +321,20 @@
         assert view.estimated_requests(10.0) == 30
         assert view.estimated_requests(20.0) < 1
 
+    def test_target_whose_machine_is_slow_at_the_moment_is_avoided(self):
+        fixture = _SelectionFixture(_records())
+        fixture.record_cached("t0")
+        fixture.record_cached("t1")
+        fixture.targets.target_by_id["t0"].record_slowdown(2.5, 10.0)
+        fixture.targets.target_by_id["t1"].record_slowdown(1.0, 10.0)
+        assert fixture.choose().target.target_id == "t1"
+
+    def test_reported_slowdown_decays_within_a_second(self):
+        view = _SelectionFixture(_records()).targets.target_by_id["t0"]
+        view.record_slowdown(2.5, 10.0)
+        assert view.slowdown(10.0) == 2.5
+        assert view.slowdown(11.0) < 1.2
+
     def test_target_that_answers_other_requests_is_not_unreachable(self):
         fixture = _SelectionFixture(_records())
         view = fixture.targets.target_by_id["t0"]
