--- /dev/null
+++ b/chicorydoor/balancing/__init__.py
@@ -0,0 +1,1 @@
+"""Load estimates and choices under overload, without network or asyncio."""
