Choose by load estimates where overload is expected

Cause: entries send to the same targets for loads in reports of which they do not know the age; heartbeats carry loads that are up to 0.8 s old as new.

Change: where the settings expect overload (contract "pressure") or a target has reported a slowdown, TargetView uses LoadEstimate and TargetSelection chooses among the candidates whose scores are near-equal. Targets that would have to load an object are no alternative to its homes and to those that have it. Reports between peers carry the age of the load in a trailing field. Refusals as too late still need a recent report (reported_requests).

--- a/chicorydoor/compose_fleet.py
+++ b/chicorydoor/compose_fleet.py
@@ -178,7 +178,9 @@
             clock=clock,
             rng=rng,
         )
-        self.targets = target_views.TargetViews(settings.region_by_domain)
+        self.targets = target_views.TargetViews(
+            settings.region_by_domain, settings.expects_overload
+        )
         self.target_registrations = target_registrations.TargetRegistrations(
             self.targets, clock
         )
--- a/chicorydoor/coordination/target_selection.py
+++ b/chicorydoor/coordination/target_selection.py
@@ -11,6 +11,9 @@
 response time, adjusted so that objects stay at few targets and new targets
 get load. The expected response time consists of round trip, waiting for a
 slot, service time, and the cost of a failure times its likelihood.
+
+Where the decisions for overload apply, the choice is made among all candidates
+whose scores are as good as the best one by what is known of their loads.
 """
 
 from collections import abc
@@ -21,6 +24,7 @@
 import msgspec
 import xxhash
 
+from chicorydoor.balancing import tie_breaking
 from chicorydoor.protocol import ids
 from chicorydoor.protocol import serving_config
 from chicorydoor.state import object_cache_index
@@ -93,6 +97,8 @@
         reason (SelectionReason): Why it was chosen. Defaults to ``LOAD``.
         sent_at (float): When the request was sent to it; None before that.
             Defaults to None.
+        wait_per_request_s (float): Time by which a waiting request delays the
+            next one. Defaults to 0.
     """
 
     target: target_views.TargetView
@@ -105,6 +111,7 @@
     measured_latency_s: float = 0.0
     reason: SelectionReason = SelectionReason.LOAD
     sent_at: float | None = None
+    wait_per_request_s: float = 0.0
 
 
 class TargetConstraints(msgspec.Struct):
@@ -290,10 +297,31 @@
         now: float,
         excluded: abc.Collection[ids.TargetId],
     ) -> SelectedTarget | None:
-        object_id = (constraints.route.route_id, constraints.affinity_key)
-        caching_targets = self.cache_index.caching_targets(object_id, now)
+        scored = self._scored_choices(
+            constraints, candidate_set, now, excluded
+        )
+        if self._targets.decides_for_overload:
+            return self._balanced_choice(scored, now)
         best: SelectedTarget | None = None
         best_score = 0.0
+        for choice, score in scored:
+            if best is not None and score >= best_score:
+                continue
+            if not self._permits.may_send(choice.target, now):
+                continue
+            best, best_score = choice, score
+        return best
+
+    def _scored_choices(
+        self,
+        constraints: TargetConstraints,
+        candidate_set: _CandidateSet,
+        now: float,
+        excluded: abc.Collection[ids.TargetId],
+    ) -> abc.Iterator[tuple[SelectedTarget, float]]:
+        """Yield the candidates and their scores in seconds."""
+        object_id = (constraints.route.route_id, constraints.affinity_key)
+        caching_targets = self.cache_index.caching_targets(object_id, now)
         for view in self._candidates(
             constraints, candidate_set, caching_targets
         ):
@@ -304,13 +332,61 @@
             choice.reason = self._selection_reason(
                 candidate_set, view, is_cached
             )
-            score = self._score(constraints, candidate_set, choice)
-            if best is not None and score >= best_score:
-                continue
-            if not self._permits.may_send(view, now):
-                continue
-            best, best_score = choice, score
-        return best
+            yield choice, self._score(constraints, candidate_set, choice)
+
+    def _balanced_choice(
+        self,
+        scored: abc.Iterable[tuple[SelectedTarget, float]],
+        now: float,
+    ) -> SelectedTarget | None:
+        """Choose among the candidates that are as good as the best one.
+
+        Others than the homes of an object and the targets that have it cached
+        are no alternatives to these: a cache miss costs more than a wait.
+        """
+        permitted = [
+            (choice, score)
+            for choice, score in scored
+            if self._permits.may_send(choice.target, now)
+        ]
+        if not permitted:
+            return None
+        best, _ = min(permitted, key=lambda scored: scored[1])
+        if best.reason is SelectionReason.FIRST_REQUEST:
+            return best
+        alternatives = [
+            (choice, score)
+            for choice, score in permitted
+            if choice.reason is not SelectionReason.LOAD
+            or best.reason is SelectionReason.LOAD
+        ]
+        index = tie_breaking.choose(
+            [
+                self._to_candidate(choice, score, now)
+                for choice, score in alternatives
+            ],
+            self._rng,
+        )
+        return alternatives[index][0]
+
+    def _to_candidate(
+        self, choice: SelectedTarget, score: float, now: float
+    ) -> tie_breaking.Candidate:
+        view = choice.target
+        known = view.own_requests_in_flight + (
+            view.load_estimate.remaining_requests(now)
+        )
+        arrivals = view.load_estimate.arrivals(now)
+        if view.region != self._region:
+            # Entries of that region sent them, which prefer it.
+            known, arrivals = known + arrivals, 0.0
+        return tie_breaking.Candidate(
+            score,
+            score - choice.expected_wait_s,
+            choice.wait_per_request_s,
+            view.record.slots - known,
+            arrivals,
+        )
 
     def _score(
         self,
@@ -446,6 +522,7 @@
             self._permits.rate_limits.rate_per_s(view.incarnation_key),
             round_trip_s
             + self._measured_time_s(route, view, expects_cache_hit, now),
+            wait_per_request_s=cache_hit_s / view.record.slots * slowdown,
         )
 
     def _measured_time_s(
@@ -466,7 +543,7 @@
         processing_s = hit_s if expects_cache_hit else miss_s
         queued_s = miss_s if hit_s is None else hit_s
         wait_s = target_views.expected_wait_s(
-            view.estimated_requests(now), view.record.slots, queued_s or 0.0
+            view.reported_requests(now), view.record.slots, queued_s or 0.0
         )
         return (processing_s or 0.0) + wait_s
 
--- a/chicorydoor/platform/settings_file.py
+++ b/chicorydoor/platform/settings_file.py
@@ -14,6 +14,8 @@
 SETTINGS_PATH_VARIABLE = "CHICORYDOOR_CONFIG"
 # The smaller of the two usual meanings of a megabyte.
 _BYTES_PER_MB = 1_000_000
+# Among the contracts of the terms: the platform expects overload.
+_OVERLOAD_CONTRACT = "pressure"
 
 
 class _Section(msgspec.Struct, rename="camel"):
@@ -83,6 +85,8 @@
 
 class _TermsSection(_Section):
     bounds: _BoundsSection = msgspec.field(default_factory=_BoundsSection)
+    # The file's format names no type; all but a list is ignored.
+    contracts: typing.Any = None
 
 
 class _SettingsFile(_Section):
@@ -146,9 +150,15 @@
         store=settings.platform.platform.address,
         promises=_to_fleet_limits(settings.terms.bounds),
         memory_limit_bytes=int(identity.limits.memory_mb * _BYTES_PER_MB),
+        expects_overload=_expects_overload(settings.terms),
     )
 
 
+def _expects_overload(terms: _TermsSection) -> bool:
+    contracts = terms.contracts
+    return isinstance(contracts, list) and _OVERLOAD_CONTRACT in contracts
+
+
 def _to_fleet_limits(
     bounds: _BoundsSection,
 ) -> fleet_entry_settings.FleetLimits:
--- a/chicorydoor/protocol/fleet_entry_settings.py
+++ b/chicorydoor/protocol/fleet_entry_settings.py
@@ -53,6 +53,8 @@
         promises (FleetLimits): Service level limits of the fleet.
         memory_limit_bytes (int): Memory above which the platform ends the
             process; 0 if it names no limit. Defaults to 0.
+        expects_overload (bool): Whether the decisions for overload apply from
+            the start. Defaults to False.
     """
 
     instance: ids.InstanceId
@@ -69,3 +71,4 @@
     store: str
     promises: FleetLimits
     memory_limit_bytes: int = 0
+    expects_overload: bool = False
--- a/chicorydoor/state/target_report.py
+++ b/chicorydoor/state/target_report.py
@@ -29,6 +29,8 @@
             none. Defaults to -1.
         slowdown_age_ms (int): Age of that figure when the report was built, in
             milliseconds. Defaults to 0.
+        load_age_ms (int): Age of the reported load when the report was built,
+            in milliseconds. Defaults to 0.
     """
 
     target_id: ids.TargetId
@@ -40,13 +42,15 @@
     # Earlier builds neither send nor read the fields from here on.
     slowdown_percent: int = -1
     slowdown_age_ms: int = 0
+    load_age_ms: int = 0
 
 
 class PendingReport:
     """Observations of a target that have not been reported yet."""
 
     def __init__(self) -> None:
-        self.reported_load = -1
+        self._reported_load = -1
+        self._load_reported_at = 0.0
         self.ended_requests = 0
         self.failures = 0
         self.latency_ratio_count = 0
@@ -54,6 +58,16 @@
         self._slowdown: float | None = None
         self._slowdown_at = 0.0
 
+    def record_load(self, load: int, now: float) -> None:
+        """Record a load that the target reported.
+
+        Args:
+            load (int): Running and waiting requests of all callers.
+            now (float): Current time in seconds.
+        """
+        self._reported_load = load
+        self._load_reported_at = now
+
     def record_slowdown(self, slowdown: float, now: float) -> None:
         """Record a slowdown that the target reported.
 
@@ -83,10 +97,13 @@
         return TargetReport(
             target_id,
             started_ms,
-            self.reported_load,
+            self._reported_load,
             self.ended_requests,
             self.failures,
             round(100 * mean_ratio),
             -1 if self._slowdown is None else round(100 * self._slowdown),
             round(1000 * (now - self._slowdown_at)) if self._slowdown else 0,
+            round(1000 * (now - self._load_reported_at))
+            if self._reported_load >= 0
+            else 0,
         )
--- a/chicorydoor/state/target_views.py
+++ b/chicorydoor/state/target_views.py
@@ -9,7 +9,9 @@
 import enum
 import logging
 import math
+import weakref
 
+from chicorydoor.balancing import load_estimate
 from chicorydoor.protocol import ids
 from chicorydoor.protocol import serving_config
 from chicorydoor.state import target_report
@@ -57,6 +59,28 @@
     REPLACED = "replaced"
 
 
+class OverloadSwitch:
+    """Whether the decisions for overload apply in this process.
+
+    Args:
+        expects_overload (bool): Whether the settings expect overload. Defaults
+            to False.
+
+    Attributes:
+        reports_slowdown (bool): Whether any target has reported a slowdown,
+            to this entry or to a region peer.
+    """
+
+    def __init__(self, expects_overload: bool = False) -> None:
+        self._expects_overload = expects_overload
+        self.reports_slowdown = False
+
+    @property
+    def is_on(self) -> bool:
+        """Whether the decisions for overload apply."""
+        return self._expects_overload or self.reports_slowdown
+
+
 class TargetView:
     """State of one target as observed by one entry.
 
@@ -65,8 +89,14 @@
         region (str): The target's region.
         now (float): Time of the first registration seen, in seconds of the
             entry's clock.
+        overload (OverloadSwitch): Tells whether the load estimates for
+            overload are used. Defaults to one that is off.
+        service_load (ServiceLoad): What is usual at the targets of its
+            service. Defaults to that of this target alone.
 
     Attributes:
+        load_estimate (LoadEstimate): Requests of other entries, for the
+            decisions under overload.
         reach (Reach): Whether this entry can use the target.
         is_registered (bool): False while a registration that ended shortly
             after a failure of the store may still be renewed.
@@ -89,7 +119,13 @@
         record: serving_config.TargetRegistration,
         region: ids.RegionId,
         now: float,
+        overload: OverloadSwitch | None = None,
+        service_load: load_estimate.ServiceLoad | None = None,
     ) -> None:
+        self._overload = overload or OverloadSwitch()
+        self.load_estimate = load_estimate.LoadEstimate(
+            record.slots, service_load or load_estimate.ServiceLoad()
+        )
         self.record = record
         self.target_id = record.target_id
         self.region = region
@@ -133,8 +169,21 @@
         """Requests of all entries that run or wait at the target.
 
         Returns:
-            The estimate; the part of other entries decays with the age of
-            the latest load report.
+            The estimate. As the latest load report ages, the part of other
+            entries returns to what is usual where the decisions for overload
+            apply, otherwise to 0.
+        """
+        if self._overload.is_on:
+            others = self.load_estimate.other_requests(now)
+            return self.own_requests_in_flight + others
+        return self.reported_requests(now)
+
+    def reported_requests(self, now: float) -> float:
+        """Requests of all entries, as far as a recent report shows them.
+
+        Returns:
+            The estimate; the part of other entries decays to 0 with the age
+            of the latest load report.
         """
         age_s = now - self._load_reported_at
         decay = 0.5 ** (age_s / _LOAD_HALF_LIFE_S)
@@ -147,8 +196,8 @@
             load (int): Running and waiting requests of all callers.
             now (float): Current time in seconds.
         """
-        self._set_load(load, now)
-        self._get_pending_report().reported_load = load
+        self._set_load(load, now, 0.0)
+        self._get_pending_report().record_load(load, now)
 
     def record_slowdown(self, slowdown: float, now: float) -> None:
         """Record how slow the target reported its machine to be.
@@ -162,6 +211,7 @@
         self._get_pending_report().record_slowdown(slowdown, now)
 
     def _set_slowdown(self, slowdown: float, reported_at: float) -> None:
+        self._overload.reports_slowdown = True
         if reported_at < self._slowdown_reported_at:
             return
         self._reported_slowdown = min(
@@ -179,7 +229,10 @@
         decay = 0.5 ** (age_s / _SLOWDOWN_HALF_LIFE_S)
         return 1.0 + (self._reported_slowdown - 1.0) * decay
 
-    def _set_load(self, load: int, now: float) -> None:
+    def _set_load(self, load: int, now: float, age_s: float) -> None:
+        self.load_estimate.record(
+            load, self.own_requests_in_flight, now - max(0.0, age_s)
+        )
         self._other_requests = max(0.0, load - self.own_requests_in_flight)
         self._load_reported_at = now
 
@@ -215,7 +268,9 @@
             return
         self.has_received_requests = True
         if report.reported_load >= 0:
-            self._set_load(report.reported_load, now)
+            self._set_load(
+                report.reported_load, now, report.load_age_ms / 1000
+            )
         if report.slowdown_percent >= 0:
             self._set_slowdown(
                 report.slowdown_percent / 100,
@@ -236,6 +291,8 @@
         """Age of the latest reported load; None if none was reported."""
         if self._load_reported_at == float("-inf"):
             return None
+        if self._overload.is_on:
+            return now - self.load_estimate.reported_at
         return now - self._load_reported_at
 
     def latency_ratio(self, now: float) -> float:
@@ -326,6 +383,8 @@
 
     Args:
         region_by_domain (dict): Regions of the failure domains.
+        expects_overload (bool): Whether the settings expect overload. Defaults
+            to False.
 
     Attributes:
         target_by_id (dict): All known targets.
@@ -336,9 +395,16 @@
     """
 
     def __init__(
-        self, region_by_domain: abc.Mapping[ids.DomainId, ids.RegionId]
+        self,
+        region_by_domain: abc.Mapping[ids.DomainId, ids.RegionId],
+        expects_overload: bool = False,
     ) -> None:
         self._region_by_domain = region_by_domain
+        self._overload = OverloadSwitch(expects_overload)
+        # An entry ends with the last view of the service.
+        self._load_by_service: weakref.WeakValueDictionary[
+            ids.ServiceId, load_estimate.ServiceLoad
+        ] = weakref.WeakValueDictionary()
         self.target_by_id: dict[ids.TargetId, TargetView] = {}
         self.evacuated_domains: set[ids.DomainId] = set()
         # Targets that should get requests, and those of them in use.
@@ -366,7 +432,13 @@
         if view is not None:
             self._remove_from_index(view)
         if view is None or record.started_ms != view.record.started_ms:
-            view = TargetView(record, self._region_of(record.domain), now)
+            view = TargetView(
+                record,
+                self._region_of(record.domain),
+                now,
+                self._overload,
+                self._service_load(record.service_id),
+            )
             view.has_said_leaving = view.incarnation_key in self._said_leaving
             self.target_by_id[record.target_id] = view
         else:
@@ -375,6 +447,28 @@
         self._add_to_index(view)
         return view
 
+    def _service_load(
+        self, service_id: ids.ServiceId
+    ) -> load_estimate.ServiceLoad:
+        load = self._load_by_service.get(service_id)
+        if load is None:
+            load = load_estimate.ServiceLoad()
+            self._load_by_service[service_id] = load
+        return load
+
+    @property
+    def reports_slowdown(self) -> bool:
+        """Whether any target has reported a slowdown to this process."""
+        return self._overload.reports_slowdown
+
+    @property
+    def decides_for_overload(self) -> bool:
+        """Whether the decisions for overload apply.
+
+        Either the settings expect overload or a target reports slowdowns.
+        """
+        return self._overload.is_on
+
     def remove(self, target_id: ids.TargetId) -> TargetView | None:
         """Remove a target and return its view, None if it is unknown."""
         view = self.target_by_id.pop(target_id, None)
@@ -535,6 +629,7 @@
         view.cold_until = now + record.warm_up_remaining_s
     if record.address != view.record.address:
         view.reach = Reach.IN_USE
+    view.load_estimate.slots = max(1, record.slots)
     view.record = record
 
 
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -266,6 +266,24 @@
         assert loaded.store == "10.200.1.7:8669"
         assert loaded.promises.retry_slack == 62
 
+    @pytest.mark.parametrize(
+        ("contracts", "is_expected"),
+        [
+            ("", False),
+            ("contracts: [rates, pressure]", True),
+            ("contracts: [rates]", False),
+            ("contracts: pressure-free", False),
+            ("contracts: null", False),
+        ],
+    )
+    def test_overload_is_expected_by_contract(
+        self, tmp_path, contracts, is_expected
+    ):
+        path = tmp_path / "settings.yaml"
+        path.write_text(f"{_SETTINGS_FILE}  {contracts}\n")
+        loaded = settings_file.read_settings(path)
+        assert loaded.expects_overload is is_expected
+
     @pytest.mark.parametrize(
         "text", ["", "a: [", "self: {}", _SETTINGS_FILE.replace('"6s"', '"6"')]
     )
--- a/tests/test_target_reports.py
+++ b/tests/test_target_reports.py
@@ -1,12 +1,29 @@
 """Reports on targets between region peers that each send few requests."""
 
+import msgspec
+import pytest
+
+from chicorydoor.state import target_report
 from chicorydoor.state import target_views
 from tests.support import config_builders as make
 
 
-def _new_targets():
+class _EarlierReport(msgspec.Struct, array_like=True):
+    """A report as the builds before the age of the load have it."""
+
+    target_id: str
+    started_ms: int
+    reported_load: int
+    answers: int
+    failures: int
+    latency_ratio_percent: int
+    slowdown_percent: int = -1
+    slowdown_age_ms: int = 0
+
+
+def _new_targets(expects_overload=False):
     """The targets that an entry knows, and its view of the only one."""
-    targets = target_views.TargetViews(make.REGION_BY_DOMAIN)
+    targets = target_views.TargetViews(make.REGION_BY_DOMAIN, expects_overload)
     targets.add_or_update(make.build_target_registration("t"), 0.0)
     return targets, targets.target_by_id["t"]
 
@@ -27,6 +44,31 @@
         local_targets.apply_reports(peer_targets.pop_reports(1.0), 1.0)
         assert view.estimated_requests(1.0) == 9.0
 
+    # Guards against the load in a heartbeat, up to 0.8 s old, replacing one
+    # that is newer, or counting as new where overload is expected.
+    def test_load_reported_by_a_peer_counts_with_its_age(self):
+        local_targets, view = _new_targets(expects_overload=True)
+        peer_targets, peer_view = _new_targets()
+        peer_view.record_load(9, 0.2)
+        reports = peer_targets.pop_reports(1.0)
+        assert reports[0].load_age_ms == 800
+        local_targets.apply_reports(reports, 1.0)
+        assert view.load_age_s(1.0) == pytest.approx(0.8)
+        view.record_load(3, 1.1)
+        local_targets.apply_reports(reports, 1.2)
+        assert view.estimated_requests(1.1) == 3.0
+
+    # Guards against builds that run side by side during an upgrade.
+    def test_reports_of_earlier_builds_and_to_them_are_read(self):
+        _, view = _new_targets()
+        view.record_load(9, 0.2)
+        new = view.pop_report(1.0)
+        encode, decode = msgspec.msgpack.encode, msgspec.msgpack.decode
+        old = decode(encode(new), type=_EarlierReport)
+        assert (old.reported_load, old.slowdown_percent) == (9, -1)
+        read = decode(encode(old), type=target_report.TargetReport)
+        assert (read.reported_load, read.load_age_ms) == (9, 0)
+
     def test_slowdown_reported_by_a_peer_counts_with_its_age(self):
         local_targets, view = _new_targets()
         peer_targets, peer_view = _new_targets()
--- a/tests/test_target_selection.py
+++ b/tests/test_target_selection.py
@@ -1,9 +1,12 @@
 """Target selection: affinity, load, distance, cold targets, regions."""
 
 import collections
+import hashlib
 import random
 import types
 
+import pytest
+
 from chicorydoor.coordination import target_selection
 from chicorydoor.state import designated_entries
 from chicorydoor.state import send_permits
@@ -26,8 +29,12 @@
         instance="e",
         instances=("e",),
         round_trip_s_by_region=_ROUND_TRIP_S_BY_REGION,
+        expects_overload=False,
+        seed=1,
     ):
-        self.targets = target_views.TargetViews(make.REGION_BY_DOMAIN)
+        self.targets = target_views.TargetViews(
+            make.REGION_BY_DOMAIN, expects_overload
+        )
         for record in records:
             self.targets.add_or_update(record, 0.0)
         self.cold_allowed = True
@@ -52,7 +59,7 @@
                 ),
                 lambda service_id: 0.0,
             ),
-            rng=random.Random(1),
+            rng=random.Random(seed),
         )
         for view in self.targets.target_by_id.values():
             view.has_received_requests = True
@@ -67,6 +74,15 @@
         )
         return self.selection.choose(constraints, now, excluded)
 
+    def count_choices(self, count, **changes):
+        """Chosen target ids; each choice counts as sent."""
+        counts = collections.Counter()
+        for _ in range(count):
+            view = self.choose(**changes).target
+            view.own_requests_in_flight += 1
+            counts[view.target_id] += 1
+        return counts
+
     def record_cached(self, target_id, affinity_key=b"7", now=9.0):
         view = self.targets.target_by_id[target_id]
         self.selection.cache_index.record_use(
@@ -348,3 +364,102 @@
         view.record_answer(1.0, False, 9.0)
         assert not view.record_unanswered(sent_at=10.0, now=11.0)
         assert view.record_unanswered(sent_at=10.0, now=11.0)
+
+
+def _digest_of_varied_choices(fixture):
+    """Choices with varied loads, failures and caches, as one number."""
+    rng = random.Random(5)
+    views = list(fixture.targets.target_by_id.values())
+    lines = []
+    for number in range(600):
+        now = 10 + number * 0.02
+        view = rng.choice(views)
+        view.record_load(rng.randrange(14), now)
+        rng.choice(views).own_requests_in_flight = rng.randrange(6)
+        view.record_answer(rng.uniform(0.5, 2), rng.random() < 0.05, now)
+        key = b"%d" % (number % 40)
+        if number % 3 == 0:
+            fixture.record_cached(rng.choice(views).target_id, key, now)
+        choice = fixture.choose(b"" if number % 4 == 0 else key, now)
+        lines.append(
+            f"{choice.target.target_id} {choice.expected_wait_s:.6f} "
+            f"{choice.measured_latency_s:.6f}"
+        )
+    lines.append(f"{fixture.selection._rng.random():.9f}")
+    return hashlib.sha256("\n".join(lines).encode()).hexdigest()[:16]
+
+
+class TestOverloadDecisions:
+    # Guards against deployments that do not expect overload being served in
+    # another way. The digest is that of the code before the decisions for
+    # overload, 9348006.
+    def test_choices_and_random_numbers_are_as_before_without_them(self):
+        digest = _digest_of_varied_choices(_SelectionFixture(_records()))
+        assert digest == "74fe8f0f90ce1f10"
+
+    @pytest.mark.parametrize("is_expected", [True, False])
+    def test_they_apply_if_expected_or_once_a_slowdown_is_reported(
+        self, is_expected
+    ):
+        fixture = _SelectionFixture(_records(), expects_overload=is_expected)
+        peer = _SelectionFixture(_records())
+        if not is_expected:
+            assert not fixture.targets.decides_for_overload
+            peer.targets.target_by_id["t3"].record_slowdown(1.0, 9.0)
+            fixture.targets.apply_reports(peer.targets.pop_reports(9.0), 9.0)
+            assert fixture.targets.reports_slowdown
+        assert fixture.targets.decides_for_overload
+        view = fixture.targets.target_by_id["t0"]
+        view.record_load(30, 9.0)
+        assert view.estimated_requests(19.0) > 5
+
+    # Guards against entries that know of the same stale reports and all send
+    # to the target that had the lowest load in them.
+    def test_entries_with_the_same_stale_report_choose_different_targets(self):
+        targets = collections.Counter()
+        for seed in range(60):
+            fixture = _SelectionFixture(
+                _records(), expects_overload=True, seed=seed
+            )
+            for index, load in (("t0", 2), ("t1", 3), ("t5", 3)):
+                fixture.record_cached(index)
+                view = fixture.targets.target_by_id[index]
+                for at in (8.0, 9.5):
+                    view.record_load(load, at)
+            targets[fixture.choose().target.target_id] += 1
+        assert targets.keys() == {"t0", "t1", "t5"}
+        assert max(targets.values()) < 40
+
+    # Guards against spreading an object over targets that would have to load
+    # it anew: a cache miss costs more than a wait.
+    def test_object_stays_at_the_targets_that_have_it(self):
+        fixture = _SelectionFixture(_records(), expects_overload=True)
+        home = fixture.choose().target.target_id
+        cached = [name for name in ("t0", "t1", "t5") if name != home]
+        for name in cached:
+            fixture.record_cached(name)
+        for view in fixture.targets.target_by_id.values():
+            view.record_load(2, 9.0)
+        counts = fixture.count_choices(12)
+        assert counts.keys() <= {home, *cached}
+        assert all(counts[name] > 0 for name in cached)
+
+    def test_fresh_report_of_a_full_target_moves_the_requests(self):
+        fixture = _SelectionFixture(_records(), expects_overload=True)
+        fixture.record_cached("t0")
+        fixture.record_cached("t1")
+        fixture.targets.target_by_id["t0"].record_load(30, 10.0)
+        fixture.targets.target_by_id["t1"].record_load(0, 10.0)
+        assert fixture.count_choices(4).keys() == {"t1"}
+
+    # Guards against an entry that refuses everything for a load that nobody
+    # has reported since, and so never learns that it has ended.
+    def test_old_load_does_not_count_as_measured(self):
+        fixture = _SelectionFixture(_records(), expects_overload=True)
+        route = make.build_route_config()
+        fixture.selection.processing_times.record(route, True, 0.2, 9.0)
+        fixture.selection.processing_times.record(route, False, 0.2, 9.0)
+        for view in fixture.targets.target_by_id.values():
+            view.record_load(60, 9.0)
+        assert fixture.choose().measured_latency_s > 1.0
+        assert fixture.choose(now=13.5).measured_latency_s < 0.5
