Keep objects at their homes under overload

Cause: under load requests left the homes of their objects for any target that had once handled them, which then evicted the objects of which it is a home. Four in ten requests that were expected to hit a cache took as long as a miss.

Change: where the decisions for overload apply, an object has up to two homes in a region with room, and another target counts as having it cached for 3 s after a use and is chosen only where that saves half of the processing time.

--- a/chicorydoor/coordination/target_selection.py
+++ b/chicorydoor/coordination/target_selection.py
@@ -44,6 +44,14 @@
 # A request goes to a target that is neither a home of its object nor has it
 # cached only where that saves this fraction of the expected service time.
 _HOME_PREFERENCE = 0.5
+# Under overload a target that is no home of an object counts as having it
+# cached for this long after a use: objects that it is seldom asked for are
+# evicted by those that it is a home of.
+_CACHED_AWAY_FROM_HOME_S = 3.0
+# Under overload such a target is chosen only where that saves this fraction of
+# the expected service time. Objects that were spread over all targets that
+# once handled them evicted each other: half of the expected hits were misses.
+_CACHED_HOME_PREFERENCE = 0.5
 # Of the homes in other regions, one that ranks behind another is chosen only
 # where that saves this fraction of the expected service time. The estimated
 # distances of equally distant regions differ by less.
@@ -53,6 +61,9 @@
 # A region has homes for a fraction of the objects: this factor times its slots
 # over the mean slots of a region, at most all objects.
 _HOME_CAPACITY_FACTOR = 1.3
+# Under overload an object has a second home in a region that has room for it.
+# Two are enough for requests to avoid the one that is busy.
+_MAX_HOMES_PER_REGION = 2
 # Callers that are refused until a rest ends return within this fraction of it
 # after its end, at least within the seconds below.
 _REST_JITTER = 0.3
@@ -94,6 +105,8 @@
             without one. Defaults to None.
         measured_latency_s (float): The part of the expected latency that
             recent measurements show, in seconds. Defaults to 0.
+        measured_wait_s (float): The part of that spent waiting for a slot.
+            Defaults to 0.
         reason (SelectionReason): Why it was chosen. Defaults to ``LOAD``.
         sent_at (float): When the request was sent to it; None before that.
             Defaults to None.
@@ -112,6 +125,7 @@
     reason: SelectionReason = SelectionReason.LOAD
     sent_at: float | None = None
     wait_per_request_s: float = 0.0
+    measured_wait_s: float = 0.0
 
 
 class TargetConstraints(msgspec.Struct):
@@ -196,6 +210,15 @@
         ] = {}
         self._targets_generation = -1
 
+    @property
+    def decides_for_overload(self) -> bool:
+        """Whether the decisions for overload apply."""
+        return self._targets.decides_for_overload
+
+    def draw(self) -> float:
+        """Return a random number from 0 to 1."""
+        return self._rng.random()
+
     def choose(
         self,
         constraints: TargetConstraints,
@@ -320,8 +343,9 @@
         excluded: abc.Collection[ids.TargetId],
     ) -> abc.Iterator[tuple[SelectedTarget, float]]:
         """Yield the candidates and their scores in seconds."""
-        object_id = (constraints.route.route_id, constraints.affinity_key)
-        caching_targets = self.cache_index.caching_targets(object_id, now)
+        caching_targets = self._caching_targets(
+            constraints, candidate_set, now
+        )
         for view in self._candidates(
             constraints, candidate_set, caching_targets
         ):
@@ -334,6 +358,24 @@
             )
             yield choice, self._score(constraints, candidate_set, choice)
 
+    def _caching_targets(
+        self,
+        constraints: TargetConstraints,
+        candidate_set: _CandidateSet,
+        now: float,
+    ) -> abc.Collection[ids.TargetIncarnation]:
+        """Return the incarnations that probably have the object cached."""
+        object_id = (constraints.route.route_id, constraints.affinity_key)
+        used_at = self.cache_index.caching_targets(object_id, now)
+        if not self._targets.decides_for_overload:
+            return used_at.keys()
+        oldest = now - _CACHED_AWAY_FROM_HOME_S
+        return [
+            incarnation
+            for incarnation, at in used_at.items()
+            if at >= oldest or incarnation[0] in candidate_set.homes
+        ]
+
     def _balanced_choice(
         self,
         scored: abc.Iterable[tuple[SelectedTarget, float]],
@@ -413,6 +455,13 @@
             and target_id in candidate_set.secondary_homes
         ):
             preference_s = _SECONDARY_HOME_PREFERENCE * choice.processing_s
+        elif (
+            choice.reason is SelectionReason.CACHED
+            and self._targets.decides_for_overload
+            and candidate_set.homes
+            and target_id not in candidate_set.homes
+        ):
+            preference_s = _CACHED_HOME_PREFERENCE * choice.processing_s
         return choice.expected_latency_s + preference_s
 
     def _selection_reason(
@@ -512,6 +561,9 @@
         expected_latency_s = (
             round_trip_s + (processing_s + wait_s) * slowdown + failure_s
         )
+        measured_s, measured_wait_s = self._measured_times_s(
+            route, view, expects_cache_hit, now
+        )
         return SelectedTarget(
             view,
             expected_latency_s,
@@ -520,19 +572,19 @@
             is_cached,
             is_cold,
             self._permits.rate_limits.rate_per_s(view.incarnation_key),
-            round_trip_s
-            + self._measured_time_s(route, view, expects_cache_hit, now),
+            round_trip_s + measured_s + measured_wait_s,
+            measured_wait_s=measured_wait_s,
             wait_per_request_s=cache_hit_s / view.record.slots * slowdown,
         )
 
-    def _measured_time_s(
+    def _measured_times_s(
         self,
         route: serving_config.RouteConfig,
         view: target_views.TargetView,
         expects_cache_hit: bool,
         now: float,
-    ) -> float:
-        """Time at a target, in seconds, as far as measurements show it.
+    ) -> tuple[float, float]:
+        """Processing time and wait in seconds, as measurements show them.
 
         Without a measurement a part of it counts as 0. The latency ratio of
         the target is left out, as it may be relative to an estimate.
@@ -545,7 +597,7 @@
         wait_s = target_views.expected_wait_s(
             view.reported_requests(now), view.record.slots, queued_s or 0.0
         )
-        return (processing_s or 0.0) + wait_s
+        return processing_s or 0.0, wait_s
 
     def _allowed_views(
         self, constraints: TargetConstraints
@@ -570,6 +622,7 @@
             constraints.service_id,
             constraints.affinity_key,
             constraints.allowed_region_ids,
+            self._targets.decides_for_overload,
         )
         candidate_set = self._candidate_set_by_constraints.get(cache_key)
         if candidate_set is None:
@@ -595,6 +648,20 @@
         )
         return sample
 
+    def _home_count(self, home_fraction: float, position: float) -> int:
+        """Return how many homes an object has in a region.
+
+        Args:
+            home_fraction (float): Homes for each object that the region has
+                room for, on average.
+            position (float): Hash of the object, from 0 to 1.
+        """
+        if not self._targets.decides_for_overload:
+            return int(position < home_fraction)
+        whole = int(home_fraction)
+        count = whole + (position < home_fraction - whole)
+        return min(count, _MAX_HOMES_PER_REGION)
+
     def _rank_by_region(self, constraints: TargetConstraints) -> _CandidateSet:
         seed = _hash_seed(constraints)
         position = _hash_fraction(seed)
@@ -608,15 +675,17 @@
         substitutes: tuple[target_views.TargetView, ...] = ()
         for region, region_views in views_by_region.items():
             ranked = rendezvous.rank(seed, region_views, _target_id)
-            if position < home_fraction_by_region[region]:
-                homes.append(ranked[0])
+            home_count = self._home_count(
+                home_fraction_by_region[region], position
+            )
+            homes += ranked[:home_count]
             if region != self._region:
                 views += ranked[:_OTHER_REGION_CANDIDATES]
                 continue
             own_views = ranked[:_OWN_REGION_CANDIDATES]
             views += own_views
             first = ranked[0].target_id
-            if position < home_fraction_by_region[region]:
+            if home_count > 0:
                 substitutes = tuple(own_views)
         remote_homes = [view for view in homes if view.region != self._region]
         secondary_homes = rendezvous.rank(seed, remote_homes, _target_id)[1:]
--- a/chicorydoor/state/object_cache_index.py
+++ b/chicorydoor/state/object_cache_index.py
@@ -110,11 +110,15 @@
 
     def caching_targets(
         self, object_id: ObjectId, now: float
-    ) -> typing.Collection[ids.TargetIncarnation]:
-        """Incarnations of targets that have recently handled an object."""
+    ) -> typing.Mapping[ids.TargetIncarnation, float]:
+        """Incarnations of targets that have recently handled an object.
+
+        Returns:
+            The time of the latest known use by incarnation, in seconds.
+        """
         used_at_by_incarnation = self._used_at_by_object.get(object_id)
         if used_at_by_incarnation is None:
-            return ()
+            return {}
         stale = [
             each
             for each, at in used_at_by_incarnation.items()
@@ -122,4 +126,4 @@
         ]
         for incarnation in stale:
             del used_at_by_incarnation[incarnation]
-        return used_at_by_incarnation.keys()
+        return used_at_by_incarnation
