Refuse at once what only the wait makes late

Cause: under load above the capacity every request waited at its target until it was late, and held a slot that another one could have used in time. A target that turned a request away with free slots was left for one that has to load the object.

Change: where the decisions for overload apply, a request that only the wait makes late is refused with a Retry-After around the wait, and a target with free slots is tried again.

--- a/chicorydoor/coordination/call_runner.py
+++ b/chicorydoor/coordination/call_runner.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from chicorydoor.balancing import admission
 from chicorydoor.coordination import request_relay
 from chicorydoor.coordination import request_types
 from chicorydoor.coordination import target_selection
@@ -20,6 +21,7 @@
 from chicorydoor.state import request_crashes
 from chicorydoor.state import service_retry_budget
 from chicorydoor.state import service_split
+from chicorydoor.state import target_views
 from chicorydoor.transport import buffered_connection
 from chicorydoor.transport import clock as clock_module
 from chicorydoor.transport import metrics
@@ -30,6 +32,8 @@
 # For a service without a usable target: by then targets may have been listed,
 # or the first probe of an ejected one may have succeeded.
 _NO_TARGET_RETRY_AFTER_S = 0.5
+# A target that turned a request away with free slots may take the next one.
+_ROOM_RETRY_AFTER_S = 0.05
 # A fully loaded target has a free slot after about one request's time.
 _BUSY_RETRY_AFTER_S = 0.25
 # Only a change of the targets' software lets such a request run again.
@@ -231,9 +235,30 @@
             None if choice.sent_at is None else choice.sent_at - chosen_at
         )
         metrics.SENDS.labels(self._trace.region, self._trace.reason).inc()
-        self._tried_targets.append(sent.target_id)
+        if self._has_room(sent, choice.target):
+            self._refusal = request_types.RefusedError(
+                _CODES.TARGET_SHED, retry_after_s=_ROOM_RETRY_AFTER_S
+            )
+        else:
+            self._tried_targets.append(sent.target_id)
         return sent
 
+    def _has_room(
+        self, sent: target_sender.SendResult, view: target_views.TargetView
+    ) -> bool:
+        """Whether a target turned a request away although slots are free.
+
+        Under a fault some targets turn away a part of all requests, whatever
+        their load. Another target would have to load the object.
+        """
+        return (
+            self._runner.selection.decides_for_overload
+            and sent.outcome is target_sender.SendOutcome.NOT_RUN
+            and sent.answer is not None
+            and view.estimated_requests(self._runner.clock.now())
+            < view.record.slots
+        )
+
     def _may_others_reach_a_target(self) -> bool:
         """Whether this entry alone may have lost the targets of a request.
 
@@ -314,6 +339,22 @@
                 _CODES.NO_CAPACITY, retry_after_s=_BUSY_RETRY_AFTER_S
             )
             return None
+        if runner.selection.decides_for_overload:
+            expected = admission.Expectation(
+                now - call.arrived_at,
+                choice.measured_latency_s,
+                choice.measured_wait_s,
+                call.route.latency_objective_s,
+            )
+            if not admission.admits(expected):
+                self._refusal = request_types.RefusedError(
+                    _CODES.NO_CAPACITY,
+                    "no target has room in time",
+                    retry_after_s=admission.retry_after_s(
+                        expected, runner.selection.draw()
+                    ),
+                )
+                return None
         if runner.selection.should_shed(self._constraints, choice, now):
             self._refusal = request_types.RefusedError(
                 _CODES.NO_CAPACITY,
--- a/tests/test_call_runner.py
+++ b/tests/test_call_runner.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 
+import msgspec
 import pytest
 
 from chicorydoor.coordination import call_runner
@@ -18,6 +19,7 @@
 from chicorydoor.state import target_rests
 from chicorydoor.state import target_views
 from chicorydoor.transport import body_memory
+from chicorydoor.transport import buffered_connection
 from tests.support import clocks
 from tests.support import config_builders as make
 
@@ -51,13 +53,21 @@
 class _Selection:
     """Chooses the given targets in turn."""
 
-    def __init__(self, names):
+    def __init__(self, names, decides_for_overload=False, **estimate):
         self._names = list(names)
+        self._estimate = estimate
+        self.decides_for_overload = decides_for_overload
+        self.excluded = []
 
     def choose(self, constraints, now, excluded):
-        return (
-            _build_selected_target(self._names.pop(0)) if self._names else None
-        )
+        self.excluded.append(list(excluded))
+        if not self._names:
+            return None
+        choice = _build_selected_target(self._names.pop(0))
+        return msgspec.structs.replace(choice, **self._estimate)
+
+    def draw(self):
+        return 0.5
 
     def wait_for_permit_s(self, constraints, now):
         return None
@@ -78,8 +88,14 @@
 
     async def send(self, call, choice):
         self.sent.append(choice.target.target_id)
+        outcome = self._outcomes.pop(0)
+        answer = (
+            buffered_connection.BufferedResponse(503, [], b"")
+            if outcome is _SendOutcome.NOT_RUN
+            else None
+        )
         return target_sender.SendResult(
-            self._outcomes.pop(0), choice.target.target_id
+            outcome, choice.target.target_id, answer
         )
 
 
@@ -190,6 +206,53 @@
         assert sender.sent == ["a"]
 
 
+class TestOverload:
+    def _run(self, selection, outcomes):
+        sender = _Sender(outcomes)
+        runner = call_runner.CallRunner(
+            selection=selection,
+            sender=sender,
+            relay=_Relay(),
+            make_retry_budget=_Budget,
+            crashes=request_crashes.RequestCrashes("e", lambda: ["e"]),
+            count_entries=lambda: 1,
+            clock=clocks.ManualClock(),
+        )
+        with pytest.raises(request_types.RefusedError) as caught:
+            asyncio.run(runner.run(_build_request(), call_runner.CallTrace()))
+        return sender.sent, caught.value
+
+    # Guards against requests that hold a slot although they cannot be in time.
+    @pytest.mark.parametrize("decides_for_overload", [True, False])
+    def test_request_that_waits_until_it_is_late_is_refused(
+        self, decides_for_overload
+    ):
+        selection = _Selection(
+            ["a"],
+            decides_for_overload,
+            measured_latency_s=0.5,
+            measured_wait_s=0.3,
+        )
+        sent, refusal = self._run(selection, [_SendOutcome.NOT_RUN])
+        assert sent == ([] if decides_for_overload else ["a"])
+        assert refusal.certainly_not_run
+        if decides_for_overload:
+            assert refusal.retry_after_s == pytest.approx(0.3)
+
+    # Guards against objects that are loaded anew because their target turns
+    # away a part of all requests, whatever its load.
+    @pytest.mark.parametrize("decides_for_overload", [True, False])
+    def test_target_that_has_room_is_tried_again(self, decides_for_overload):
+        selection = _Selection(["a", "a"], decides_for_overload)
+        sent, refusal = self._run(selection, [_SendOutcome.NOT_RUN] * 2)
+        assert sent == ["a", "a"]
+        excluded = [] if decides_for_overload else ["a"]
+        assert selection.excluded[1] == excluded
+        assert refusal.retry_after_s == (
+            0.05 if decides_for_overload else 0.25
+        )
+
+
 class TestRetryBudget:
     def test_without_a_further_target_no_budget_is_used(self):
         budget, sender = _run(["a"], [_SendOutcome.NOT_RUN])
