Give a region with few targets fewer homes under overload

Cause: its homes got more than its part of the slots, and its targets had twice as many requests as others, while most of the others had free slots.

Change: where the decisions for overload apply, a region with homes for less than all objects has them for 0.65 of the former part.

--- a/chicorydoor/coordination/target_selection.py
+++ b/chicorydoor/coordination/target_selection.py
@@ -64,6 +64,10 @@
 # Under overload an object has a second home in a region that has room for it.
 # Two are enough for requests to avoid the one that is busy.
 _MAX_HOMES_PER_REGION = 2
+# Under overload a region with few targets has homes for this part of the
+# objects that it has homes for otherwise, which is less than its part of the
+# slots: its targets had twice as many requests as others.
+_SMALL_REGION_SHARE = 0.65
 # Callers that are refused until a rest ends return within this fraction of it
 # after its end, at least within the seconds below.
 _REST_JITTER = 0.3
@@ -658,6 +662,8 @@
         """
         if not self._targets.decides_for_overload:
             return int(position < home_fraction)
+        if home_fraction < 1.0:
+            return int(position < _SMALL_REGION_SHARE * home_fraction)
         whole = int(home_fraction)
         count = whole + (position < home_fraction - whole)
         return min(count, _MAX_HOMES_PER_REGION)
