Test that invalid statuses reach no caller of the fleet path

Observed on other systems: a target answered with the status 000, and the caller received it. The fleet path is not broken: its parser accepts three digits only, and the connection fails statuses outside 100 to 599, 101 among them.

--- a/tests/support/scripted_target.py
+++ b/tests/support/scripted_target.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import enum
+import typing
 
 
 class TargetBehaviour(enum.Enum):
@@ -33,13 +34,27 @@
 _CRASH_AFTER_S = 0.05
 
 
+class RawAnswer(typing.NamedTuple):
+    """A behaviour that answers with fixed bytes.
+
+    Args:
+        start (bytes): Sent first; ``{id}`` stands for the request's id.
+        repeated (bytes): Sent again and again until the caller closes; the
+            connection stays open if empty. Defaults to empty.
+    """
+
+    start: bytes
+    repeated: bytes = b""
+
+
 class ScriptedTarget:
     """Serves HTTP/1.1 and records requests.
 
-    Each request consumes one of ``behaviours``; once these are used up,
-    requests are served. ``abandoned_requests`` counts requests whose caller
-    disconnected before the answer. ``received_headers`` holds the headers of
-    each request by name, and its request line under the empty name.
+    Each request consumes one of ``behaviours``, a ``TargetBehaviour`` or
+    ``RawAnswer``; once these are used up, requests are served.
+    ``abandoned_requests`` counts requests whose caller disconnected before the
+    answer. ``received_headers`` holds the headers of each request by name, and
+    its request line under the empty name.
     ``rate_limit`` is the value of the header that names a limit, None for no
     such header. While ``retry_after`` is set, all requests and health checks
     are turned away with it; ``turned_away_at`` has their times.
@@ -173,11 +188,12 @@
             writer.write(_answer(request_id, b"whole")[:-2])
             await writer.drain()
             return False
-        if behaviour in _ENDLESS_START_BY_BEHAVIOUR:
-            await self._send_without_end(
-                _ENDLESS_START_BY_BEHAVIOUR[behaviour], writer
-            )
-            return False
+        raw = _RAW_ANSWER_BY_BEHAVIOUR.get(behaviour, behaviour)
+        if isinstance(raw, RawAnswer):
+            writer.write(raw.start.replace(b"{id}", request_id))
+            if raw.repeated:
+                await self._send_without_end(raw.repeated, writer)
+            return True
         if behaviour is TargetBehaviour.MISMATCHED_FIRST:
             writer.write(_answer(b"somebody", b"wrong"))
         answer = _ANSWER_BUILDER_BY_BEHAVIOUR.get(behaviour, _answer)(
@@ -193,14 +209,13 @@
         await writer.drain()
         return True
 
-    async def _send_without_end(self, start, writer):
-        writer.write(start)
+    async def _send_without_end(self, repeated, writer):
         sent = 0
         try:
             while True:
-                writer.write(b"x" * 65536)
+                writer.write(repeated)
                 await writer.drain()
-                sent += 65536
+                sent += len(repeated)
         finally:
             self.endless_bytes.append(sent)
 
@@ -257,9 +272,13 @@
     return answer.replace(b"response-seal: s\r\n", b"")
 
 
-_ENDLESS_START_BY_BEHAVIOUR = {
-    TargetBehaviour.ENDLESS_HEAD: b"HTTP/1.1 200 OK\r\nx-long: ",
-    TargetBehaviour.ENDLESS_BODY: b"HTTP/1.1 200 OK\r\n\r\n",
+_RAW_ANSWER_BY_BEHAVIOUR = {
+    TargetBehaviour.ENDLESS_HEAD: RawAnswer(
+        b"HTTP/1.1 200 OK\r\nx-long: ", b"x" * 65536
+    ),
+    TargetBehaviour.ENDLESS_BODY: RawAnswer(
+        b"HTTP/1.1 200 OK\r\n\r\n", b"x" * 65536
+    ),
 }
 _ANSWER_BUILDER_BY_BEHAVIOUR = {
     TargetBehaviour.FAIL: _answer_500,
--- a/tests/test_buffered_connection.py
+++ b/tests/test_buffered_connection.py
@@ -163,7 +163,11 @@
     # Guards against statuses that the entry's own server cannot send: it
     # closed the caller's connection without an answer.
     @pytest.mark.parametrize(
-        "status", [b"000", b"099", b"101", b"600", b"999"]
+        "status",
+        [
+            *(b"000", b"099", b"101", b"600", b"999", b"20", b"2000"),
+            *(b"+20", b"-20", b"2x0", b""),
+        ],
     )
     @pytest.mark.parametrize("framing", [b"content-length: 0\r\n", b""])
     def test_response_with_an_invalid_status_is_rejected(
--- a/tests/test_request_relay.py
+++ b/tests/test_request_relay.py
@@ -221,6 +221,23 @@
         )
         assert result.outcome is _SendOutcome.UNKNOWN
 
+    # Guards against an invalid status that a caller receives through a peer.
+    @pytest.mark.parametrize("mark", [b"answered", b"refused"])
+    @pytest.mark.parametrize(
+        "status", [b"000", b"099", b"101", b"600", b"20", b"2000", b"+20"]
+    )
+    def test_invalid_status_is_unknown_and_counts_as_failed(
+        self, status, mark
+    ):
+        result, next_peer = _relay_once(
+            b"HTTP/1.1 %s Odd\r\nx-chicorydoor-relay-result: %s\r\n"
+            b"x-chicorydoor-code: 133\r\ncontent-length: 0\r\n\r\n"
+            % (status, mark)
+        )
+        assert result.outcome is _SendOutcome.UNKNOWN
+        assert result.answer is None
+        assert next_peer is None
+
     def test_headers_that_the_peer_did_not_accept_were_not_run(self):
         result, _ = _relay_once(
             b"HTTP/1.1 431 Large\r\ncontent-length: 0\r\n\r\n"
