Bound what streaming connections read beside bodies

The connections of the product's own path read informational responses and the framing of chunks without end: httpcore bounds a single head and a single trailer section at 100 KB, but not their number. A target that sent either held its request until the deadline.

The network stream now counts what it receives, and the exchange fails once that exceeds the bodies by more than 64 KiB and five bytes for each byte of body, the bounds of buffered connections, which both share in transport/response_limits.py. Bodies are streamed and stay unbounded.

Before, TestSizeLimits failed for endless informational responses and for chunks of one byte with an extension of 1,000; single heads and trailers held. Both end the exchange now. 17 invalid statuses, with and without an endless body, were rejected before and have a test.

--- a/chicorydoor/transport/buffered_connection.py
+++ b/chicorydoor/transport/buffered_connection.py
@@ -21,6 +21,7 @@
 from chicorydoor.protocol import headers as http_headers
 from chicorydoor.transport import body_memory
 from chicorydoor.transport import clock as clock_module
+from chicorydoor.transport import response_limits
 
 Headers = list[tuple[bytes, bytes]]
 
@@ -36,15 +37,10 @@
 # applies to targets that advertise no timeout.
 _IDLE_TIMEOUT_MARGIN_S = 1.5
 _DEFAULT_IDLE_LIMIT_S = 4.0
-# Bounds on what is read for one request. The bodies include those of late
-# responses to earlier requests. A few bodies of this size fit into the memory
-# of a small entry.
+# Bound on the bodies that are read for one request, those of late responses to
+# earlier requests included. A few bodies of this size fit into the memory of a
+# small entry.
 _MAX_BODY_BYTES = 8 * 1024 * 1024
-# Everything but bodies: heads, trailers, informational responses and framing.
-# Servers commonly limit the head of a request to a part of this.
-_MAX_OVERHEAD_BYTES = 64 * 1024
-# A chunk of a single byte comes with five bytes of framing.
-_MAX_FRAMING_PER_BODY_BYTE = 5
 _INFORMATIONAL_STATUSES = range(100, 200)
 _SUCCESS_STATUSES = range(200, 300)
 
@@ -178,9 +174,8 @@
     def _check_received_size(self) -> None:
         """Close a connection whose target sends more than an answer needs."""
         body_bytes = self._received_body_bytes
-        overhead_bytes = self._received_bytes - body_bytes
-        if body_bytes > _MAX_BODY_BYTES or overhead_bytes > (
-            _MAX_OVERHEAD_BYTES + _MAX_FRAMING_PER_BODY_BYTE * body_bytes
+        if body_bytes > _MAX_BODY_BYTES or response_limits.has_excess_overhead(
+            self._received_bytes, body_bytes
         ):
             self._fail("answer is too large")
 
--- a/chicorydoor/transport/streaming_connection.py
+++ b/chicorydoor/transport/streaming_connection.py
@@ -4,6 +4,10 @@
 never reused, so a late response cannot be mistaken for that of another
 request. httpcore's connections are used without its pool, which would cost a
 third of the time of a small request.
+
+httpcore bounds a single head and a single trailer section, but neither the
+number of informational responses nor the framing of chunks. A network stream
+that counts what it receives bounds their sum.
 """
 
 import collections
@@ -15,6 +19,7 @@
 from chicorydoor import errors
 from chicorydoor.protocol import headers as http_headers
 from chicorydoor.transport import clock as clock_module
+from chicorydoor.transport import response_limits
 
 _CONNECT_TIMEOUT_S = 0.5
 _RECENT_USE_IDLE_LIMIT_S = 1.0
@@ -84,6 +89,68 @@
         """Close the connection."""
 
 
+class _ReceivedBytes:
+    """Counts what was received for one request."""
+
+    def __init__(self) -> None:
+        self.total = 0
+        self.body = 0
+
+    def reset(self) -> None:
+        """Start anew for the next request."""
+        self.total = self.body = 0
+
+    def check_overhead(self) -> None:
+        """Raise RemoteProtocolError if too much beside bodies was received.
+
+        The parser must have handled all that was received.
+        """
+        if response_limits.has_excess_overhead(self.total, self.body):
+            raise httpcore.RemoteProtocolError("answer is too large")
+
+
+class _CountingStream(httpcore.AsyncNetworkStream):
+    """A network stream that counts what it receives."""
+
+    def __init__(
+        self, stream: httpcore.AsyncNetworkStream, received: _ReceivedBytes
+    ) -> None:
+        self._stream = stream
+        self._received = received
+
+    async def read(
+        self, max_bytes: int, timeout: float | None = None
+    ) -> bytes:
+        """Read; the parser asks when it has handled what was read before."""
+        self._received.check_overhead()
+        data = await self._stream.read(max_bytes, timeout)
+        self._received.total += len(data)
+        return data
+
+    async def write(self, buffer: bytes, timeout: float | None = None) -> None:
+        await self._stream.write(buffer, timeout)
+
+    async def aclose(self) -> None:
+        await self._stream.aclose()
+
+    def get_extra_info(self, info: str) -> typing.Any:
+        return self._stream.get_extra_info(info)
+
+
+class _CountingBackend(httpcore.AnyIOBackend):
+    """Opens connections whose streams count what they receive."""
+
+    def __init__(self, received: _ReceivedBytes) -> None:
+        super().__init__()
+        self._received = received
+
+    async def connect_tcp(
+        self, *args: typing.Any, **kwargs: typing.Any
+    ) -> httpcore.AsyncNetworkStream:
+        stream = await super().connect_tcp(*args, **kwargs)
+        return _CountingStream(stream, self._received)
+
+
 class HttpcoreConnection:
     """A ``StreamingConnection`` over HTTP/1.1.
 
@@ -97,7 +164,10 @@
         self._host = host.strip("[]").encode()
         self._port = int(port)
         origin = httpcore.Origin(b"http", self._host, self._port)
-        self._connection = httpcore.AsyncHTTPConnection(origin)
+        self._received = _ReceivedBytes()
+        self._connection = httpcore.AsyncHTTPConnection(
+            origin, network_backend=_CountingBackend(self._received)
+        )
 
     async def send(
         self,
@@ -148,6 +218,7 @@
                 }
             },
         )
+        self._received.reset()
         try:
             response = await self._connection.handle_async_request(request)
         except _CONNECT_ERRORS as error:
@@ -166,7 +237,7 @@
         return StreamingResponse(
             response.status,
             headers,
-            _body_chunks(response),
+            _body_chunks(response, self._received),
             response.aclose,
         )
 
@@ -195,10 +266,11 @@
 
 
 async def _body_chunks(
-    response: httpcore.Response,
+    response: httpcore.Response, received: _ReceivedBytes
 ) -> abc.AsyncIterator[bytes]:
     try:
         async for piece in response.aiter_stream():
+            received.body += len(piece)
             yield piece
     except _EXCHANGE_ERRORS as error:
         raise _to_target_error(error) from error
--- a/tests/support/scripted_target.py
+++ b/tests/support/scripted_target.py
@@ -4,6 +4,13 @@
 import enum
 import typing
 
+# Three digits outside 100 to 599, a switch of protocols that nobody asked for,
+# and what is not three digits.
+INVALID_STATUSES = (
+    *(b"000", b"099", b"101", b"600", b"999", b"00", b"20", b"2000", b"0200"),
+    *(b"+20", b"-20", b"+200", b"2x0", b"abc", b"", b" 200", b"\xb2\xb00"),
+)
+
 
 class TargetBehaviour(enum.Enum):
     """What a target does with a request after it has read it.
--- a/tests/test_target_statuses.py
+++ b/tests/test_target_statuses.py
@@ -11,12 +11,6 @@
 
 _RawAnswer = scripted_target.RawAnswer
 
-# Three digits outside 100 to 599, a switch of protocols that nobody asked for,
-# and what is not three digits.
-INVALID_STATUSES = (
-    *(b"000", b"099", b"101", b"600", b"999", b"00", b"20", b"2000", b"0200"),
-    *(b"+20", b"-20", b"+200", b"2x0", b"abc", b"", b" 200", b"\xb2\xb00"),
-)
 _HEAD = b"HTTP/1.1 %s Odd\r\nrequest-id: {id}\r\nresponse-seal: s\r\n%s\r\n"
 _EMPTY = b"content-length: 0\r\n"
 _FINAL = _HEAD % (b"200", _EMPTY)
@@ -25,7 +19,7 @@
 _ODD_ANSWERS = {
     **{
         f"{status!r}": _RawAnswer(_HEAD % (status, _EMPTY))
-        for status in INVALID_STATUSES
+        for status in scripted_target.INVALID_STATUSES
     },
     "until-close": _RawAnswer(_HEAD % (b"000", b"")),
     "endless-body": _RawAnswer(_HEAD % (b"000", b""), b"x" * 65536),
@@ -97,7 +91,7 @@
             components = cluster.entries[0]._components
             prober = components.prober
             prober._breaks.are_widespread = lambda service_id, now: True
-            for status in INVALID_STATUSES:
+            for status in scripted_target.INVALID_STATUSES:
                 target.health_answer = _HEAD.replace(b"{id}", b"") % (
                     status,
                     _EMPTY + b"not-executed: 1\r\n",
