Take no epoch from store responses with an invalid status

The store's client read the epoch of a response before its status. A response with status 600 or 999 and a later epoch counted as a restore of the store from a copy, upon which entries write their state again. httpx rejects the other invalid statuses.

A response with a status outside 100 to 599 now fails the call before anything is read from it.

--- a/chicorydoor/platform/kv_store.py
+++ b/chicorydoor/platform/kv_store.py
@@ -12,6 +12,7 @@
 
 from chicorydoor import errors
 from chicorydoor.platform import durations
+from chicorydoor.protocol import headers as http_headers
 from chicorydoor.protocol import store_items
 from chicorydoor.transport import metrics
 
@@ -255,6 +256,12 @@
             raise errors.StoreUnavailableError(
                 f"{kind}: {type(error).__name__} {error}"
             ) from error
+        if response.status_code not in http_headers.VALID_STATUSES:
+            # What else it says is no more credible.
+            metrics.STORE_CALLS.labels(kind, "failed").inc()
+            raise errors.StoreUnavailableError(
+                f"{kind}: invalid HTTP status {response.status_code}"
+            )
         self._check_epoch(kind, response)
         return self._check_status(kind, response)
 
--- a/tests/test_platform_store_client.py
+++ b/tests/test_platform_store_client.py
@@ -1,12 +1,14 @@
 """The client of the platform's key-value store against a stand-in store."""
 
 import asyncio
+import contextlib
 
 import pytest
 
 from chicorydoor import errors
 from chicorydoor.platform import kv_store
 from chicorydoor.standins import platform_store
+from tests.support import scripted_target
 
 
 def _run_with_store(scenario):
@@ -131,6 +133,75 @@
         _run_with_store(scenario)
 
 
+class _RawStore:
+    """Answers each call with fixed bytes, the last of them without end.
+
+    Args:
+        start (bytes): Sent first.
+        repeated (bytes): Sent every 10 ms until the client closes; none if
+            empty.
+    """
+
+    def __init__(self, start, repeated=b""):
+        self._start = start
+        self._repeated = repeated
+        self._writers = []
+
+    async def __aenter__(self):
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        port = self._server.sockets[0].getsockname()[1]
+        self.client = kv_store.KeyValueStore(f"127.0.0.1:{port}")
+        return self
+
+    async def __aexit__(self, *error):
+        await self.client.close()
+        self._server.close()
+        for writer in self._writers:
+            writer.transport.abort()
+        await asyncio.sleep(0)
+
+    async def _serve(self, reader, writer):
+        self._writers.append(writer)
+        with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
+            while True:
+                await reader.readuntil(b"\r\n\r\n")
+                writer.write(self._start)
+                while self._repeated:
+                    writer.write(self._repeated)
+                    await writer.drain()
+                    await asyncio.sleep(0.01)
+
+
+class TestInvalidResponses:
+    _ITEMS = b'{"items": [], "asOf": 1}'
+    _HEAD = b"HTTP/1.1 %s Odd\r\nstore-era: %d\r\n"
+
+    # Guards against a status such as 600 or 000 whose response is recorded,
+    # above all as a restore of the store, by which entries drop their state.
+    @pytest.mark.parametrize("status", scripted_target.INVALID_STATUSES)
+    def test_invalid_status_is_no_response(self, status):
+        async def scenario():
+            head = self._HEAD % (status, 7)
+            head += b"content-length: %d\r\n\r\n" % len(self._ITEMS)
+            async with _RawStore(head + self._ITEMS) as store:
+                restores = []
+                store.client.restore_observers.append(
+                    lambda: restores.append(1)
+                )
+                store.client._epoch = 1
+                for call in (
+                    store.client.list_items("p/"),
+                    store.client.wait_for_changes("p/", 0, 0.1),
+                    store.client.renew_lease(1),
+                ):
+                    with pytest.raises(errors.StoreUnavailableError):
+                        await call
+                assert not restores
+                assert store.client._epoch == 1
+
+        asyncio.run(scenario())
+
+
 class TestRestores:
     def test_observers_learn_of_each_restore_once(self):
         async def scenario(store, client):
