Bound the time and the body of the store's responses

httpx limits the time of each read, not their number: endless informational responses, or a body that goes on, held a call of the store's clients for ever, and a body filled the memory. An entry whose call to renew its lease hangs loses the lease.

Both clients, of the platform's store and of etcd, use transport/bounded_http.py. The etcd client's watch is not bounded.

--- a/chicorydoor/platform/kv_store.py
+++ b/chicorydoor/platform/kv_store.py
@@ -14,6 +14,7 @@
 from chicorydoor.platform import durations
 from chicorydoor.protocol import headers as http_headers
 from chicorydoor.protocol import store_items
+from chicorydoor.transport import bounded_http
 from chicorydoor.transport import metrics
 
 # The store responds within milliseconds, in slow phases within some hundred.
@@ -175,8 +176,8 @@
             StoreUnavailableError: If the store does not respond, or not as
                 expected.
         """
-        response = await self._call("POST", f"kv-keep/{lease}")
-        return response.status_code != http.HTTPStatus.NOT_FOUND
+        status, _ = await self._call("POST", f"kv-keep/{lease}")
+        return status != http.HTTPStatus.NOT_FOUND
 
     async def revoke_lease(self, lease: int) -> None:
         """Revoke a lease, which deletes its keys.
@@ -203,8 +204,8 @@
             "lease": lease,
         }
         body = {"precondition": [], "writes": [write], "deletes": []}
-        response = await self._call("POST", "kv-txn", body=body)
-        return response.status_code != http.HTTPStatus.NOT_FOUND
+        status, _ = await self._call("POST", "kv-txn", body=body)
+        return status != http.HTTPStatus.NOT_FOUND
 
     async def _get(
         self,
@@ -213,22 +214,22 @@
         kind: type[_AnswerT],
         timeout: httpx.Timeout | None = None,
     ) -> _AnswerT:
-        response = await self._call(
+        _, content = await self._call(
             "GET", path, params=params, timeout=timeout
         )
-        return self._decode_response(path, response, kind)
+        return self._decode_response(path, content, kind)
 
     async def _post(
         self, path: str, body: typing.Any, kind: type[_AnswerT]
     ) -> _AnswerT:
-        response = await self._call("POST", path, body=body)
-        return self._decode_response(path, response, kind)
+        _, content = await self._call("POST", path, body=body)
+        return self._decode_response(path, content, kind)
 
     def _decode_response(
-        self, path: str, response: httpx.Response, kind: type[_AnswerT]
+        self, path: str, content: bytes, kind: type[_AnswerT]
     ) -> _AnswerT:
         try:
-            return msgspec.json.decode(response.content, type=kind)
+            return msgspec.json.decode(content, type=kind)
         except msgspec.DecodeError as error:
             raise errors.StoreUnavailableError(f"{path}: {error}") from error
 
@@ -239,18 +240,20 @@
         params: dict[str, str] | None = None,
         body: typing.Any = None,
         timeout: httpx.Timeout | None = None,
-    ) -> httpx.Response:
+    ) -> tuple[int, bytes]:
+        """Call the store; return status and body of its response."""
         kind = path.partition("/")[0]
         headers = {"content-type": "application/json"} if body else {}
+        request = self._client.build_request(
+            method,
+            f"/{path}",
+            params=params,
+            content=msgspec.json.encode(body) if body else None,
+            headers=headers,
+            timeout=timeout or httpx.USE_CLIENT_DEFAULT,
+        )
         try:
-            response = await self._client.request(
-                method,
-                f"/{path}",
-                params=params,
-                content=msgspec.json.encode(body) if body else None,
-                headers=headers,
-                timeout=timeout or httpx.USE_CLIENT_DEFAULT,
-            )
+            response, content = await bounded_http.send(self._client, request)
         except httpx.HTTPError as error:
             metrics.STORE_CALLS.labels(kind, "failed").inc()
             raise errors.StoreUnavailableError(
@@ -263,7 +266,8 @@
                 f"{kind}: invalid HTTP status {response.status_code}"
             )
         self._check_epoch(kind, response)
-        return self._check_status(kind, response)
+        self._check_status(kind, response.status_code)
+        return response.status_code, content
 
     def _check_epoch(self, kind: str, response: httpx.Response) -> None:
         """Record the store's epoch and tell the observers of a new one.
@@ -295,14 +299,11 @@
             for observer in self.restore_observers:
                 observer()
 
-    def _check_status(
-        self, kind: str, response: httpx.Response
-    ) -> httpx.Response:
-        """Return a response; one with status 404 if a lease has expired."""
-        status = response.status_code
+    def _check_status(self, kind: str, status: int) -> None:
+        """Check a status; 404 is valid, if a lease has expired."""
         if status in (http.HTTPStatus.OK, http.HTTPStatus.NOT_FOUND):
             metrics.STORE_CALLS.labels(kind, "ok").inc()
-            return response
+            return
         metrics.STORE_CALLS.labels(kind, "refused").inc()
         if status == http.HTTPStatus.GONE:
             raise errors.HistoryLostError(f"{kind}: history was compacted")
--- a/chicorydoor/transport/etcd_store_client.py
+++ b/chicorydoor/transport/etcd_store_client.py
@@ -13,6 +13,7 @@
 import msgspec
 
 from chicorydoor import errors
+from chicorydoor.transport import bounded_http
 from chicorydoor.transport import metrics
 
 _CALL_TIMEOUT_S = 2.0
@@ -101,11 +102,12 @@
     ) -> dict[str, typing.Any]:
         path = kind if kind.startswith("lease/") else f"kv/{kind}"
         try:
-            response = await self._client.post(
-                f"/v3/{path}", content=msgspec.json.encode(body)
+            request = self._client.build_request(
+                "POST", f"/v3/{path}", content=msgspec.json.encode(body)
             )
+            response, content = await bounded_http.send(self._client, request)
             response.raise_for_status()
-            answer = msgspec.json.decode(response.content, type=dict)
+            answer = msgspec.json.decode(content, type=dict)
         except (httpx.HTTPError, msgspec.DecodeError) as error:
             metrics.STORE_CALLS.labels(kind, "failed").inc()
             raise errors.StoreUnavailableError(
--- a/tests/test_etcd_store_client.py
+++ b/tests/test_etcd_store_client.py
@@ -7,6 +7,7 @@
 from chicorydoor import errors
 from chicorydoor.standins import etcd_store
 from chicorydoor.transport import etcd_store_client
+from tests.support import scripted_target
 
 
 def _run_with_store(scenario):
@@ -89,3 +90,33 @@
             assert await client.renew_lease(lease) == 0
 
         _run_with_store(scenario)
+
+
+class TestInvalidResponses:
+    # Guards against an invalid status whose response is taken for a value, and
+    # against calls that informational responses hold for ever.
+    @pytest.mark.parametrize(
+        "start",
+        [
+            *(
+                b"HTTP/1.1 %s Odd\r\ncontent-length: 2\r\n\r\n{}" % status
+                for status in scripted_target.INVALID_STATUSES
+            ),
+            b"",
+        ],
+    )
+    def test_they_raise_store_unavailable(self, start):
+        async def scenario():
+            answer = scripted_target.RawAnswer(
+                start, b"" if start else b"HTTP/1.1 100 Continue\r\n\r\n"
+            )
+            target = await scripted_target.ScriptedTarget().start()
+            target.behaviours = [answer]
+            client = etcd_store_client.EtcdClient(target.address, 0.2)
+            async with asyncio.timeout(3.0):
+                with pytest.raises(errors.StoreUnavailableError):
+                    await client.get("k")
+            await client.close()
+            await target.stop()
+
+        asyncio.run(scenario())
--- a/tests/test_platform_store_client.py
+++ b/tests/test_platform_store_client.py
@@ -201,6 +201,26 @@
 
         asyncio.run(scenario())
 
+    # Guards against calls that never end, so that an entry's lease expires,
+    # and against bodies that fill its memory.
+    @pytest.mark.parametrize(
+        ("start", "repeated"),
+        [
+            (b"", b"HTTP/1.1 100 Continue\r\n\r\n"),
+            (_HEAD % (b"000", 1) + b"\r\n", b"x" * 1000),
+            (_HEAD % (b"200", 1) + b"\r\n", b"x" * 2**21),
+        ],
+        ids=["informational", "body-of-000", "body"],
+    )
+    def test_endless_bytes_end_the_call(self, start, repeated):
+        async def scenario():
+            async with _RawStore(start, repeated) as store:
+                async with asyncio.timeout(6.0):
+                    with pytest.raises(errors.StoreUnavailableError):
+                        await store.client.renew_lease(1)
+
+        asyncio.run(scenario())
+
 
 class TestRestores:
     def test_observers_learn_of_each_restore_once(self):
