Bound probes of ejected targets on the product's own path

The prober reads the report of an ejected target with a time-out for each read only, and its whole body. A target that sent informational responses or a body slowly, without end, held up the probes of all other ejected targets; one that sent quickly filled the memory.

A probe now ends after 1.5 s (0.5 s to connect, 0.5 s for the head and as much for the body) and a report has at most 64 KiB; beyond it the probe fails.

--- a/chicorydoor/coordination/ejected_target_prober.py
+++ b/chicorydoor/coordination/ejected_target_prober.py
@@ -16,7 +16,12 @@
 from chicorydoor.transport import streaming_connection
 
 _ROUND_INTERVAL_S = 0.5
+# Of connecting and of each read.
 _PROBE_TIMEOUT_S = 0.5
+# Of a whole probe; the others of the round wait for it.
+_PROBE_LIMIT_S = 1.5
+# A report is much smaller.
+_MAX_REPORT_BYTES = 64 * 1024
 _MAX_PROBES_PER_ROUND = 2
 _EJECTION_AFTER_FAILED_PROBE_S = 2.0
 
@@ -74,15 +79,33 @@
         record = state.record
         connection = self._connect(f"{record.address}:{record.port}")
         try:
-            answer = await connection.send(
-                "GET", b"/health", [], b"", _PROBE_TIMEOUT_S
-            )
-            content = b"".join([piece async for piece in answer.body_chunks])
-            report = msgspec.json.decode(content, type=HealthReport)
+            async with asyncio.timeout(_PROBE_LIMIT_S):
+                report = await self._exchange_probe(connection)
             state.reported_load = report.load
-        except (errors.TargetError, msgspec.DecodeError):
+        except (errors.TargetError, msgspec.DecodeError, TimeoutError):
             state.ejected_until = (
                 self._clock.now() + _EJECTION_AFTER_FAILED_PROBE_S
             )
         finally:
             await connection.close()
+
+    async def _exchange_probe(
+        self, connection: streaming_connection.StreamingConnection
+    ) -> HealthReport:
+        """Send a probe and return the report of its answer.
+
+        Raises:
+            TargetError: If there is no answer, or too much of one.
+            DecodeError: If the answer is no report.
+        """
+        answer = await connection.send(
+            "GET", b"/health", [], b"", _PROBE_TIMEOUT_S
+        )
+        content = bytearray()
+        async for piece in answer.body_chunks:
+            content += piece
+            if len(content) > _MAX_REPORT_BYTES:
+                raise errors.TargetError(
+                    "report is too large", may_have_been_sent=True
+                )
+        return msgspec.json.decode(content, type=HealthReport)
--- a/tests/support/scripted_target.py
+++ b/tests/support/scripted_target.py
@@ -48,10 +48,13 @@
         start (bytes): Sent first; ``{id}`` stands for the request's id.
         repeated (bytes): Sent again and again until the caller closes; the
             connection stays open if empty. Defaults to empty.
+        pause_s (float): Pause after each repetition, in seconds. Defaults to
+            0.
     """
 
     start: bytes
     repeated: bytes = b""
+    pause_s: float = 0.0
 
 
 class ScriptedTarget:
@@ -165,7 +168,10 @@
             writer.write(_ANSWER_WITH_REST % self.retry_after)
             return True
         if head_lines[0].startswith(b"GET /health"):
-            writer.write(self.health_answer)
+            if isinstance(self.health_answer, RawAnswer):
+                await self._send_raw(self.health_answer, b"", writer)
+            else:
+                writer.write(self.health_answer)
             return True
         self.arrived_at.append(asyncio.get_running_loop().time())
         self.received_headers.append(head)
@@ -197,9 +203,7 @@
             return False
         raw = _RAW_ANSWER_BY_BEHAVIOUR.get(behaviour, behaviour)
         if isinstance(raw, RawAnswer):
-            writer.write(raw.start.replace(b"{id}", request_id))
-            if raw.repeated:
-                await self._send_without_end(raw.repeated, writer)
+            await self._send_raw(raw, request_id, writer)
             return True
         if behaviour is TargetBehaviour.MISMATCHED_FIRST:
             writer.write(_answer(b"somebody", b"wrong"))
@@ -216,13 +220,17 @@
         await writer.drain()
         return True
 
-    async def _send_without_end(self, repeated, writer):
+    async def _send_raw(self, raw, request_id, writer):
+        writer.write(raw.start.replace(b"{id}", request_id))
+        if not raw.repeated:
+            return
         sent = 0
         try:
             while True:
-                writer.write(repeated)
+                writer.write(raw.repeated)
                 await writer.drain()
-                sent += len(repeated)
+                await asyncio.sleep(raw.pause_s)
+                sent += len(raw.repeated)
         finally:
             self.endless_bytes.append(sent)
 
