Reject invalid statuses of forwarded requests

On the product's own path a peer's response to a forwarded request comes as a message whose status was not checked. A status such as 0 or 2000, from a faulty peer, went to the caller and into the record of its idempotency key.

A status outside 200 to 599 now ends the request with 502 and an unknown outcome, as a peer that fails does.

--- a/chicorydoor/coordination/forwarding.py
+++ b/chicorydoor/coordination/forwarding.py
@@ -15,6 +15,7 @@
 from chicorydoor.coordination import body_streams
 from chicorydoor.coordination import peer_network
 from chicorydoor.coordination import request_types
+from chicorydoor.protocol import headers as http_headers
 from chicorydoor.protocol import ids
 from chicorydoor.protocol import peer_messages as pm
 from chicorydoor.protocol import result_codes
@@ -224,6 +225,11 @@
                     raise request_types.RefusedError(
                         code, head.detail, head.retry_after_s, outcome
                     )
+                if head.status not in http_headers.FINAL_STATUSES:
+                    raise request_types.RefusedError(
+                        _CODES.PEER_FAILED,
+                        f"answer has the invalid status {head.status}",
+                    )
                 return await self._read_answer(head, outgoing)
         except TimeoutError as error:
             raise request_types.RefusedError(_CODES.PEER_FAILED) from error
--- a/chicorydoor/protocol/headers.py
+++ b/chicorydoor/protocol/headers.py
@@ -21,6 +21,8 @@
 
 # Parsers of responses accept any three digits; servers send only these.
 VALID_STATUSES = range(100, 600)
+# Informational responses come before a response.
+FINAL_STATUSES = range(200, 600)
 
 HOP_BY_HOP = frozenset(
     {
