Bound the responses of the instance list

The poller of the platform's instance list read responses with a time-out for each read only: endless informational responses ended its polling for good.

It now uses transport/bounded_http.py, as the store's clients do.

Before, the test of informational responses failed; it passes now. The 17 invalid statuses were no list before either and have a test.

--- a/chicorydoor/coordination/instance_list_poller.py
+++ b/chicorydoor/coordination/instance_list_poller.py
@@ -13,6 +13,7 @@
 
 from chicorydoor.protocol import ids
 from chicorydoor.protocol import peer_messages as pm
+from chicorydoor.transport import bounded_http
 
 _POLL_INTERVAL_S = 2.0
 _REQUEST_TIMEOUT_S = 1.0
@@ -57,10 +58,11 @@
 
     async def _read_list(self, client: httpx.AsyncClient) -> None:
         try:
-            response = await client.get(self._url)
+            request = client.build_request("GET", self._url)
+            response, content = await bounded_http.send(client, request)
             response.raise_for_status()
             listed_instances = msgspec.json.decode(
-                response.content, type=list[ListedInstance]
+                content, type=list[ListedInstance]
             )
         except (httpx.HTTPError, msgspec.DecodeError) as error:
             if not self._is_unavailable:
