Read a peer's refusal whose time cannot be read

The relay converted the Retry-After of a peer's refusal without a check. With a value such as x the request ended with an internal error, instead of being sent to another peer; nan, inf and negative numbers were passed on.

Such a value now counts as none.

--- a/chicorydoor/coordination/request_relay.py
+++ b/chicorydoor/coordination/request_relay.py
@@ -6,6 +6,7 @@
 
 import asyncio
 from collections import abc
+import math
 import random
 
 from chicorydoor import errors
@@ -355,9 +356,11 @@
     code = result_codes.RESULT_CODE_BY_NUMBER.get(
         http_headers.parse_whole_number(number), _CODES.PEER_FAILED
     )
-    retry_after_s = 0.0
-    value = answer.find_header(b"retry-after")
-    if value is not None:
-        # The peer itself writes it, as a decimal number.
-        retry_after_s = float(value)
+    # The peer itself writes it, as a decimal number.
+    try:
+        retry_after_s = float(answer.find_header(b"retry-after") or 0.0)
+    except ValueError:
+        retry_after_s = 0.0
+    if not math.isfinite(retry_after_s) or retry_after_s < 0:
+        retry_after_s = 0.0
     return request_types.RefusedError(code, retry_after_s=retry_after_s)
--- a/tests/test_request_relay.py
+++ b/tests/test_request_relay.py
@@ -238,6 +238,18 @@
         assert result.answer is None
         assert next_peer is None
 
+    # Guards against a refusal that ends the request with an internal error, so
+    # that it is not sent to another peer.
+    @pytest.mark.parametrize("value", [b"x", b"", b"nan", b"inf", b"-1"])
+    def test_refusal_with_an_unreadable_time_is_one_without(self, value):
+        result, _ = _relay_once(
+            b"HTTP/1.1 503 No\r\nx-chicorydoor-relay-result: refused\r\n"
+            b"x-chicorydoor-code: 133\r\nretry-after: %s\r\n"
+            b"content-length: 0\r\n\r\n" % value
+        )
+        assert result.outcome is _SendOutcome.NOT_SENT
+        assert result.refusal.retry_after_s == 0.0
+
     def test_headers_that_the_peer_did_not_accept_were_not_run(self):
         result, _ = _relay_once(
             b"HTTP/1.1 431 Large\r\ncontent-length: 0\r\n\r\n"
