Bound what is read of a request beside its body

Cause: only request lines and headers were counted, and not those that arrive in one read. Trailers were collected in a list, or by the parser if one did not end; chunk extensions and sizes were read without end. A request that had its response, or had been passed on in part, got a refusal that says not run.

Change: data is parsed in pieces that end where a message may end, and counted exactly (transport/message_meter.py). Trailers are dropped. An answered request gets no second response; one of which an application may have passed on a part is refused as unknown.

--- a/chicorydoor/compose.py
+++ b/chicorydoor/compose.py
@@ -445,6 +445,7 @@
             lambda: caller_protocol.ConnectionLimits(
                 settings.limits.header_bytes
             ),
+            streams_bodies=True,
         )
         self.callers = callers
         self.parts = EntryComponents(
--- a/chicorydoor/transport/caller_protocol.py
+++ b/chicorydoor/transport/caller_protocol.py
@@ -1,10 +1,10 @@
-"""Server side of a caller's connection, with limits on request headers.
+"""Server side of a caller's connection, with limits on what is read.
 
-httptools has no such limits: an endless header would fill the memory, and
-one that never ends would hold its connection forever. uvicorn tells only the
-latest request of a connection that its caller has left; here all are told.
-It drops the body of a request that offers an upgrade, and takes what follows
-for another request; here the offer is ignored.
+httptools has no limits: endless headers or trailers would fill the memory,
+and a head that never ends would hold its connection forever. uvicorn tells
+only the latest request of a connection that its caller has left; here all are
+told. It drops the body of a request that offers an upgrade, and takes what
+follows for another request; here the offer is ignored.
 It also closes a connection without regard to the requests that were read on it
 but are not answered yet; here these are answered first.
 """
@@ -19,12 +19,15 @@
 from chicorydoor.transport import asgi
 from chicorydoor.transport import caller_connection
 from chicorydoor.transport import clock as clock_module
+from chicorydoor.transport import message_meter
 
 _HEADERS_TOO_LARGE = (
     b"431 Request Header Fields Too Large\r\nx-chicorydoor-code: 101"
 )
 _HEADERS_LATE = b"408 Request Timeout\r\nx-chicorydoor-code: 106"
 _MALFORMED = b"400 Bad Request\r\nx-chicorydoor-code: 101"
+_NOT_RUN = b"not-run"
+_UNKNOWN = b"unknown"
 _FRAMING_HEADERS = frozenset({b"content-length", b"transfer-encoding"})
 # Requests that are read before the first of them is answered.
 _MAX_READ_AHEAD = 8
@@ -35,8 +38,8 @@
     """Limits on a caller's connection.
 
     Args:
-        header_bytes (int): Maximum size of request line and headers.
-            Defaults to 16 KiB.
+        header_bytes (int): Maximum size of request line and headers, and of
+            the trailers behind a chunked body. Defaults to 16 KiB.
         header_timeout_s (float): Maximum time from the first byte of a
             request's headers to their end, in seconds. Defaults to 60.
         idle_timeout_s (float): Maximum idle time between two requests of a
@@ -51,16 +54,15 @@
 class CallerProtocol(httptools_impl.HttpToolsProtocol):
     """uvicorn's HTTP protocol with limits.
 
-    ``bind_limits`` creates a subclass that sets ``limits`` and ``admit_body``.
+    ``bind_limits`` creates a subclass that sets the first three attributes.
     """
 
     limits: abc.Callable[[], ConnectionLimits]
     admit_body: abc.Callable[[asgi.Scope], bool]
+    streams_bodies: bool
     _drops_body = False
-    _header_bytes = 0
     _is_reading_headers = False
     _header_timer: asyncio.TimerHandle | None = None
-    _has_read_end = False
     # While the head of a request is parsed again, see _ignore_upgrade.
     _repeats_head = False
     _is_stopping = False
@@ -73,6 +75,7 @@
         """Keep the connection for the scopes of its requests."""
         stream = typing.cast(asyncio.Transport, transport)
         super().connection_made(stream)
+        self._meter = message_meter.MessageMeter()
         self._unfinished_cycles: list[httptools_impl.RequestResponseCycle] = []
         self._connection = caller_connection.CallerConnection(
             stream, self.flow.drain, self.pipeline
@@ -87,18 +90,20 @@
         super().on_message_begin()
 
     def on_headers_complete(self) -> None:
-        """Stop the header timeout and reset the size count."""
+        """Stop the header timeout."""
         if self._repeats_head:
             self._repeats_head = False
             return
         self._is_reading_headers = False
-        self._header_bytes = 0
         self._stop_header_timer()
+        length = _content_length(self.headers)
         if self._connection is not None:
             self._connection.add_to_scope(self.scope)
         asgi.set_read_time(self.scope, _CLOCK.now())
         self._drops_body = not self.admit_body(self.scope)
         super().on_headers_complete()
+        # Only now is there a request that a refusal may end.
+        self._meter.end_head(length)
         # The scope has the list of headers; trailers are not to join them.
         self.headers = []
         self._unfinished_cycles = [
@@ -119,6 +124,7 @@
 
     def on_body(self, body: bytes) -> None:
         """Keep a piece of a body, unless there is no memory for it."""
+        self._meter.add_body(len(body))
         if not self._drops_body:
             super().on_body(body)
 
@@ -133,11 +139,11 @@
             self._write_last_response()
 
     def on_message_complete(self) -> None:
-        """Note that later data of this read belongs to another request."""
+        """Note that what follows belongs to another request."""
         if self.parser.should_upgrade():
             # The parser stops after the head; the body comes after it.
             return
-        self._has_read_end = True
+        self._meter.end_message()
         super().on_message_complete()
 
     def shutdown(self) -> None:
@@ -153,8 +159,7 @@
 
     def send_400_response(self, msg: str) -> None:
         """Refuse a malformed request, after responses to those before it."""
-        self._abandon_body()
-        self._refuse_and_close(_MALFORMED)
+        self._refuse_message(_MALFORMED)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """End all requests of the connection; uvicorn ends the last one."""
@@ -170,20 +175,24 @@
             _drop_unused(self.pipeline.pop()[0])
 
     def data_received(self, data: bytes) -> None:
-        """Parse data and enforce the limit on the header size."""
-        if self._last_response is not None:
-            return
-        self._has_read_end = False
+        """Parse data and enforce the limits on what is not body."""
         self._unset_keepalive_if_required()
-        self._parse(data)
-        if not self._is_reading_headers:
-            return
-        # How much of a read belongs to a request that begins in it, after
-        # the end of another, is not known; it is less than one read.
-        if not self._has_read_end:
-            self._header_bytes += len(data)
-        if self._header_bytes > self.limits().header_bytes:
-            self._refuse_and_close(_HEADERS_TOO_LARGE)
+        # The empty line at the end is no header.
+        max_head_bytes = self.limits().header_bytes + len(b"\r\n")
+        start = 0
+        while start < len(data) and self._reads_on():
+            end = self._meter.next_end(data, start, max_head_bytes)
+            piece = data[start:end]
+            start = end
+            was_body = self._meter.reads_body
+            self._parse(piece)
+            excess = self._meter.count(piece, was_body, max_head_bytes)
+            if excess is not None and self._reads_on():
+                self._refuse_message(_HEADERS_TOO_LARGE)
+
+    def _reads_on(self) -> bool:
+        """Whether further data of the connection counts."""
+        return self._last_response is None and not self.transport.is_closing()
 
     def _start_header_timer(self) -> None:
         self._header_timer = self.loop.call_later(
@@ -232,8 +241,8 @@
             super().on_url(url)
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Keep a header."""
-        if not self._repeats_head:
+        """Keep a header; drop a trailer."""
+        if self._is_reading_headers and not self._repeats_head:
             super().on_header(name, value)
 
     def _is_responding(self) -> bool:
@@ -249,29 +258,58 @@
         if self._is_stopping:
             cycle.keep_alive = self._is_kept_by_caller
 
+    def _refuse_message(self, status_and_code: bytes) -> None:
+        """Refuse the request that cannot be read on, and close.
+
+        One that has its response gets no other, which would be taken for that
+        to the request behind it.
+
+        Args:
+            status_and_code (bytes): Status and header with the result code.
+        """
+        if not self._meter.reads_body:
+            self._refuse_and_close(status_and_code)
+            return
+        cycle = self.cycle
+        if cycle.response_started:
+            cycle.disconnected = True
+            cycle.message_event.set()
+            self.transport.close()
+            return
+        may_have_run = self.streams_bodies and not self._waits(cycle)
+        self._abandon_body()
+        self._refuse_and_close(
+            status_and_code, _UNKNOWN if may_have_run else _NOT_RUN
+        )
+
+    def _waits(self, cycle: httptools_impl.RequestResponseCycle) -> bool:
+        """Whether the request read last waits for those before it."""
+        return bool(self.pipeline) and self.pipeline[0][0] is cycle
+
     def _abandon_body(self) -> None:
         """End the request whose body cannot be read on."""
-        if not self._is_responding() or not self.cycle.more_body:
-            return
         cycle = self._unfinished_cycles.pop()
-        if self.pipeline and self.pipeline[0][0] is cycle:
+        if self._waits(cycle):
             self.pipeline.popleft()
             _drop_unused(cycle)
         cycle.disconnected = True
         cycle.message_event.set()
 
-    def _refuse_and_close(self, status_and_code: bytes) -> None:
+    def _refuse_and_close(
+        self, status_and_code: bytes, outcome: bytes = _NOT_RUN
+    ) -> None:
         """Refuse what was read, after responses to the requests before it.
 
         Nothing more is read.
 
         Args:
             status_and_code (bytes): Status and header with the result code.
+            outcome (bytes): Whether it ran. Defaults to not.
         """
         self._stop_header_timer()
         self._last_response = (
             b"HTTP/1.1 " + status_and_code + b"\r\n"
-            b"x-chicorydoor-outcome: not-run\r\n"
+            b"x-chicorydoor-outcome: " + outcome + b"\r\n"
             b"content-length: 0\r\nconnection: close\r\n\r\n"
         )
         if not self._is_responding():
@@ -289,9 +327,22 @@
     cycle.scope.get("extensions", {}).clear()
 
 
+def _content_length(headers: asgi.Headers) -> int | None:
+    """Return the length of a body; None if it is chunked."""
+    length = 0
+    for name, value in headers:
+        if name == b"transfer-encoding":
+            return None
+        if name == b"content-length":
+            # The parser has checked that it is a number.
+            length = int(value)
+    return length
+
+
 def bind_limits(
     limits: abc.Callable[[], ConnectionLimits],
     admit_body: abc.Callable[[asgi.Scope], bool] = lambda scope: True,
+    streams_bodies: bool = False,
 ) -> type[CallerProtocol]:
     """Return a protocol class bound to a source of limits.
 
@@ -300,9 +351,12 @@
         admit_body (callable): Called with the scope of a request before its
             body is read; returns whether to keep what is read of it. Defaults
             to one that keeps all.
+        streams_bodies (bool): Whether the application may pass on a part of
+            a body before its end was read. Defaults to False.
     """
     attributes = {
         "limits": staticmethod(limits),
         "admit_body": staticmethod(admit_body),
+        "streams_bodies": streams_bodies,
     }
     return type("LimitedProtocol", (CallerProtocol,), attributes)
--- a/chicorydoor/transport/http_server.py
+++ b/chicorydoor/transport/http_server.py
@@ -190,6 +190,8 @@
             ``ConnectionLimits``.
         admit_body (callable): Whether to read the body of a request, see
             ``caller_protocol.bind_limits``. Defaults to one that admits all.
+        streams_bodies (bool): Whether the application may pass on a part of
+            a request's body before its end was read. Defaults to False.
 
     Raises:
         OSError: If the first socket cannot be bound.
@@ -204,6 +206,7 @@
             [], caller_protocol.ConnectionLimits
         ] = caller_protocol.ConnectionLimits,
         admit_body: abc.Callable[[asgi.Scope], bool] = lambda scope: True,
+        streams_bodies: bool = False,
     ) -> None:
         self._sockets: list[socket.socket] = []
         self.address = address or ""
@@ -213,7 +216,9 @@
             self.port = self._sockets[0].getsockname()[1]
         config = uvicorn.Config(
             app,
-            http=caller_protocol.bind_limits(limits, admit_body),
+            http=caller_protocol.bind_limits(
+                limits, admit_body, streams_bodies
+            ),
             interface="asgi3",
             proxy_headers=False,
             ws="none",
--- a/tests/test_caller_protocol.py
+++ b/tests/test_caller_protocol.py
@@ -15,6 +15,7 @@
 _BROKEN_CHUNK = (
     b"POST / HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\nzz\r\n"
 )
+_CHUNKED = b"POST / HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n"
 _LIMITS = caller_protocol.ConnectionLimits(
     header_bytes=2000, header_timeout_s=0.3
 )
@@ -46,10 +47,10 @@
 class _Exchange:
     """Sends data on one connection and keeps what the server sends."""
 
-    def __init__(self, limits=_LIMITS):
-        self.app = _App()
+    def __init__(self, limits=_LIMITS, app=None, **server):
+        self.app = app or _App()
         self.server = http_server.HttpServer(
-            self.app, "127.0.0.1", 0, limits=lambda: limits
+            self.app, "127.0.0.1", 0, limits=lambda: limits, **server
         )
 
     async def run(self, *pieces, during=None):
@@ -87,9 +88,9 @@
     pass
 
 
-def _exchange(*pieces, during=None):
+def _exchange(*pieces, during=None, **server):
     async def scenario():
-        return await _Exchange().run(*pieces, during=during)
+        return await _Exchange(**server).run(*pieces, during=during)
 
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
         return runner.run(scenario())
@@ -126,6 +127,10 @@
         received = _exchange(_REQUEST * 2 + _GARBAGE)
         assert _statuses(received) == [200, 200, 400]
 
+    def test_url_that_cannot_be_read_is_refused(self):
+        broken = b"POST /\xff HTTP/1.1\r\ncontent-length: 9\r\n\r\n"
+        assert _statuses(_exchange(_REQUEST + broken)) == [200, 400]
+
     def test_only_a_refused_request_is_refused_at_once(self):
         assert _statuses(_exchange(_GARBAGE)) == [400]
         assert _statuses(_exchange(_BROKEN_CHUNK)) == [400]
@@ -140,6 +145,18 @@
         received = _exchange(order + body + _REQUEST[:20], _REQUEST[20:])
         assert _statuses(received) == [200, 200]
 
+    # Guards against a limit that holds only for headers in several reads.
+    @pytest.mark.parametrize("is_one_read", [True, False])
+    @pytest.mark.parametrize(("excess_bytes", "status"), [(0, 200), (1, 431)])
+    def test_limit_is_exact(self, excess_bytes, status, is_one_read):
+        head = _REQUEST[:-2] + b"b: "
+        filler = _LIMITS.header_bytes - len(head) - 2 + excess_bytes
+        head += b"x" * filler + b"\r\n"
+        pieces = [head[:50], head[50:] + b"\r\n"]
+        if is_one_read:
+            pieces = [b"".join(pieces)]
+        assert _statuses(_exchange(*pieces)) == [status]
+
     def test_headers_over_several_reads_count(self):
         pieces = [_REQUEST[:-2] + b"b: " + b"x" * 1500, b"x" * 1500]
         assert _statuses(_exchange(*pieces)) == [431]
@@ -172,6 +189,60 @@
         with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
             runner.run(scenario())
 
+    # Guards against trailers, or framing, that are read without a limit.
+    @pytest.mark.parametrize("body", [b"1\r\nx\r\n", b""])
+    @pytest.mark.parametrize(
+        "endless",
+        [b"0\r\n" + b"t: xxx\r\n" * 1500, b"1;" + b"a" * 9000, b"0" * 9000],
+        ids=["trailers", "extension", "size"],
+    )
+    def test_request_above_the_limit_is_refused(self, body, endless):
+        received = _exchange(_REQUEST + _CHUNKED + body + endless)
+        assert _statuses(received) == [200, 431]
+        assert received.count(b"x-chicorydoor-outcome: not-run") == 1
+
+    def test_many_extensions_beside_a_short_body_are_refused(self):
+        chunks = (b"1;" + b"a" * 500 + b"\r\nx\r\n") * 20
+        assert _statuses(_exchange(_CHUNKED + chunks)) == [431]
+
+    # Guards against a limit that callers within the configured ones meet.
+    @pytest.mark.parametrize("is_one_read", [True, False])
+    def test_request_within_the_limits_is_served(self, is_one_read):
+        chunks = b"00000001\r\nx\r\n" * 20_000
+        trailers = b"t: " + b"x" * (_LIMITS.header_bytes - 5) + b"\r\n"
+        end = b"0\r\n" + trailers + b"\r\n"
+        pieces = [_CHUNKED, chunks, end]
+        if is_one_read:
+            pieces = [b"".join(pieces)]
+        assert _statuses(_exchange(*pieces, _REQUEST)) == [200, 200]
+
+    # Guards against a second response to a request, which its caller takes
+    # for that to the next one.
+    @pytest.mark.parametrize("rest", [b"t: xxx\r\n" * 1500, b"\x00\r\n\r\n"])
+    def test_no_second_response_after_the_first(self, rest):
+        async def app(scope, receive, send):
+            await asgi.send_response(send, 200, [], b"early")
+
+        head = _CHUNKED + b"1\r\nx\r\n0\r\n"
+        received = _exchange(head, rest, app=app)
+        assert _statuses(received) == [200]
+
+    # Guards against "not-run" for a request whose beginning was passed on.
+    @pytest.mark.parametrize(
+        ("streams_bodies", "outcome"),
+        [(True, b"unknown"), (False, b"not-run")],
+    )
+    def test_outcome_of_a_request_that_was_begun(
+        self, streams_bodies, outcome
+    ):
+        received = _exchange(
+            _CHUNKED + b"1\r\nx\r\n",
+            b"0\r\n" + b"t: xxx\r\n" * 1500,
+            streams_bodies=streams_bodies,
+        )
+        assert _statuses(received) == [431]
+        assert b"x-chicorydoor-outcome: " + outcome in received
+
 
 class TestStop:
     @staticmethod
