Bound the requests that wait on callers' connections

Cause: a read of 256 KB may hold thousands of pipelined requests, and all were parsed at once; every answered request led to a further read. Heads, waiting requests and data that was read were bounded for each connection at most, not over all connections of a process.

Change: no more than eight requests are parsed behind the one that runs; the rest of a read waits as bytes, and nothing more is read meanwhile. When it is exhausted, the connections that hold most are closed first: a request read in part is refused as not run, one that no application has begun counts as not read behind a response that closes the connection, one that runs is answered.

--- a/chicorydoor/compose_fleet.py
+++ b/chicorydoor/compose_fleet.py
@@ -55,6 +55,7 @@
 from chicorydoor.state import target_views
 from chicorydoor.transport import body_memory
 from chicorydoor.transport import clock as clock_module
+from chicorydoor.transport import connection_memory
 from chicorydoor.transport import metrics
 from chicorydoor.transport import process_memory
 
@@ -146,6 +147,9 @@
         self._started_at = clock.now()
         self._fleet_limits = settings.promises
         self.body_memory = body_memory.BodyMemory(settings.memory_limit_bytes)
+        self.connection_memory = connection_memory.ConnectionMemory(
+            settings.memory_limit_bytes
+        )
         self._process_memory = process_memory.ProcessMemory(
             settings.memory_limit_bytes, self.body_memory
         )
--- a/chicorydoor/fleet_entry.py
+++ b/chicorydoor/fleet_entry.py
@@ -204,7 +204,10 @@
             )
 
         return http_server.HttpServer(
-            dispatch, limits=limits, admit_body=admit_body
+            dispatch,
+            limits=limits,
+            admit_body=admit_body,
+            memory=components.connection_memory,
         )
 
     def _make_relay_server(
@@ -220,6 +223,7 @@
             components.relay_app,
             limits=limits,
             admit_body=components.bodies.admit,
+            memory=components.connection_memory,
         )
 
     async def _drain_and_close(
--- a/chicorydoor/transport/caller_protocol.py
+++ b/chicorydoor/transport/caller_protocol.py
@@ -14,11 +14,13 @@
 import typing
 
 import httptools
+from uvicorn.protocols.http import flow_control
 from uvicorn.protocols.http import httptools_impl
 
 from chicorydoor.transport import asgi
 from chicorydoor.transport import caller_connection
 from chicorydoor.transport import clock as clock_module
+from chicorydoor.transport import connection_memory
 from chicorydoor.transport import message_meter
 
 _HEADERS_TOO_LARGE = (
@@ -26,11 +28,20 @@
 )
 _HEADERS_LATE = b"408 Request Timeout\r\nx-chicorydoor-code: 106"
 _MALFORMED = b"400 Bad Request\r\nx-chicorydoor-code: 101"
+_NO_MEMORY = b"503 Service Unavailable\r\nx-chicorydoor-code: 134"
 _NOT_RUN = b"not-run"
 _UNKNOWN = b"unknown"
 _FRAMING_HEADERS = frozenset({b"content-length", b"transfer-encoding"})
 # Requests that are read before the first of them is answered.
 _MAX_READ_AHEAD = 8
+# What a header takes beside its bytes: the pair of objects, and the lists of
+# values by name.
+_HEADER_OVERHEAD_BYTES = 256
+# What a request takes beside its head: scope, task and events.
+_REQUEST_OVERHEAD_BYTES = 4096
+# A response above this, and what was written before it, has memory of its own
+# (``body_memory``).
+_MAX_UNRESERVED_RESPONSE_BYTES = 128 * 1024
 _CLOCK = clock_module.SystemClock()
 
 
@@ -51,21 +62,56 @@
     idle_timeout_s: float = 75.0
 
 
+class _GatedFlow(flow_control.FlowControl):
+    """Resumes reading only if the connection may read.
+
+    Args:
+        transport (Transport): The connection's transport.
+        may_read (callable): Whether it may.
+    """
+
+    def __init__(
+        self, transport: asyncio.Transport, may_read: abc.Callable[[], bool]
+    ) -> None:
+        super().__init__(transport)
+        self._may_read = may_read
+
+    def resume_reading(self) -> None:
+        """Resume reading, unless requests that were read have to wait."""
+        if self._may_read():
+            super().resume_reading()
+
+
+async def _refuse_for_memory(
+    scope: asgi.Scope, receive: asgi.Receive, send: asgi.Send
+) -> None:
+    """ASGI application of a request that there is no memory for."""
+    headers = [
+        (b"x-chicorydoor-code", b"134"),
+        (b"x-chicorydoor-outcome", b"not-run"),
+        (b"connection", b"close"),
+    ]
+    await asgi.send_response(send, 503, headers)
+
+
 class CallerProtocol(httptools_impl.HttpToolsProtocol):
     """uvicorn's HTTP protocol with limits.
 
-    ``bind_limits`` creates a subclass that sets the first three attributes.
+    ``bind_limits`` creates a subclass that sets the first four attributes.
     """
 
     limits: abc.Callable[[], ConnectionLimits]
     admit_body: abc.Callable[[asgi.Scope], bool]
     streams_bodies: bool
+    memory: connection_memory.ConnectionMemory
     _drops_body = False
     _is_reading_headers = False
     _header_timer: asyncio.TimerHandle | None = None
     # While the head of a request is parsed again, see _ignore_upgrade.
     _repeats_head = False
     _is_stopping = False
+    # Whether requests were dropped for lack of memory; none is read any more.
+    _is_shed = False
     _is_kept_by_caller = True
     # Written once all requests that were read before are answered.
     _last_response: bytes | None = None
@@ -75,7 +121,13 @@
         """Keep the connection for the scopes of its requests."""
         stream = typing.cast(asyncio.Transport, transport)
         super().connection_made(stream)
+        self.flow = _GatedFlow(stream, self._may_read)
         self._meter = message_meter.MessageMeter()
+        # Data that was read and waits for the requests before it.
+        self._unparsed = b""
+        self._size_by_cycle: dict[
+            httptools_impl.RequestResponseCycle, int
+        ] = {}
         self._unfinished_cycles: list[httptools_impl.RequestResponseCycle] = []
         self._connection = caller_connection.CallerConnection(
             stream, self.flow.drain, self.pipeline
@@ -100,8 +152,16 @@
         if self._connection is not None:
             self._connection.add_to_scope(self.scope)
         asgi.set_read_time(self.scope, _CLOCK.now())
-        self._drops_body = not self.admit_body(self.scope)
+        size = self._head_size() + _REQUEST_OVERHEAD_BYTES
+        if self.memory.fits(size):
+            self._drops_body = not self.admit_body(self.scope)
+        else:
+            self.app = _refuse_for_memory
+            self._drops_body = True
+            self.headers.clear()
+            size = _REQUEST_OVERHEAD_BYTES
         super().on_headers_complete()
+        self.app = self.config.loaded_app
         # Only now is there a request that a refusal may end.
         self._meter.end_head(length)
         # The scope has the list of headers; trailers are not to join them.
@@ -117,10 +177,10 @@
         if self._is_stopping:
             self.cycle.keep_alive = False
         self._unfinished_cycles.append(self.cycle)
+        self._size_by_cycle[self.cycle] = size
         # uvicorn stops reading after a request that waits for an earlier one,
         # and would not see that the caller leaves.
-        if len(self._unfinished_cycles) <= _MAX_READ_AHEAD:
-            self.flow.resume_reading()
+        self.flow.resume_reading()
 
     def on_body(self, body: bytes) -> None:
         """Keep a piece of a body, unless there is no memory for it."""
@@ -133,8 +193,10 @@
         for cycle in self._unfinished_cycles:
             if cycle.response_complete:
                 cycle.body = bytearray()
+                self._size_by_cycle.pop(cycle, None)
         self.timeout_keep_alive = self.limits().idle_timeout_s
         super().on_response_complete()
+        self._parse_unparsed()
         if self._last_response is not None and not self._is_responding():
             self._write_last_response()
 
@@ -164,6 +226,8 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """End all requests of the connection; uvicorn ends the last one."""
         self._stop_header_timer()
+        self._unparsed = b""
+        self._size_by_cycle.clear()
         super().connection_lost(exc)
         for cycle in self._unfinished_cycles:
             if not cycle.response_complete:
@@ -173,26 +237,141 @@
         # garbage is collected.
         while self.pipeline:
             _drop_unused(self.pipeline.pop()[0])
+        self.memory.set_size(self, 0)
 
     def data_received(self, data: bytes) -> None:
         """Parse data and enforce the limits on what is not body."""
-        self._unset_keepalive_if_required()
+        self._unparsed += data
+        self._parse_unparsed()
+
+    def _parse_unparsed(self) -> None:
+        """Parse what was read, up to the requests that may wait."""
         # The empty line at the end is no header.
         max_head_bytes = self.limits().header_bytes + len(b"\r\n")
+        data, self._unparsed = self._unparsed, b""
+        if data:
+            self._unset_keepalive_if_required()
         start = 0
-        while start < len(data) and self._reads_on():
+        while start < len(data) and self._reads_on() and self._may_parse():
             end = self._meter.next_end(data, start, max_head_bytes)
             piece = data[start:end]
             start = end
             was_body = self._meter.reads_body
+            self._meter.piece_bytes = len(piece)
             self._parse(piece)
             excess = self._meter.count(piece, was_body, max_head_bytes)
             if excess is not None and self._reads_on():
                 self._refuse_message(_HEADERS_TOO_LARGE)
+        if self._reads_on():
+            self._unparsed = data[start:]
+        if self._unparsed:
+            self.flow.pause_reading()
+        elif (
+            self.cycle is None
+            or len(self.cycle.body) <= flow_control.HIGH_WATER_LIMIT
+        ):
+            self.flow.resume_reading()
+        self._update_size()
+
+    def _may_parse(self) -> bool:
+        """Whether a further request, or more of the last one, may be read."""
+        return (
+            self._is_reading_headers
+            or self._meter.reads_body
+            or self._unfinished_count() <= _MAX_READ_AHEAD
+        )
+
+    def _may_read(self) -> bool:
+        if self._unparsed or self._unfinished_count() > _MAX_READ_AHEAD:
+            return False
+        # Until its request is begun, nobody takes the body.
+        return not self._waits(self.cycle) or (
+            len(self.cycle.body) <= flow_control.HIGH_WATER_LIMIT
+        )
+
+    def _unfinished_count(self) -> int:
+        return sum(
+            not each.response_complete for each in self._unfinished_cycles
+        )
+
+    def _head_size(self) -> int:
+        """Return what the head that is being read takes."""
+        return (
+            self._meter.head_bytes
+            + self._meter.piece_bytes
+            + _HEADER_OVERHEAD_BYTES * len(self.headers or ())
+        )
+
+    def _update_size(self) -> None:
+        """Tell how much memory the connection takes beside bodies."""
+        if self.parser is None:
+            # The connection is lost.
+            return
+        if self.transport.is_closing():
+            self._unparsed = b""
+            self._size_by_cycle.clear()
+        size = len(self._unparsed) + self._meter.framing_run
+        size += sum(self._size_by_cycle.values())
+        if self._is_reading_headers:
+            size += self._head_size()
+        unwritten = self.transport.get_write_buffer_size()
+        if unwritten <= _MAX_UNRESERVED_RESPONSE_BYTES:
+            size += unwritten
+        self.memory.set_size(self, size)
+
+    def shed(self) -> bool:
+        """Drop what no application has; close the connection after the rest.
+
+        Returns:
+            Whether anything was dropped.
+        """
+        if not self._reads_on():
+            return False
+        reads_message = self._is_reading_headers or (
+            self._meter.reads_body and not self.cycle.response_started
+        )
+        if not reads_message and not self._unparsed and not self.pipeline:
+            return False
+        self._unparsed = b""
+        if self._is_reading_headers:
+            self.scope, self.headers = {}, []
+        if reads_message:
+            self._refuse_message(_NO_MEMORY)
+        self._drop_waiting()
+        if self._last_response is None:
+            self._close_after_responses()
+        self._is_shed = True
+        # What arrives is dropped. Closing with unread data would reset the
+        # connection, and the caller might lose the responses.
+        self.flow.resume_reading()
+        self._update_size()
+        return True
+
+    def _close_after_responses(self) -> None:
+        if self._is_responding():
+            self._unfinished_cycles[-1].keep_alive = False
+        else:
+            self.transport.close()
+
+    def _drop_waiting(self) -> None:
+        """Drop the requests that no application has begun.
+
+        The connection closes after the response before them, which tells
+        their caller that they were not read.
+        """
+        while self.pipeline:
+            cycle, _ = self.pipeline.pop()
+            self._unfinished_cycles.remove(cycle)
+            self._size_by_cycle.pop(cycle, None)
+            _drop_unused(cycle)
 
     def _reads_on(self) -> bool:
         """Whether further data of the connection counts."""
-        return self._last_response is None and not self.transport.is_closing()
+        return not (
+            self._last_response is not None
+            or self._is_shed
+            or self.transport.is_closing()
+        )
 
     def _start_header_timer(self) -> None:
         self._header_timer = self.loop.call_later(
@@ -289,6 +468,7 @@
     def _abandon_body(self) -> None:
         """End the request whose body cannot be read on."""
         cycle = self._unfinished_cycles.pop()
+        self._size_by_cycle.pop(cycle, None)
         if self._waits(cycle):
             self.pipeline.popleft()
             _drop_unused(cycle)
@@ -343,6 +523,7 @@
     limits: abc.Callable[[], ConnectionLimits],
     admit_body: abc.Callable[[asgi.Scope], bool] = lambda scope: True,
     streams_bodies: bool = False,
+    memory: connection_memory.ConnectionMemory | None = None,
 ) -> type[CallerProtocol]:
     """Return a protocol class bound to a source of limits.
 
@@ -353,10 +534,13 @@
             to one that keeps all.
         streams_bodies (bool): Whether the application may pass on a part of
             a body before its end was read. Defaults to False.
+        memory (ConnectionMemory): Memory of the connections. Defaults to a
+            new one.
     """
     attributes = {
         "limits": staticmethod(limits),
         "admit_body": staticmethod(admit_body),
         "streams_bodies": streams_bodies,
+        "memory": memory or connection_memory.ConnectionMemory(),
     }
     return type("LimitedProtocol", (CallerProtocol,), attributes)
--- a/chicorydoor/transport/http_server.py
+++ b/chicorydoor/transport/http_server.py
@@ -15,6 +15,7 @@
 
 from chicorydoor.transport import asgi
 from chicorydoor.transport import caller_protocol
+from chicorydoor.transport import connection_memory
 
 _LISTEN_BACKLOG = 1024
 # Bounds the length of a turn of the event loop.
@@ -192,6 +193,8 @@
             ``caller_protocol.bind_limits``. Defaults to one that admits all.
         streams_bodies (bool): Whether the application may pass on a part of
             a request's body before its end was read. Defaults to False.
+        memory (ConnectionMemory): Memory of the connections, which servers of
+            a process may share. Defaults to one of the server's own.
 
     Raises:
         OSError: If the first socket cannot be bound.
@@ -207,6 +210,7 @@
         ] = caller_protocol.ConnectionLimits,
         admit_body: abc.Callable[[asgi.Scope], bool] = lambda scope: True,
         streams_bodies: bool = False,
+        memory: connection_memory.ConnectionMemory | None = None,
     ) -> None:
         self._sockets: list[socket.socket] = []
         self.address = address or ""
@@ -217,7 +221,10 @@
         config = uvicorn.Config(
             app,
             http=caller_protocol.bind_limits(
-                limits, admit_body, streams_bodies
+                limits,
+                admit_body,
+                streams_bodies,
+                memory or connection_memory.ConnectionMemory(),
             ),
             interface="asgi3",
             proxy_headers=False,
--- a/chicorydoor/transport/message_meter.py
+++ b/chicorydoor/transport/message_meter.py
@@ -38,12 +38,15 @@
             ended.
         framing_run (int): Bytes read since the last byte of the body: chunk
             framing, or trailers.
+        piece_bytes (int): Bytes of the piece that is being parsed, set by the
+            owner.
         reads_body (bool): Whether a body or its trailers are being read.
     """
 
     def __init__(self) -> None:
         self.head_bytes = 0
         self.framing_run = 0
+        self.piece_bytes = 0
         self.reads_body = False
         # None for a chunked body.
         self._body_bytes_left: int | None = 0
@@ -113,6 +116,7 @@
         self._last_bytes = (self._last_bytes + piece[-_OVERLAP_BYTES:])[
             -_OVERLAP_BYTES:
         ]
+        self.piece_bytes = 0
         body_bytes, self._piece_body_bytes = self._piece_body_bytes, 0
         if was_body:
             return self._count_body(len(piece), body_bytes, max_head_bytes)
--- a/chicorydoor/transport/metrics.py
+++ b/chicorydoor/transport/metrics.py
@@ -145,6 +145,14 @@
     "Memory reserved for bodies of requests and responses.",
     ["part"],
 )
+CONNECTION_MEMORY_BYTES = prometheus_client.Gauge(
+    "chicorydoor_connection_memory_bytes",
+    "Memory of callers' connections beside bodies, as estimated.",
+)
+CONNECTIONS_SHED = prometheus_client.Counter(
+    "chicorydoor_connections_shed",
+    "Connections of callers that were closed for lack of memory.",
+)
 BODY_MEMORY_WAITS = prometheus_client.Counter(
     "chicorydoor_body_memory_waits",
     "Bodies that waited for memory.",
--- /dev/null
+++ b/tests/test_connection_memory.py
@@ -0,0 +1,218 @@
+"""The memory of callers' connections is bounded over all of them."""
+
+import asyncio
+
+import pytest
+import uvloop
+
+from chicorydoor.transport import asgi
+from chicorydoor.transport import connection_memory
+from chicorydoor.transport import http_server
+
+_REQUEST = b"GET / HTTP/1.1\r\nhost: a\r\n\r\n"
+_ORDER = b"POST / HTTP/1.1\r\ntransfer-encoding: chunked\r\n"
+_SHORT_HEADERS = b"a:b\r\n" * 2000
+
+
+class _Connection:
+    def __init__(self, memory, is_droppable=True):
+        self._memory = memory
+        self._is_droppable = is_droppable
+        self.attempts = 0
+
+    def shed(self):
+        self.attempts += 1
+        if self._is_droppable:
+            self._memory.set_size(self, 0)
+        return self._is_droppable
+
+
+class TestConnectionMemory:
+    # Guards against ordinary connections that are closed for those that take
+    # most of the memory.
+    def test_largest_are_closed_first(self):
+        memory = connection_memory.ConnectionMemory(10_000)
+        sizes = [10, 400, 20, 300, 250, 30]
+        connections = [_Connection(memory) for _ in sizes]
+        for connection, size in zip(connections, sizes, strict=True):
+            memory.set_size(connection, size)
+        assert [each.attempts for each in connections] == [0, 1, 0, 0, 0, 0]
+        assert memory.used == 610
+
+    # Guards against time spent on looking for memory with every read while
+    # none can be had.
+    def test_what_cannot_be_closed_is_not_tried_every_time(self):
+        memory = connection_memory.ConnectionMemory(10_000)
+        connection = _Connection(memory, is_droppable=False)
+        for size in range(990, 1060):
+            memory.set_size(connection, size)
+        assert connection.attempts == 1
+        memory.set_size(connection, 1100)
+        assert connection.attempts == 2
+        memory.set_size(connection, 0)
+        assert memory.used == 0
+
+    def test_only_large_requests_need_room(self):
+        memory = connection_memory.ConnectionMemory(1_000_000)
+        memory.set_size(_Connection(memory), 95_000)
+        assert memory.fits(connection_memory.SMALL_REQUEST_BYTES)
+        assert not memory.fits(connection_memory.SMALL_REQUEST_BYTES + 1)
+
+
+class _Server:
+    """A server whose requests wait until they are let go."""
+
+    def __init__(self, memory_bytes=0):
+        self.memory = connection_memory.ConnectionMemory(memory_bytes)
+        self.may_answer = asyncio.Event()
+        self.running = self.most_running = 0
+        self._server = http_server.HttpServer(
+            self._answer, "127.0.0.1", memory=self.memory
+        )
+
+    async def _answer(self, scope, receive, send):
+        event = await receive()
+        while event.get("more_body", False):
+            event = await receive()
+        if event["type"] == "http.disconnect":
+            return
+        if scope["path"] != "/ordinary":
+            await self.may_answer.wait()
+        await asgi.send_response(send, 200, [], scope["path"].encode())
+
+    async def __aenter__(self):
+        await self._server.start()
+        return self
+
+    async def __aexit__(self, *exception):
+        await self._server.stop()
+
+    async def connect(self, data=b""):
+        reader, writer = await asyncio.open_connection(
+            "127.0.0.1", self._server.port
+        )
+        writer.write(data)
+        await asyncio.sleep(0.05)
+        return reader, writer
+
+
+def _run(scenario):
+    async def limited():
+        async with asyncio.timeout(20.0):
+            return await scenario()
+
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        return runner.run(limited())
+
+
+def _statuses(received):
+    return [int(part[:3]) for part in received.split(b"HTTP/1.1 ")[1:]]
+
+
+class TestPipelinedRequests:
+    # Guards against a limit on waiting requests that loses some of them.
+    @pytest.mark.parametrize("count", [9, 10, 500])
+    def test_all_are_answered_in_order(self, count):
+        async def scenario():
+            async with _Server() as server:
+                requests = [
+                    b"GET /%d HTTP/1.1\r\nhost: a\r\n\r\n" % number
+                    for number in range(count)
+                ]
+                reader, writer = await server.connect(b"".join(requests))
+                held = server.memory.used
+                server.may_answer.set()
+                for number in range(count):
+                    head = await reader.readuntil(b"\r\n\r\n")
+                    assert head.startswith(b"HTTP/1.1 200 ")
+                    path = b"/%d" % number
+                    assert await reader.readexactly(len(path)) == path
+                writer.close()
+                return held
+
+        # A few requests, and the bytes of the others.
+        assert 0 < _run(scenario) < 60_000 + count * 40
+
+    # Guards against a large body that is read on while its request waits
+    # behind another, or is not read on when it has begun.
+    def test_large_bodies_behind_others_are_read(self):
+        async def scenario():
+            async with _Server() as server:
+                body = b"x" * 3_000_000
+                head = b"POST / HTTP/1.1\r\ncontent-length: %d\r\n\r\n"
+                order = head % len(body) + body
+                reader, writer = await server.connect(_REQUEST + order * 2)
+                server.may_answer.set()
+                writer.write_eof()
+                for _ in range(3):
+                    received = await reader.readuntil(b"\r\n\r\n/")
+                    assert received.startswith(b"HTTP/1.1 200 ")
+                writer.close()
+
+        _run(scenario)
+
+
+class TestExhaustedMemory:
+    MEMORY_BYTES = 10_000_000
+
+    # Guards against a process whose memory is taken by requests that wait.
+    def test_requests_that_wait_are_left_unread(self):
+        async def scenario():
+            async with _Server(self.MEMORY_BYTES) as server:
+                crowd = [
+                    await server.connect(_REQUEST * 6000) for _ in range(20)
+                ]
+                assert server.memory.used <= server.memory.capacity
+                reader, writer = await server.connect(
+                    b"GET /ordinary HTTP/1.1\r\nhost: a\r\n\r\n"
+                )
+                head = await reader.readuntil(b"\r\n\r\n")
+                assert head.startswith(b"HTTP/1.1 200 ")
+                writer.close()
+                server.may_answer.set()
+                responses = [await crowd[0][0].read()]
+                for _, each in crowd:
+                    each.close()
+                await asyncio.sleep(0.1)
+                assert server.memory.used == 0
+                return responses
+
+        # The one that ran is answered, and tells that nothing more was read.
+        (received,) = _run(scenario)
+        assert _statuses(received) == [200]
+        assert b"connection: close" in received
+
+    # Guards against heads, and requests that wait for their body, which are
+    # within their own limits.
+    @pytest.mark.parametrize(
+        "data",
+        [
+            _ORDER + _SHORT_HEADERS,
+            _ORDER + _SHORT_HEADERS + b"\r\n1\r\nx\r\n",
+        ],
+        ids=["head", "body"],
+    )
+    def test_requests_that_were_not_read_are_refused(self, data):
+        async def scenario():
+            async with _Server(self.MEMORY_BYTES) as server:
+                crowd = [await server.connect(data) for _ in range(5)]
+                assert server.memory.used <= server.memory.capacity
+                responses = []
+                for reader, writer in crowd:
+                    received = b""
+                    try:
+                        async with asyncio.timeout(0.1):
+                            received = await reader.read()
+                    except TimeoutError:
+                        pass
+                    responses.append(received)
+                    writer.close()
+                return responses
+
+        responses = _run(scenario)
+        refused = [each for each in responses if each]
+        assert 0 < len(refused) < 5
+        for received in refused:
+            assert _statuses(received) == [503]
+            assert b"x-chicorydoor-outcome: not-run" in received
+            assert b"connection: close" in received
