--- a/chicorydoor/transport/caller_protocol.py
+++ b/chicorydoor/transport/caller_protocol.py
@@ -1,10 +1,10 @@
-"""Server side of a caller's connection, with limits on request headers.
+"""Server side of a caller's connection, with limits on what is read.
 
-httptools has no such limits: an endless header would fill the memory, and
-one that never ends would hold its connection forever. uvicorn tells only the
-latest request of a connection that its caller has left; here all are told.
-It drops the body of a request that offers an upgrade, and takes what follows
-for another request; here the offer is ignored.
+httptools has no limits: endless headers or trailers would fill the memory,
+and a head that never ends would hold its connection forever. uvicorn tells
+only the latest request of a connection that its caller has left; here all are
+told. It drops the body of a request that offers an upgrade, and takes what
+follows for another request; here the offer is ignored.
 It also closes a connection without regard to the requests that were read on it
 but are not answered yet; here these are answered first.
 """
@@ -14,20 +14,34 @@
 import typing
 
 import httptools
+from uvicorn.protocols.http import flow_control
 from uvicorn.protocols.http import httptools_impl
 
 from chicorydoor.transport import asgi
 from chicorydoor.transport import caller_connection
 from chicorydoor.transport import clock as clock_module
+from chicorydoor.transport import connection_memory
+from chicorydoor.transport import message_meter
 
 _HEADERS_TOO_LARGE = (
     b"431 Request Header Fields Too Large\r\nx-chicorydoor-code: 101"
 )
 _HEADERS_LATE = b"408 Request Timeout\r\nx-chicorydoor-code: 106"
 _MALFORMED = b"400 Bad Request\r\nx-chicorydoor-code: 101"
+_NO_MEMORY = b"503 Service Unavailable\r\nx-chicorydoor-code: 134"
+_NOT_RUN = b"not-run"
+_UNKNOWN = b"unknown"
 _FRAMING_HEADERS = frozenset({b"content-length", b"transfer-encoding"})
 # Requests that are read before the first of them is answered.
 _MAX_READ_AHEAD = 8
+# What a header takes beside its bytes: the pair of objects, and the lists of
+# values by name.
+_HEADER_OVERHEAD_BYTES = 256
+# What a request takes beside its head: scope, task and events.
+_REQUEST_OVERHEAD_BYTES = 4096
+# A response above this, and what was written before it, has memory of its own
+# (``body_memory``).
+_MAX_UNRESERVED_RESPONSE_BYTES = 128 * 1024
 _CLOCK = clock_module.SystemClock()
 
 
@@ -35,8 +49,8 @@
     """Limits on a caller's connection.
 
     Args:
-        header_bytes (int): Maximum size of request line and headers.
-            Defaults to 16 KiB.
+        header_bytes (int): Maximum size of request line and headers, and of
+            the trailers behind a chunked body. Defaults to 16 KiB.
         header_timeout_s (float): Maximum time from the first byte of a
             request's headers to their end, in seconds. Defaults to 60.
         idle_timeout_s (float): Maximum idle time between two requests of a
@@ -48,22 +62,56 @@
     idle_timeout_s: float = 75.0
 
 
+class _GatedFlow(flow_control.FlowControl):
+    """Resumes reading only if the connection may read.
+
+    Args:
+        transport (Transport): The connection's transport.
+        may_read (callable): Whether it may.
+    """
+
+    def __init__(
+        self, transport: asyncio.Transport, may_read: abc.Callable[[], bool]
+    ) -> None:
+        super().__init__(transport)
+        self._may_read = may_read
+
+    def resume_reading(self) -> None:
+        """Resume reading, unless requests that were read have to wait."""
+        if self._may_read():
+            super().resume_reading()
+
+
+async def _refuse_for_memory(
+    scope: asgi.Scope, receive: asgi.Receive, send: asgi.Send
+) -> None:
+    """ASGI application of a request that there is no memory for."""
+    headers = [
+        (b"x-chicorydoor-code", b"134"),
+        (b"x-chicorydoor-outcome", b"not-run"),
+        (b"connection", b"close"),
+    ]
+    await asgi.send_response(send, 503, headers)
+
+
 class CallerProtocol(httptools_impl.HttpToolsProtocol):
     """uvicorn's HTTP protocol with limits.
 
-    ``bind_limits`` creates a subclass that sets ``limits`` and ``admit_body``.
+    ``bind_limits`` creates a subclass that sets the first four attributes.
     """
 
     limits: abc.Callable[[], ConnectionLimits]
     admit_body: abc.Callable[[asgi.Scope], bool]
+    streams_bodies: bool
+    memory: connection_memory.ConnectionMemory
     _drops_body = False
-    _header_bytes = 0
     _is_reading_headers = False
     _header_timer: asyncio.TimerHandle | None = None
-    _has_read_end = False
     # While the head of a request is parsed again, see _ignore_upgrade.
     _repeats_head = False
     _is_stopping = False
+    # Whether requests were dropped for lack of memory; none is read any more.
+    _is_shed = False
     _is_kept_by_caller = True
     # Written once all requests that were read before are answered.
     _last_response: bytes | None = None
@@ -73,6 +121,13 @@
         """Keep the connection for the scopes of its requests."""
         stream = typing.cast(asyncio.Transport, transport)
         super().connection_made(stream)
+        self.flow = _GatedFlow(stream, self._may_read)
+        self._meter = message_meter.MessageMeter()
+        # Data that was read and waits for the requests before it.
+        self._unparsed = b""
+        self._size_by_cycle: dict[
+            httptools_impl.RequestResponseCycle, int
+        ] = {}
         self._unfinished_cycles: list[httptools_impl.RequestResponseCycle] = []
         self._connection = caller_connection.CallerConnection(
             stream, self.flow.drain, self.pipeline
@@ -87,18 +142,28 @@
         super().on_message_begin()
 
     def on_headers_complete(self) -> None:
-        """Stop the header timeout and reset the size count."""
+        """Stop the header timeout."""
         if self._repeats_head:
             self._repeats_head = False
             return
         self._is_reading_headers = False
-        self._header_bytes = 0
         self._stop_header_timer()
+        length = _content_length(self.headers)
         if self._connection is not None:
             self._connection.add_to_scope(self.scope)
         asgi.set_read_time(self.scope, _CLOCK.now())
-        self._drops_body = not self.admit_body(self.scope)
+        size = self._head_size() + _REQUEST_OVERHEAD_BYTES
+        if self.memory.fits(size):
+            self._drops_body = not self.admit_body(self.scope)
+        else:
+            self.app = _refuse_for_memory
+            self._drops_body = True
+            self.headers.clear()
+            size = _REQUEST_OVERHEAD_BYTES
         super().on_headers_complete()
+        self.app = self.config.loaded_app
+        # Only now is there a request that a refusal may end.
+        self._meter.end_head(length)
         # The scope has the list of headers; trailers are not to join them.
         self.headers = []
         self._unfinished_cycles = [
@@ -112,13 +177,14 @@
         if self._is_stopping:
             self.cycle.keep_alive = False
         self._unfinished_cycles.append(self.cycle)
+        self._size_by_cycle[self.cycle] = size
         # uvicorn stops reading after a request that waits for an earlier one,
         # and would not see that the caller leaves.
-        if len(self._unfinished_cycles) <= _MAX_READ_AHEAD:
-            self.flow.resume_reading()
+        self.flow.resume_reading()
 
     def on_body(self, body: bytes) -> None:
         """Keep a piece of a body, unless there is no memory for it."""
+        self._meter.add_body(len(body))
         if not self._drops_body:
             super().on_body(body)
 
@@ -127,17 +193,19 @@
         for cycle in self._unfinished_cycles:
             if cycle.response_complete:
                 cycle.body = bytearray()
+                self._size_by_cycle.pop(cycle, None)
         self.timeout_keep_alive = self.limits().idle_timeout_s
         super().on_response_complete()
+        self._parse_unparsed()
         if self._last_response is not None and not self._is_responding():
             self._write_last_response()
 
     def on_message_complete(self) -> None:
-        """Note that later data of this read belongs to another request."""
+        """Note that what follows belongs to another request."""
         if self.parser.should_upgrade():
             # The parser stops after the head; the body comes after it.
             return
-        self._has_read_end = True
+        self._meter.end_message()
         super().on_message_complete()
 
     def shutdown(self) -> None:
@@ -153,12 +221,13 @@
 
     def send_400_response(self, msg: str) -> None:
         """Refuse a malformed request, after responses to those before it."""
-        self._abandon_body()
-        self._refuse_and_close(_MALFORMED)
+        self._refuse_message(_MALFORMED)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """End all requests of the connection; uvicorn ends the last one."""
         self._stop_header_timer()
+        self._unparsed = b""
+        self._size_by_cycle.clear()
         super().connection_lost(exc)
         for cycle in self._unfinished_cycles:
             if not cycle.response_complete:
@@ -168,22 +237,141 @@
         # garbage is collected.
         while self.pipeline:
             _drop_unused(self.pipeline.pop()[0])
+        self.memory.set_size(self, 0)
 
     def data_received(self, data: bytes) -> None:
-        """Parse data and enforce the limit on the header size."""
-        if self._last_response is not None:
-            return
-        self._has_read_end = False
-        self._unset_keepalive_if_required()
-        self._parse(data)
-        if not self._is_reading_headers:
+        """Parse data and enforce the limits on what is not body."""
+        self._unparsed += data
+        self._parse_unparsed()
+
+    def _parse_unparsed(self) -> None:
+        """Parse what was read, up to the requests that may wait."""
+        # The empty line at the end is no header.
+        max_head_bytes = self.limits().header_bytes + len(b"\r\n")
+        data, self._unparsed = self._unparsed, b""
+        if data:
+            self._unset_keepalive_if_required()
+        start = 0
+        while start < len(data) and self._reads_on() and self._may_parse():
+            end = self._meter.next_end(data, start, max_head_bytes)
+            piece = data[start:end]
+            start = end
+            was_body = self._meter.reads_body
+            self._meter.piece_bytes = len(piece)
+            self._parse(piece)
+            excess = self._meter.count(piece, was_body, max_head_bytes)
+            if excess is not None and self._reads_on():
+                self._refuse_message(_HEADERS_TOO_LARGE)
+        if self._reads_on():
+            self._unparsed = data[start:]
+        if self._unparsed:
+            self.flow.pause_reading()
+        elif (
+            self.cycle is None
+            or len(self.cycle.body) <= flow_control.HIGH_WATER_LIMIT
+        ):
+            self.flow.resume_reading()
+        self._update_size()
+
+    def _may_parse(self) -> bool:
+        """Whether a further request, or more of the last one, may be read."""
+        return (
+            self._is_reading_headers
+            or self._meter.reads_body
+            or self._unfinished_count() <= _MAX_READ_AHEAD
+        )
+
+    def _may_read(self) -> bool:
+        if self._unparsed or self._unfinished_count() > _MAX_READ_AHEAD:
+            return False
+        # Until its request is begun, nobody takes the body.
+        return not self._waits(self.cycle) or (
+            len(self.cycle.body) <= flow_control.HIGH_WATER_LIMIT
+        )
+
+    def _unfinished_count(self) -> int:
+        return sum(
+            not each.response_complete for each in self._unfinished_cycles
+        )
+
+    def _head_size(self) -> int:
+        """Return what the head that is being read takes."""
+        return (
+            self._meter.head_bytes
+            + self._meter.piece_bytes
+            + _HEADER_OVERHEAD_BYTES * len(self.headers or ())
+        )
+
+    def _update_size(self) -> None:
+        """Tell how much memory the connection takes beside bodies."""
+        if self.parser is None:
+            # The connection is lost.
             return
-        # How much of a read belongs to a request that begins in it, after
-        # the end of another, is not known; it is less than one read.
-        if not self._has_read_end:
-            self._header_bytes += len(data)
-        if self._header_bytes > self.limits().header_bytes:
-            self._refuse_and_close(_HEADERS_TOO_LARGE)
+        if self.transport.is_closing():
+            self._unparsed = b""
+            self._size_by_cycle.clear()
+        size = len(self._unparsed) + self._meter.framing_run
+        size += sum(self._size_by_cycle.values())
+        if self._is_reading_headers:
+            size += self._head_size()
+        unwritten = self.transport.get_write_buffer_size()
+        if unwritten <= _MAX_UNRESERVED_RESPONSE_BYTES:
+            size += unwritten
+        self.memory.set_size(self, size)
+
+    def shed(self) -> bool:
+        """Drop what no application has; close the connection after the rest.
+
+        Returns:
+            Whether anything was dropped.
+        """
+        if not self._reads_on():
+            return False
+        reads_message = self._is_reading_headers or (
+            self._meter.reads_body and not self.cycle.response_started
+        )
+        if not reads_message and not self._unparsed and not self.pipeline:
+            return False
+        self._unparsed = b""
+        if self._is_reading_headers:
+            self.scope, self.headers = {}, []
+        if reads_message:
+            self._refuse_message(_NO_MEMORY)
+        self._drop_waiting()
+        if self._last_response is None:
+            self._close_after_responses()
+        self._is_shed = True
+        # What arrives is dropped. Closing with unread data would reset the
+        # connection, and the caller might lose the responses.
+        self.flow.resume_reading()
+        self._update_size()
+        return True
+
+    def _close_after_responses(self) -> None:
+        if self._is_responding():
+            self._unfinished_cycles[-1].keep_alive = False
+        else:
+            self.transport.close()
+
+    def _drop_waiting(self) -> None:
+        """Drop the requests that no application has begun.
+
+        The connection closes after the response before them, which tells
+        their caller that they were not read.
+        """
+        while self.pipeline:
+            cycle, _ = self.pipeline.pop()
+            self._unfinished_cycles.remove(cycle)
+            self._size_by_cycle.pop(cycle, None)
+            _drop_unused(cycle)
+
+    def _reads_on(self) -> bool:
+        """Whether further data of the connection counts."""
+        return not (
+            self._last_response is not None
+            or self._is_shed
+            or self.transport.is_closing()
+        )
 
     def _start_header_timer(self) -> None:
         self._header_timer = self.loop.call_later(
@@ -232,8 +420,8 @@
             super().on_url(url)
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Keep a header."""
-        if not self._repeats_head:
+        """Keep a header; drop a trailer."""
+        if self._is_reading_headers and not self._repeats_head:
             super().on_header(name, value)
 
     def _is_responding(self) -> bool:
@@ -249,29 +437,59 @@
         if self._is_stopping:
             cycle.keep_alive = self._is_kept_by_caller
 
+    def _refuse_message(self, status_and_code: bytes) -> None:
+        """Refuse the request that cannot be read on, and close.
+
+        One that has its response gets no other, which would be taken for that
+        to the request behind it.
+
+        Args:
+            status_and_code (bytes): Status and header with the result code.
+        """
+        if not self._meter.reads_body:
+            self._refuse_and_close(status_and_code)
+            return
+        cycle = self.cycle
+        if cycle.response_started:
+            cycle.disconnected = True
+            cycle.message_event.set()
+            self.transport.close()
+            return
+        may_have_run = self.streams_bodies and not self._waits(cycle)
+        self._abandon_body()
+        self._refuse_and_close(
+            status_and_code, _UNKNOWN if may_have_run else _NOT_RUN
+        )
+
+    def _waits(self, cycle: httptools_impl.RequestResponseCycle) -> bool:
+        """Whether the request read last waits for those before it."""
+        return bool(self.pipeline) and self.pipeline[0][0] is cycle
+
     def _abandon_body(self) -> None:
         """End the request whose body cannot be read on."""
-        if not self._is_responding() or not self.cycle.more_body:
-            return
         cycle = self._unfinished_cycles.pop()
-        if self.pipeline and self.pipeline[0][0] is cycle:
+        self._size_by_cycle.pop(cycle, None)
+        if self._waits(cycle):
             self.pipeline.popleft()
             _drop_unused(cycle)
         cycle.disconnected = True
         cycle.message_event.set()
 
-    def _refuse_and_close(self, status_and_code: bytes) -> None:
+    def _refuse_and_close(
+        self, status_and_code: bytes, outcome: bytes = _NOT_RUN
+    ) -> None:
         """Refuse what was read, after responses to the requests before it.
 
         Nothing more is read.
 
         Args:
             status_and_code (bytes): Status and header with the result code.
+            outcome (bytes): Whether it ran. Defaults to not.
         """
         self._stop_header_timer()
         self._last_response = (
             b"HTTP/1.1 " + status_and_code + b"\r\n"
-            b"x-chicorydoor-outcome: not-run\r\n"
+            b"x-chicorydoor-outcome: " + outcome + b"\r\n"
             b"content-length: 0\r\nconnection: close\r\n\r\n"
         )
         if not self._is_responding():
@@ -289,9 +507,23 @@
     cycle.scope.get("extensions", {}).clear()
 
 
+def _content_length(headers: asgi.Headers) -> int | None:
+    """Return the length of a body; None if it is chunked."""
+    length = 0
+    for name, value in headers:
+        if name == b"transfer-encoding":
+            return None
+        if name == b"content-length":
+            # The parser has checked that it is a number.
+            length = int(value)
+    return length
+
+
 def bind_limits(
     limits: abc.Callable[[], ConnectionLimits],
     admit_body: abc.Callable[[asgi.Scope], bool] = lambda scope: True,
+    streams_bodies: bool = False,
+    memory: connection_memory.ConnectionMemory | None = None,
 ) -> type[CallerProtocol]:
     """Return a protocol class bound to a source of limits.
 
@@ -300,9 +532,15 @@
         admit_body (callable): Called with the scope of a request before its
             body is read; returns whether to keep what is read of it. Defaults
             to one that keeps all.
+        streams_bodies (bool): Whether the application may pass on a part of
+            a body before its end was read. Defaults to False.
+        memory (ConnectionMemory): Memory of the connections. Defaults to a
+            new one.
     """
     attributes = {
         "limits": staticmethod(limits),
         "admit_body": staticmethod(admit_body),
+        "streams_bodies": streams_bodies,
+        "memory": memory or connection_memory.ConnectionMemory(),
     }
     return type("LimitedProtocol", (CallerProtocol,), attributes)
