Draw among targets with equal scores by their free slots

Cause: of candidates with the same score, the one with the fewest free slots was taken, as whole tuples were compared; without any report that was the target with most of the entry's own requests.

Change: candidates with the score of the best one count as near-equal also without uncertainty.

--- a/chicorydoor/balancing/tie_breaking.py
+++ b/chicorydoor/balancing/tie_breaking.py
@@ -54,16 +54,19 @@
     Args:
         candidates (Sequence): At least one candidate.
     """
-    best = min(candidates)
+    best = min(candidates, key=_score_s)
     limit_s = best.score_s + best.uncertainty_s
     return [
         index
         for index, candidate in enumerate(candidates)
-        if candidate is best
-        or candidate.score_s - candidate.uncertainty_s < limit_s
+        if candidate.score_s - candidate.uncertainty_s <= limit_s
     ]
 
 
+def _score_s(candidate: Candidate) -> float:
+    return candidate.score_s
+
+
 def shares(candidates: abc.Sequence[Candidate]) -> list[float]:
     """Return how many of the requests each candidate gets.
 
