Show the spread of load and the age of reports

Cause: operators could not see whether the targets of a service are loaded evenly, nor how old the reports are that choices rest on.

--- a/chicorydoor/compose_fleet.py
+++ b/chicorydoor/compose_fleet.py
@@ -20,6 +20,7 @@
 from chicorydoor.coordination import call_runner
 from chicorydoor.coordination import entry_registration
 from chicorydoor.coordination import entry_selection
+from chicorydoor.coordination import load_metrics
 from chicorydoor.coordination import peer_exchange
 from chicorydoor.coordination import rate_limiter
 from chicorydoor.coordination import region_digests
@@ -181,6 +182,7 @@
         self.targets = target_views.TargetViews(
             settings.region_by_domain, settings.expects_overload
         )
+        self.load_metrics = load_metrics.LoadMetrics(self.targets, clock)
         self.target_registrations = target_registrations.TargetRegistrations(
             self.targets, clock
         )
@@ -465,6 +467,7 @@
             self._announce_reach,
             self._close_unused,
             self._process_memory.check,
+            self.load_metrics.update,
         )
         while True:
             for step in steps:
--- a/chicorydoor/transport/metrics.py
+++ b/chicorydoor/transport/metrics.py
@@ -55,6 +55,21 @@
     "Targets that this entry can use.",
     ["service"],
 )
+TARGET_REQUESTS_PER_SLOT = prometheus_client.Gauge(
+    "chicorydoor_target_requests_per_slot",
+    "Mean over the usable targets of estimated requests by slots.",
+    ["service"],
+)
+TARGET_LOAD_SPREAD = prometheus_client.Gauge(
+    "chicorydoor_target_load_spread",
+    "Estimated requests by slots of the busiest usable target over the mean.",
+    ["service"],
+)
+LOAD_REPORT_AGE_SECONDS = prometheus_client.Histogram(
+    "chicorydoor_load_report_age_seconds",
+    "Age of the load reports of targets that hold requests of this entry.",
+    buckets=(0.05, 0.1, 0.25, 0.5, 1.0, 2.0, 5.0),
+)
 PROBES = prometheus_client.Counter(
     "chicorydoor_probes", "Health probes sent to targets."
 )
