Load an object that nobody has cached at one home

Cause: the choice among near-equal targets also spread objects that no target had cached over their homes, and each of them loaded it.

Change: such an object goes to the home with the lowest score, and a second home of a region counts as worse than the first until it has the object cached.

--- a/chicorydoor/coordination/target_selection.py
+++ b/chicorydoor/coordination/target_selection.py
@@ -157,8 +157,8 @@
         homes (frozenset): The candidates that are homes of the object.
             Defaults to none.
         secondary_homes (frozenset): The homes outside the entry's own
-            region, except for the one that ranks first among them. Defaults
-            to none.
+            region, except for the one that ranks first among them, and the
+            second homes of all regions. Defaults to none.
         first_in_own_region (str): The first one of the own region's
             ranking. If it has had no request from this region yet, a few
             designated entries send it one even if another target has the
@@ -387,8 +387,10 @@
     ) -> SelectedTarget | None:
         """Choose among the candidates that are as good as the best one.
 
-        Others than the homes of an object and the targets that have it cached
-        are no alternatives to these: a cache miss costs more than a wait.
+        An object that no target has cached goes to its first home only, so
+        that it is loaded once. Where the best target has it cached, only
+        others that have it too are alternatives: a miss costs more than a
+        wait.
         """
         permitted = [
             (choice, score)
@@ -398,13 +400,15 @@
         if not permitted:
             return None
         best, _ = min(permitted, key=lambda scored: scored[1])
-        if best.reason is SelectionReason.FIRST_REQUEST:
+        if best.reason in (
+            SelectionReason.FIRST_REQUEST,
+            SelectionReason.HOME,
+        ):
             return best
         alternatives = [
             (choice, score)
             for choice, score in permitted
-            if choice.reason is not SelectionReason.LOAD
-            or best.reason is SelectionReason.LOAD
+            if choice.reason is best.reason
         ]
         index = tie_breaking.choose(
             [
@@ -677,6 +681,7 @@
         home_fraction_by_region = _home_fraction_by_region(views_by_region)
         views: list[target_views.TargetView] = []
         homes: list[target_views.TargetView] = []
+        second_homes: list[target_views.TargetView] = []
         first: ids.TargetId | None = None
         substitutes: tuple[target_views.TargetView, ...] = ()
         for region, region_views in views_by_region.items():
@@ -685,6 +690,7 @@
                 home_fraction_by_region[region], position
             )
             homes += ranked[:home_count]
+            second_homes += ranked[1:home_count]
             if region != self._region:
                 views += ranked[:_OTHER_REGION_CANDIDATES]
                 continue
@@ -693,8 +699,15 @@
             first = ranked[0].target_id
             if home_count > 0:
                 substitutes = tuple(own_views)
-        remote_homes = [view for view in homes if view.region != self._region]
-        secondary_homes = rendezvous.rank(seed, remote_homes, _target_id)[1:]
+        remote_homes = [
+            view
+            for view in homes
+            if view.region != self._region and view not in second_homes
+        ]
+        secondary_homes = [
+            *rendezvous.rank(seed, remote_homes, _target_id)[1:],
+            *second_homes,
+        ]
         return _CandidateSet(
             views,
             frozenset(view.target_id for view in homes),
