Test that uncertain loads leave an object where it is cached

Cause: no test failed when targets without the object were drawn as alternatives to those that have it.

Change: old reports of high loads on all targets; 40 seeds.

--- a/tests/test_target_selection.py
+++ b/tests/test_target_selection.py
@@ -458,6 +458,23 @@
         # By then the object may have been evicted there.
         assert fixture.choose(now=14.0).target.target_id != "t0"
 
+    # Guards against the same where old reports of high loads make all scores
+    # near-equal.
+    def test_uncertain_loads_do_not_move_an_object_elsewhere(self):
+        reasons = collections.Counter()
+        for seed in range(40):
+            fixture = _SelectionFixture(
+                _records(), expects_overload=True, seed=seed
+            )
+            for name in ("t5", "t11"):
+                fixture.record_cached(name)
+            for view in fixture.targets.target_by_id.values():
+                for index in range(5):
+                    view.record_load(20, 6.0 + index / 2)
+            reasons[fixture.choose().reason] += 1
+        assert reasons[_Reason.LOAD] == 0
+        assert reasons[_Reason.CACHED] > 20
+
     def test_fresh_report_of_a_full_target_moves_the_requests(self):
         fixture = _SelectionFixture(_records(), expects_overload=True)
         fixture.record_cached("t0")
