Prefer homes only where caches are too small for the objects

Change: it applies to routes whose expected hits take more than 0.4 of the time of misses. A second home in a region gets an object as other targets do, when the first one is busy.

--- a/chicorydoor/coordination/target_selection.py
+++ b/chicorydoor/coordination/target_selection.py
@@ -44,11 +44,15 @@
 # A request goes to a target that is neither a home of its object nor has it
 # cached only where that saves this fraction of the expected service time.
 _HOME_PREFERENCE = 0.5
-# Under overload a target that is no home of an object counts as having it
-# cached for this long after a use: objects that it is seldom asked for are
-# evicted by those that it is a home of.
+# Under overload the targets' caches count as too small for the objects if
+# those that are thought to be cached take more than this part of the time of
+# others; without misses they take about a third.
+_OVERFLOW_RATIO = 0.4
+# Then a target that is no home of an object counts as having it cached for
+# this long after a use: objects that it is seldom asked for are evicted by
+# those that it is a home of.
 _CACHED_AWAY_FROM_HOME_S = 3.0
-# Under overload such a target is chosen only where that saves this fraction of
+# Such a target is chosen only where that saves this fraction of
 # the expected service time. Objects that were spread over all targets that
 # once handled them evicted each other: half of the expected hits were misses.
 _CACHED_HOME_PREFERENCE = 0.5
@@ -157,8 +161,10 @@
         homes (frozenset): The candidates that are homes of the object.
             Defaults to none.
         secondary_homes (frozenset): The homes outside the entry's own
-            region, except for the one that ranks first among them, and the
-            second homes of all regions. Defaults to none.
+            region, except for the one that ranks first among them. Defaults
+            to none.
+        second_homes (frozenset): The homes that rank second in their region;
+            they get the object when the first one is busy. Defaults to none.
         first_in_own_region (str): The first one of the own region's
             ranking. If it has had no request from this region yet, a few
             designated entries send it one even if another target has the
@@ -172,6 +178,7 @@
     views: list[target_views.TargetView]
     homes: frozenset[ids.TargetId] = frozenset()
     secondary_homes: frozenset[ids.TargetId] = frozenset()
+    second_homes: frozenset[ids.TargetId] = frozenset()
     first_in_own_region: ids.TargetId | None = None
     substitutes: tuple[target_views.TargetView, ...] = ()
 
@@ -371,7 +378,7 @@
         """Return the incarnations that probably have the object cached."""
         object_id = (constraints.route.route_id, constraints.affinity_key)
         used_at = self.cache_index.caching_targets(object_id, now)
-        if not self._targets.decides_for_overload:
+        if not self._prefers_homes(constraints.route):
             return used_at.keys()
         oldest = now - _CACHED_AWAY_FROM_HOME_S
         return [
@@ -380,6 +387,19 @@
             if at >= oldest or incarnation[0] in candidate_set.homes
         ]
 
+    def _prefers_homes(self, route: serving_config.RouteConfig) -> bool:
+        """Whether objects that are used away from home are soon evicted.
+
+        Requests for objects that are thought to be cached then take nearly as
+        long as others.
+        """
+        if not self._targets.decides_for_overload:
+            return False
+        times = self.processing_times
+        return times.expected_s(route, True) > (
+            _OVERFLOW_RATIO * times.expected_s(route, False)
+        )
+
     def _balanced_choice(
         self,
         scored: abc.Iterable[tuple[SelectedTarget, float]],
@@ -458,6 +478,11 @@
             preference_s = constraints.route.latency_objective_s
         elif choice.reason is SelectionReason.LOAD:
             preference_s = _HOME_PREFERENCE * choice.processing_s
+        elif (
+            choice.reason is SelectionReason.HOME
+            and target_id in candidate_set.second_homes
+        ):
+            preference_s = _HOME_PREFERENCE * choice.processing_s
         elif (
             choice.reason is SelectionReason.HOME
             and target_id in candidate_set.secondary_homes
@@ -465,9 +490,9 @@
             preference_s = _SECONDARY_HOME_PREFERENCE * choice.processing_s
         elif (
             choice.reason is SelectionReason.CACHED
-            and self._targets.decides_for_overload
             and candidate_set.homes
             and target_id not in candidate_set.homes
+            and self._prefers_homes(constraints.route)
         ):
             preference_s = _CACHED_HOME_PREFERENCE * choice.processing_s
         return choice.expected_latency_s + preference_s
@@ -704,14 +729,12 @@
             for view in homes
             if view.region != self._region and view not in second_homes
         ]
-        secondary_homes = [
-            *rendezvous.rank(seed, remote_homes, _target_id)[1:],
-            *second_homes,
-        ]
+        secondary_homes = rendezvous.rank(seed, remote_homes, _target_id)[1:]
         return _CandidateSet(
             views,
             frozenset(view.target_id for view in homes),
             frozenset(view.target_id for view in secondary_homes),
+            frozenset(view.target_id for view in second_homes),
             first,
             substitutes,
         )
--- a/tests/test_target_selection.py
+++ b/tests/test_target_selection.py
@@ -449,6 +449,11 @@
     # them: these evict each other, and expected hits turn out to be misses.
     def test_object_returns_to_its_home(self):
         fixture = _SelectionFixture(_records(), expects_overload=True)
+        times = fixture.selection.processing_times
+        for _ in range(100):
+            # Some of the expected hits are misses.
+            times.record(make.build_route_config(), True, 0.24, 9.0)
+            times.record(make.build_route_config(), False, 0.4, 9.0)
         for name in ("t5", "t0"):
             fixture.record_cached(name)
         assert fixture.count_choices(3).keys() == {"t5"}
