Cut off callers that take nothing of their responses

Cause: a connection whose caller does not read kept its responses, up to 128 KiB and a head, and its descriptor without a limit in time. Only large responses were watched. Closing such a connection waits until all is taken.

Change: while responses wait to be written, the connection is looked at once in the idle limit; a caller that took no byte is cut off. What the kernel has not sent counts too: it takes more only when a large part of its buffer is free, so that slow callers seemed to take nothing; the same holds for large responses now.

--- a/chicorydoor/transport/caller_connection.py
+++ b/chicorydoor/transport/caller_connection.py
@@ -2,7 +2,11 @@
 
 import asyncio
 from collections import abc
+import contextlib
+import fcntl
 import select
+import struct
+import termios
 
 from chicorydoor.transport import asgi
 
@@ -10,6 +14,26 @@
 _EXTENSION = "chicorydoor.caller_connection"
 
 
+def untaken_bytes(transport: asyncio.Transport) -> int:
+    """Return how much of what was written the caller has not received.
+
+    The kernel takes more from the transport only once a large part of its own
+    buffer is free: without that buffer, slow callers seem to take nothing.
+
+    Args:
+        transport (Transport): Transport of the connection.
+    """
+    untaken = transport.get_write_buffer_size()
+    connection = transport.get_extra_info("socket")
+    # A closed connection has no queue.
+    with contextlib.suppress(OSError, ValueError):
+        queued = fcntl.ioctl(
+            connection.fileno(), termios.TIOCOUTQ, struct.pack("i", 0)
+        )
+        untaken += struct.unpack("i", queued)[0]
+    return untaken
+
+
 class CallerConnection:
     """Knows whether a caller has closed its connection.
 
@@ -56,13 +80,13 @@
             Whether the caller took it.
         """
         while True:
-            remaining = self._transport.get_write_buffer_size()
+            remaining = untaken_bytes(self._transport)
             try:
                 async with asyncio.timeout(max_pause_s):
                     await self._drain()
                 return True
             except TimeoutError:
-                if self._transport.get_write_buffer_size() >= remaining:
+                if untaken_bytes(self._transport) >= remaining:
                     self._transport.abort()
                     return False
 
--- a/chicorydoor/transport/caller_protocol.py
+++ b/chicorydoor/transport/caller_protocol.py
@@ -11,6 +11,7 @@
 
 import asyncio
 from collections import abc
+import logging
 import typing
 
 import httptools
@@ -42,6 +43,7 @@
 # A response above this, and what was written before it, has memory of its own
 # (``body_memory``).
 _MAX_UNRESERVED_RESPONSE_BYTES = 128 * 1024
+_LOG = logging.getLogger(__name__)
 _CLOCK = clock_module.SystemClock()
 
 
@@ -107,6 +109,8 @@
     _drops_body = False
     _is_reading_headers = False
     _header_timer: asyncio.TimerHandle | None = None
+    # Runs while responses wait for the caller to take them.
+    _write_timer: asyncio.TimerHandle | None = None
     # While the head of a request is parsed again, see _ignore_upgrade.
     _repeats_head = False
     _is_stopping = False
@@ -197,6 +201,8 @@
         self.timeout_keep_alive = self.limits().idle_timeout_s
         super().on_response_complete()
         self._parse_unparsed()
+        if self.transport.is_closing():
+            self._watch_unwritten()
         if self._last_response is not None and not self._is_responding():
             self._write_last_response()
 
@@ -223,9 +229,56 @@
         """Refuse a malformed request, after responses to those before it."""
         self._refuse_message(_MALFORMED)
 
+    def pause_writing(self) -> None:
+        """Let responses wait; a caller that takes none of them is left."""
+        super().pause_writing()
+        self._watch_unwritten()
+
+    def timeout_keep_alive_handler(self) -> None:
+        """Close an idle connection, also if responses were not taken."""
+        super().timeout_keep_alive_handler()
+        self._watch_unwritten()
+
+    def _watch_unwritten(self) -> None:
+        """Abort the connection if its caller takes nothing for too long.
+
+        Closing alone would wait for the caller to take all.
+        """
+        if self._write_timer is None and self._has_unwritten():
+            self._write_timer = self.loop.call_later(
+                self.limits().idle_timeout_s,
+                self._check_unwritten,
+                caller_connection.untaken_bytes(self.transport),
+            )
+
+    def _has_unwritten(self) -> bool:
+        return (
+            self.parser is not None
+            and self.transport.get_write_buffer_size() > 0
+        )
+
+    def _check_unwritten(self, before: int) -> None:
+        self._write_timer = None
+        if not self._has_unwritten():
+            return
+        # Nothing is added while writing is paused, or after a close.
+        if caller_connection.untaken_bytes(self.transport) < before or not (
+            self.flow.write_paused or self.transport.is_closing()
+        ):
+            self._watch_unwritten()
+            return
+        _LOG.info(
+            "caller took nothing of its responses",
+            extra={"untaken_bytes": before},
+        )
+        self.transport.abort()
+
     def connection_lost(self, exc: Exception | None) -> None:
         """End all requests of the connection; uvicorn ends the last one."""
         self._stop_header_timer()
+        if self._write_timer is not None:
+            self._write_timer.cancel()
+            self._write_timer = None
         self._unparsed = b""
         self._size_by_cycle.clear()
         super().connection_lost(exc)
@@ -328,7 +381,10 @@
         if not self._reads_on():
             return False
         reads_message = self._is_reading_headers or (
-            self._meter.reads_body and not self.cycle.response_started
+            self._meter.reads_body
+            and not self.cycle.response_started
+            # The status promises that the request has not run.
+            and not self._may_have_run(self.cycle)
         )
         if not reads_message and not self._unparsed and not self.pipeline:
             return False
@@ -455,12 +511,18 @@
             cycle.message_event.set()
             self.transport.close()
             return
-        may_have_run = self.streams_bodies and not self._waits(cycle)
+        may_have_run = self._may_have_run(cycle)
         self._abandon_body()
         self._refuse_and_close(
             status_and_code, _UNKNOWN if may_have_run else _NOT_RUN
         )
 
+    def _may_have_run(
+        self, cycle: httptools_impl.RequestResponseCycle
+    ) -> bool:
+        """Whether a part of the request read last may be passed on."""
+        return self.streams_bodies and not self._waits(cycle)
+
     def _waits(self, cycle: httptools_impl.RequestResponseCycle) -> bool:
         """Whether the request read last waits for those before it."""
         return bool(self.pipeline) and self.pipeline[0][0] is cycle
@@ -499,6 +561,7 @@
         if self._last_response is not None and not self.transport.is_closing():
             self.transport.write(self._last_response)
         self.transport.close()
+        self._watch_unwritten()
 
 
 def _drop_unused(cycle: httptools_impl.RequestResponseCycle) -> None:
--- a/chicorydoor/transport/http_server.py
+++ b/chicorydoor/transport/http_server.py
@@ -247,6 +247,11 @@
         host = f"[{self.address}]" if ":" in self.address else self.address
         return f"{host}:{self.port}"
 
+    @property
+    def connection_count(self) -> int:
+        """Number of open connections."""
+        return len(self._server.server_state.connections)
+
     async def start(self) -> None:
         """Start the server; returns once it accepts connections."""
         self._task = asyncio.create_task(self._server.serve(sockets=[]))
--- a/tests/test_connection_memory.py
+++ b/tests/test_connection_memory.py
@@ -1,15 +1,18 @@
 """The memory of callers' connections is bounded over all of them."""
 
 import asyncio
+import socket
 
 import pytest
 import uvloop
 
 from chicorydoor.transport import asgi
+from chicorydoor.transport import caller_protocol
 from chicorydoor.transport import connection_memory
 from chicorydoor.transport import http_server
 
 _REQUEST = b"GET / HTTP/1.1\r\nhost: a\r\n\r\n"
+_CLOSING_REQUEST = _REQUEST[:-2] + b"connection: close\r\n\r\n"
 _ORDER = b"POST / HTTP/1.1\r\ntransfer-encoding: chunked\r\n"
 _SHORT_HEADERS = b"a:b\r\n" * 2000
 
@@ -216,3 +219,69 @@
             assert _statuses(received) == [503]
             assert b"x-chicorydoor-outcome: not-run" in received
             assert b"connection: close" in received
+
+
+class TestResponsesNotTaken:
+    IDLE_S = 0.3
+
+    async def _play(self, data, body_bytes, reads):
+        """Return the seconds until the server has dropped a connection."""
+
+        async def app(scope, receive, send):
+            await receive()
+            await asgi.send_response(send, 200, [], b"x" * body_bytes)
+
+        memory = connection_memory.ConnectionMemory()
+        limits = caller_protocol.ConnectionLimits(idle_timeout_s=self.IDLE_S)
+        server = http_server.HttpServer(
+            app, "127.0.0.1", limits=lambda: limits, memory=memory
+        )
+        await server.start()
+        loop = asyncio.get_running_loop()
+        caller = socket.socket()
+        caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        caller.setblocking(False)
+        await loop.sock_connect(caller, ("127.0.0.1", server.port))
+        await loop.sock_sendall(caller, data)
+        received = 0
+        try:
+            async with asyncio.timeout(8 * self.IDLE_S):
+                while True:
+                    await asyncio.sleep(0.02)
+                    if reads:
+                        piece = await loop.sock_recv(caller, body_bytes // 50)
+                        received += len(piece)
+                        if not piece:
+                            break
+                    elif not server.connection_count:
+                        break
+        except TimeoutError:
+            pass
+        count = server.connection_count
+        caller.close()
+        await server.stop()
+        return count, received
+
+    # Guards against memory and a descriptor that a caller holds for ever by
+    # not reading: a connection that was closed waits until all is taken.
+    @pytest.mark.parametrize(
+        "data",
+        [_REQUEST, _REQUEST * 50, _CLOSING_REQUEST],
+        ids=["one", "pipelined", "closing"],
+    )
+    def test_connection_is_dropped(self, data):
+        async def scenario():
+            return await self._play(data, 8_000_000, reads=False)
+
+        assert _run(scenario)[0] == 0
+
+    # Guards against slow callers that are cut off.
+    @pytest.mark.parametrize("data", [_REQUEST, _CLOSING_REQUEST])
+    def test_slow_caller_is_served_on(self, data):
+        async def scenario():
+            return await self._play(data, 8_000_000, reads=True)
+
+        count, received = _run(scenario)
+        assert count == 1
+        # Far less than the kernel's buffer in each idle time.
+        assert 0 < received < 4_000_000
