Bound trailers behind a large body of a target's response

Cause: what a response has beside its body is limited relative to the body, since small chunks come with framing. A body of 8 MiB left room for 40 MiB of trailers, which are kept and no memory is reserved for.

Change: no more than 64 KiB without a byte of the body.

The new case of TestSizeLimits fails on the code before; tests/test_buffered_connection.py, test_body_memory.py and test_docs.py pass.

--- a/chicorydoor/transport/buffered_connection.py
+++ b/chicorydoor/transport/buffered_connection.py
@@ -145,6 +145,7 @@
         self._is_reusable = True
         self._has_sent = False
         self._received_bytes = 0
+        self._bytes_since_body = 0
         self._received_body_bytes = 0
         self.idle_limit_s = _DEFAULT_IDLE_LIMIT_S
         self.idle_since = 0.0
@@ -165,6 +166,7 @@
             self._close_on_unsolicited_data()
             return
         self._received_bytes += len(data)
+        body_bytes_before = self._received_body_bytes
         try:
             self._parser.feed_data(data)
         except (
@@ -173,14 +175,22 @@
             ValueError,
         ) as error:
             self._fail(f"answer is not HTTP: {error}")
+        if self._received_body_bytes > body_bytes_before:
+            self._bytes_since_body = 0
+        else:
+            self._bytes_since_body += len(data)
         self._check_received_size()
 
     def _check_received_size(self) -> None:
         """Close a connection whose target sends more than an answer needs."""
         body_bytes = self._received_body_bytes
         overhead_bytes = self._received_bytes - body_bytes
-        if body_bytes > _MAX_BODY_BYTES or overhead_bytes > (
-            _MAX_OVERHEAD_BYTES + _MAX_FRAMING_PER_BODY_BYTE * body_bytes
+        if (
+            body_bytes > _MAX_BODY_BYTES
+            # The framing of a large body leaves no room for trailers.
+            or self._bytes_since_body > _MAX_OVERHEAD_BYTES
+            or overhead_bytes
+            > _MAX_OVERHEAD_BYTES + _MAX_FRAMING_PER_BODY_BYTE * body_bytes
         ):
             self._fail("answer is too large")
 
@@ -378,6 +388,7 @@
         self._pending_response = asyncio.get_running_loop().create_future()
         self._response = _PartialResponse()
         self._received_bytes = self._received_body_bytes = 0
+        self._bytes_since_body = 0
         self._expected_request_id = request_id
         self._is_head_request = is_head
         self._has_sent = True
--- a/tests/test_buffered_connection.py
+++ b/tests/test_buffered_connection.py
@@ -354,6 +354,13 @@
         error, _ = _exchange([data + b"x" * length])
         assert isinstance(error, errors.TargetError)
 
+    # Guards against trailers that a large body makes room for.
+    def test_endless_trailers_behind_a_large_body_end_the_exchange(self):
+        body = b"100000\r\n" + b"x" * 2**20 + b"\r\n0\r\n"
+        trailers = [b"x-late: 1\r\n" * 100] * 70
+        error, _ = _exchange([self._CHUNKED + body, *trailers, b"\r\n"])
+        assert isinstance(error, errors.TargetError)
+
     def test_large_answers_within_the_limits_are_read(self):
         head = self._START + b"x-long: " + b"x" * 30_000 + b"\r\n"
         body = b"1\r\nx\r\n" * 100_000
