--- a/chicorydoor/coordination/target_selection.py
+++ b/chicorydoor/coordination/target_selection.py
@@ -52,9 +52,9 @@
 # this long after a use: objects that it is seldom asked for are evicted by
 # those that it is a home of.
 _CACHED_AWAY_FROM_HOME_S = 3.0
-# Such a target is chosen only where that saves this fraction of
-# the expected service time. Objects that were spread over all targets that
-# once handled them evicted each other: half of the expected hits were misses.
+# Such a target is chosen only where that saves this fraction of the expected
+# service time. Objects that were spread over all targets that once handled
+# them evicted each other: four in ten expected hits were misses.
 _CACHED_HOME_PREFERENCE = 0.5
 # Of the homes in other regions, one that ranks behind another is chosen only
 # where that saves this fraction of the expected service time. The estimated
