Let decisions be asked for without being taken

Cause: explaining a request needs the answers of the real decisions, but the code that gives them also spends rate tokens, advances the service split, records queues and draws from the generator of real requests.

Change: the decisions are split where they change state. RateShares.peek and RateLimiter.peek answer without acquiring; ServiceSplit.peek_service does not advance; TargetSelection.detached_copy decides alike with its own generator and shedding state. The refusals after the choice of a target are functions of call_runner. SendPermits.find_obstacle and TargetViews.find_exclusion name the reason, and may_send and should_get_requests are based on them. No decision changes, nor the order of random draws.

--- a/chicorydoor/coordination/call_runner.py
+++ b/chicorydoor/coordination/call_runner.py
@@ -17,6 +17,7 @@
 from chicorydoor.protocol import admitted_request
 from chicorydoor.protocol import ids
 from chicorydoor.protocol import result_codes
+from chicorydoor.protocol import serving_config
 from chicorydoor.state import fleet_view
 from chicorydoor.state import request_crashes
 from chicorydoor.state import service_retry_budget
@@ -157,6 +158,10 @@
         )
         return await _Attempts(self, call, constraints, trace).run()
 
+    def peek_service(self, route: serving_config.RouteConfig) -> ids.ServiceId:
+        """Return the service that the route's next request will get."""
+        return self._service_split.peek_service(route)
+
     def try_spend_retry(self, service_id: ids.ServiceId) -> bool:
         """Spend one retry of the service's budget.
 
@@ -265,10 +270,8 @@
         These may be only some of the service's, in the regions that may serve
         the request. Heartbeats say nothing of that, so one peer is asked.
         """
-        return (
-            self._refusal.code is _CODES.NO_TARGET
-            and not self._tried_peers
-            and self._runner.selection.has_unreachable(self._constraints)
+        return not self._tried_peers and may_others_reach_a_target(
+            self._runner.selection, self._constraints, self._refusal
         )
 
     def _choose_peer(self) -> fleet_view.Registration | None:
@@ -321,7 +324,9 @@
             self._constraints, now, self._tried_targets
         )
         if choice is None:
-            self._refusal = self._refuse_without_target(now)
+            self._refusal = refuse_without_target(
+                runner.selection, self._constraints, now
+            )
             return None
         trace = self._trace
         trace.region = choice.target.region
@@ -332,35 +337,11 @@
         trace.target_load = choice.target.estimated_requests(now)
         trace.target_rate_limit_per_s = choice.rate_limit_per_s
         trace.target_load_age_s = choice.target.load_age_s(now)
-        # Estimates without measurements choose a target, but refuse nothing:
-        # without requests there would never be a measurement.
-        if now + choice.measured_latency_s > call.deadline:
-            self._refusal = request_types.RefusedError(
-                _CODES.NO_CAPACITY, retry_after_s=_BUSY_RETRY_AFTER_S
-            )
-            return None
-        if runner.selection.decides_for_overload:
-            expected = admission.Expectation(
-                now - call.arrived_at,
-                choice.measured_latency_s,
-                choice.measured_wait_s,
-                call.route.latency_objective_s,
-            )
-            if not admission.admits(expected):
-                self._refusal = request_types.RefusedError(
-                    _CODES.NO_CAPACITY,
-                    "no target has room in time",
-                    retry_after_s=admission.retry_after_s(
-                        expected, runner.selection.draw()
-                    ),
-                )
-                return None
-        if runner.selection.should_shed(self._constraints, choice, now):
-            self._refusal = request_types.RefusedError(
-                _CODES.NO_CAPACITY,
-                "the only regions that may serve it are overloaded",
-                retry_after_s=_OVERLOAD_RETRY_AFTER_S,
-            )
+        refusal = find_refusal(
+            runner.selection, self._constraints, call, choice, now
+        )
+        if refusal is not None:
+            self._refusal = refusal
             return None
         return choice
 
@@ -372,21 +353,6 @@
         )
         return request_types.RefusedError(_CODES.CALLER_LEFT, outcome=outcome)
 
-    def _refuse_without_target(self, now: float) -> request_types.RefusedError:
-        wait_s = self._runner.selection.wait_for_permit_s(
-            self._constraints, now
-        )
-        if wait_s is not None:
-            return request_types.RefusedError(
-                _CODES.NO_CAPACITY,
-                "all targets that may serve it are at rest or at the limits "
-                "they named",
-                retry_after_s=wait_s,
-            )
-        return request_types.RefusedError(
-            _CODES.NO_TARGET, retry_after_s=_NO_TARGET_RETRY_AFTER_S
-        )
-
     def _may_retry(self, sent: target_sender.SendResult) -> bool:
         """Whether everything but the retry budget allows another attempt."""
         call = self._call
@@ -437,3 +403,94 @@
         )
         code = _CODES.DEADLINE_PASSED if is_late else _CODES.TARGET_FAILED
         raise request_types.RefusedError(code)
+
+
+def find_refusal(
+    selection: target_selection.TargetSelection,
+    constraints: target_selection.TargetConstraints,
+    call: admitted_request.AdmittedRequest,
+    choice: target_selection.SelectedTarget,
+    now: float,
+) -> request_types.RefusedError | None:
+    """Return why a request is refused although there is a target for it.
+
+    Args:
+        selection (TargetSelection): Made the choice.
+        constraints (TargetConstraints): Where the request may be sent.
+        call (AdmittedRequest): The request.
+        choice (SelectedTarget): The target chosen for it.
+        now (float): Current time in seconds.
+
+    Returns:
+        The refusal; None if the request is to be sent.
+    """
+    # Estimates without measurements choose a target, but refuse nothing:
+    # without requests there would never be a measurement.
+    if now + choice.measured_latency_s > call.deadline:
+        return request_types.RefusedError(
+            _CODES.NO_CAPACITY, retry_after_s=_BUSY_RETRY_AFTER_S
+        )
+    if selection.decides_for_overload:
+        expected = admission.Expectation(
+            now - call.arrived_at,
+            choice.measured_latency_s,
+            choice.measured_wait_s,
+            call.route.latency_objective_s,
+        )
+        if not admission.admits(expected):
+            return request_types.RefusedError(
+                _CODES.NO_CAPACITY,
+                "no target has room in time",
+                retry_after_s=admission.retry_after_s(
+                    expected, selection.draw()
+                ),
+            )
+    if selection.should_shed(constraints, choice, now):
+        return request_types.RefusedError(
+            _CODES.NO_CAPACITY,
+            "the only regions that may serve it are overloaded",
+            retry_after_s=_OVERLOAD_RETRY_AFTER_S,
+        )
+    return None
+
+
+def refuse_without_target(
+    selection: target_selection.TargetSelection,
+    constraints: target_selection.TargetConstraints,
+    now: float,
+) -> request_types.RefusedError:
+    """Return the refusal of a request that no target may get now.
+
+    Args:
+        selection (TargetSelection): Found no target.
+        constraints (TargetConstraints): Where the request may be sent.
+        now (float): Current time in seconds.
+    """
+    wait_s = selection.wait_for_permit_s(constraints, now)
+    if wait_s is not None:
+        return request_types.RefusedError(
+            _CODES.NO_CAPACITY,
+            "all targets that may serve it are at rest or at the limits "
+            "they named",
+            retry_after_s=wait_s,
+        )
+    return request_types.RefusedError(
+        _CODES.NO_TARGET, retry_after_s=_NO_TARGET_RETRY_AFTER_S
+    )
+
+
+def may_others_reach_a_target(
+    selection: target_selection.TargetSelection,
+    constraints: target_selection.TargetConstraints,
+    refusal: request_types.RefusedError,
+) -> bool:
+    """Whether a request without a target may have one at other entries.
+
+    Args:
+        selection (TargetSelection): Found no target.
+        constraints (TargetConstraints): Where the request may be sent.
+        refusal (RefusedError): The refusal that would end the request.
+    """
+    return refusal.code is _CODES.NO_TARGET and selection.has_unreachable(
+        constraints
+    )
--- a/chicorydoor/coordination/rate_limiter.py
+++ b/chicorydoor/coordination/rate_limiter.py
@@ -74,6 +74,30 @@
     rate_share_by_instance: dict[ids.InstanceId, float] = {}
 
 
+class RatePeek(msgspec.Struct, frozen=True):
+    """What acquiring a token would come to, as far as this entry knows.
+
+    Args:
+        wait_s (float): Seconds until this entry has a token; 0 if it has one.
+        tokens (float): Its tokens at the moment.
+        share (float): Its rate share, 0 to 1.
+        is_pooled (bool): Whether the region's rate owners hold the rate.
+        is_near_limit (bool): Whether the fleet's demand is near the rate, so
+            that other entries are not asked to lend a token.
+        is_granted (bool): Whether a token would be acquired here.
+        asked (tuple): Entries that would be asked in turn, until one gives a
+            token.
+    """
+
+    wait_s: float
+    tokens: float
+    share: float
+    is_pooled: bool
+    is_near_limit: bool
+    is_granted: bool
+    asked: tuple[ids.InstanceId, ...]
+
+
 class RateLimiter:
     """Acquires tokens locally or at rate owners, and serves peers' requests.
 
@@ -235,6 +259,43 @@
         lent = lent or await self._borrow_elsewhere(customer)
         return lent or decision
 
+    def peek(
+        self, customer: serving_config.CustomerConfig, rng: random.Random
+    ) -> RatePeek:
+        """Return what ``acquire`` would do, without a message or a change.
+
+        Args:
+            customer (CustomerConfig): The request's customer.
+            rng (Random): Source of random numbers, a copy of the own one for
+                the same order of the entries asked.
+        """
+        wait_s, tokens = self._shares.peek(customer, self._clock.now())
+        has_limit = customer.rate_per_s > 0
+        is_pooled = has_limit and self.is_pooled(customer)
+        is_near_limit = has_limit and self._shares.is_near_rate_limit(customer)
+        own = self._fleet.own_registration
+        asked: list[fleet_view.Registration] = []
+        is_granted = wait_s <= 0
+        if is_pooled:
+            owners = self._owners_in_order(customer.customer_id, rng)
+            is_granted = is_granted and owners[0] == own
+            asked = [owner for owner in owners if owner != own]
+        if is_granted:
+            asked = []
+        elif not is_near_limit and (is_pooled or self.may_borrow()):
+            if not is_pooled:
+                asked = self._choose_lenders(customer, rng)
+            asked += self._choose_in_other_regions(rng)
+        return RatePeek(
+            wait_s,
+            tokens,
+            self._shares.share(customer.customer_id),
+            is_pooled,
+            is_near_limit,
+            is_granted,
+            tuple(entry.instance for entry in asked),
+        )
+
     async def _borrow_in_region(
         self, customer: serving_config.CustomerConfig
     ) -> RateDecision | None:
@@ -243,7 +304,7 @@
         Returns:
             The decision; None if none of the peers asked gave a token.
         """
-        for lender in self._choose_lenders(customer):
+        for lender in self._choose_lenders(customer, self._rng):
             decision = await self._request_token(
                 lender, customer, _REPLY_TIMEOUT_S, is_demand=False
             )
@@ -253,7 +314,7 @@
         return None
 
     def _choose_lenders(
-        self, customer: serving_config.CustomerConfig
+        self, customer: serving_config.CustomerConfig, rng: random.Random
     ) -> list[fleet_view.Registration]:
         """Choose peers at random in proportion to their unused rate."""
         now = self._clock.now()
@@ -274,7 +335,7 @@
             )
         lenders = []
         while unused_by_instance and len(lenders) < _MAX_LENDERS:
-            (chosen,) = self._rng.choices(
+            (chosen,) = rng.choices(
                 list(unused_by_instance), list(unused_by_instance.values())
             )
             del unused_by_instance[chosen]
@@ -295,7 +356,7 @@
                 request as demand. Defaults to True.
         """
         rejected: list[RateDecision] = []
-        for owner in self._owners_in_order(customer.customer_id):
+        for owner in self._owners_in_order(customer.customer_id, self._rng):
             if owner == self._fleet.own_registration:
                 decision = self._acquire_locally(customer, is_demand)
             else:
@@ -326,6 +387,21 @@
 
         The regions are asked in random order until one does not reply.
         """
+        for lender in self._choose_in_other_regions(self._rng):
+            decision = await self._request_token(
+                lender,
+                customer,
+                _OTHER_REGION_REPLY_TIMEOUT_S,
+                is_demand=False,
+            )
+            if decision is None or decision.wait_s == 0:
+                return decision
+        return None
+
+    def _choose_in_other_regions(
+        self, rng: random.Random
+    ) -> abc.Iterator[fleet_view.Registration]:
+        """Yield a random ready entry of each other region, in random order."""
         own_region = self._fleet.own_registration.region
         entries_by_region: dict[
             ids.RegionId, list[fleet_view.Registration]
@@ -334,17 +410,9 @@
             if entry.region != own_region:
                 entries_by_region.setdefault(entry.region, []).append(entry)
         regions = list(entries_by_region)
-        self._rng.shuffle(regions)
+        rng.shuffle(regions)
         for region in regions:
-            decision = await self._request_token(
-                self._rng.choice(entries_by_region[region]),
-                customer,
-                _OTHER_REGION_REPLY_TIMEOUT_S,
-                is_demand=False,
-            )
-            if decision is None or decision.wait_s == 0:
-                return decision
-        return None
+            yield rng.choice(entries_by_region[region])
 
     def _acquire_locally(
         self, customer: serving_config.CustomerConfig, is_demand: bool = True
@@ -373,7 +441,7 @@
         )
 
     def _owners_in_order(
-        self, customer_id: ids.CustomerId
+        self, customer_id: ids.CustomerId, rng: random.Random
     ) -> list[fleet_view.Registration]:
         """Return a customer's rate owners in the order to ask them.
 
@@ -388,7 +456,7 @@
             return (
                 suspect_until.get(owner.peer_address, 0.0) > now,
                 owner != self._fleet.own_registration,
-                self._rng.random(),
+                rng.random(),
             )
 
         return sorted(self._rate_owners(customer_id), key=sort_key)
--- a/chicorydoor/coordination/request_admission.py
+++ b/chicorydoor/coordination/request_admission.py
@@ -124,8 +124,8 @@
                 code,
                 f"shares: {shares}, of {customer.rate_per_s:g}/s and "
                 f"{customer.burst:g}",
-                retry_after_s=self.add_jitter(
-                    min(decision.wait_s, _MAX_RETRY_AFTER_S)
+                retry_after_s=over_rate_retry_after_s(
+                    decision.wait_s, self._rng
                 ),
             )
         return decision
@@ -141,4 +141,18 @@
 
     def add_jitter(self, seconds: float) -> float:
         """Return a retry-after in seconds with upward jitter."""
-        return seconds * (1.0 + _RETRY_JITTER * self._rng.random())
+        return _add_jitter(seconds, self._rng)
+
+
+def over_rate_retry_after_s(wait_s: float, rng: random.Random) -> float:
+    """Return the retry-after in seconds of a request over its rate.
+
+    Args:
+        wait_s (float): Seconds until a token is available.
+        rng (Random): Source of random numbers.
+    """
+    return _add_jitter(min(wait_s, _MAX_RETRY_AFTER_S), rng)
+
+
+def _add_jitter(seconds: float, rng: random.Random) -> float:
+    return seconds * (1.0 + _RETRY_JITTER * rng.random())
--- a/chicorydoor/coordination/request_relay.py
+++ b/chicorydoor/coordination/request_relay.py
@@ -90,6 +90,7 @@
         service_id: ids.ServiceId,
         allowed_region_ids: frozenset[ids.RegionId],
         excluded: abc.Collection[str] = (),
+        rng: random.Random | None = None,
     ) -> fleet_view.Registration | None:
         """Choose a peer that reaches a service.
 
@@ -101,6 +102,8 @@
                 empty for all. A peer elsewhere must not get it.
             excluded (Collection): Instances that were tried before. Defaults
                 to none.
+            rng (Random): Source of random numbers. Defaults to that of the
+                relay.
 
         Returns:
             The peer; None if there is none.
@@ -120,7 +123,7 @@
                 )
                 and self._is_usable(registration, excluded, now)
             ]
-        return self._rng.choice(candidates) if candidates else None
+        return (rng or self._rng).choice(candidates) if candidates else None
 
     def _region_candidates(
         self,
--- a/chicorydoor/coordination/target_selection.py
+++ b/chicorydoor/coordination/target_selection.py
@@ -17,6 +17,7 @@
 """
 
 from collections import abc
+import copy
 import enum
 import random
 import typing
@@ -210,6 +211,18 @@
         ] = {}
         self._targets_generation = -1
 
+    def detached_copy(self, rng: random.Random) -> "TargetSelection":
+        """Return a copy that decides alike and changes nothing in this one.
+
+        Args:
+            rng (Random): Source of random numbers of the copy.
+        """
+        detached = copy.copy(self)
+        detached._rng = rng
+        detached.load_shedding = self.load_shedding.copy()
+        detached._candidate_set_by_constraints = {}
+        return detached
+
     @property
     def decides_for_overload(self) -> bool:
         """Whether the decisions for overload apply."""
@@ -244,6 +257,70 @@
         all_allowed = _CandidateSet(self._allowed_views(constraints))
         return self._best_choice(constraints, all_allowed, now, excluded)
 
+    def permitted_candidates(
+        self, constraints: TargetConstraints, now: float
+    ) -> list[tuple[SelectedTarget, float]]:
+        """Return the candidates among which ``choose`` would choose.
+
+        It draws the same random numbers, so it is for a detached copy.
+
+        Args:
+            constraints (TargetConstraints): Where the request may be sent.
+            now (float): Current time in seconds.
+
+        Returns:
+            The candidates that may get a request now, and their scores in
+            seconds.
+        """
+        for candidate_set in (
+            self._candidate_set(constraints),
+            _CandidateSet(self._allowed_views(constraints)),
+        ):
+            # A target may be drawn more than once.
+            by_target = {
+                choice.target.target_id: (choice, score)
+                for choice, score in self._scored_choices(
+                    constraints, candidate_set, now, ()
+                )
+                if self._permits.may_send(choice.target, now)
+            }
+            if by_target:
+                return list(by_target.values())
+        return []
+
+    def reasons_against(
+        self, constraints: TargetConstraints, now: float
+    ) -> list[tuple[target_views.TargetView, str]]:
+        """Return the service's targets that may not get a request now.
+
+        Args:
+            constraints (TargetConstraints): Where the request may be sent.
+            now (float): Current time in seconds.
+
+        Returns:
+            The targets, and why each may not.
+        """
+        reasons = []
+        for view in self.service_targets(constraints.service_id):
+            reason = self._targets.find_exclusion(view)
+            if reason is not None:
+                reasons.append((view, reason.value))
+            elif not self._is_allowed(constraints, view):
+                reasons.append((view, "region not allowed"))
+            elif obstacle := self._permits.find_obstacle(view, now):
+                reasons.append((view, obstacle.value))
+        return reasons
+
+    def service_targets(
+        self, service_id: ids.ServiceId
+    ) -> list[target_views.TargetView]:
+        """Return all known targets of a service, whatever their state."""
+        return [
+            view
+            for view in self._targets.target_by_id.values()
+            if view.record.service_id == service_id
+        ]
+
     def wait_for_permit_s(
         self, constraints: TargetConstraints, now: float
     ) -> float | None:
--- a/chicorydoor/state/object_load_shedding.py
+++ b/chicorydoor/state/object_load_shedding.py
@@ -10,6 +10,8 @@
 slowly near the share at which they were last long.
 """
 
+import copy
+
 from chicorydoor.protocol import ids
 
 _INITIAL_SHARE = 0.4
@@ -166,6 +168,15 @@
         )
         return True
 
+    def copy(self) -> "ObjectLoadShedding":
+        """Return a copy that records nothing in this one."""
+        copied = ObjectLoadShedding()
+        copied._shedding_by_target = {
+            target_id: copy.copy(shedding)
+            for target_id, shedding in self._shedding_by_target.items()
+        }
+        return copied
+
     def is_shedding(self, target_id: ids.TargetId) -> bool:
         """Whether only a share of the objects is admitted at a target."""
         shedding = self._shedding_by_target.get(target_id)
--- a/chicorydoor/state/rate_shares.py
+++ b/chicorydoor/state/rate_shares.py
@@ -322,11 +322,43 @@
         bucket = self._bucket(customer.customer_id, now)
         bucket.requests += is_demand
         self._refill(customer, bucket, now)
-        if bucket.tokens >= 1.0:
+        wait_s = self._wait_s(customer, bucket, bucket.tokens)
+        if wait_s <= 0:
             bucket.tokens -= 1.0
+        return wait_s
+
+    def peek(
+        self, customer: serving_config.CustomerConfig, now: float
+    ) -> tuple[float, float]:
+        """Return what ``acquire`` would, without acquiring a token.
+
+        Args:
+            customer (CustomerConfig): The request's customer.
+            now (float): Current time in seconds.
+
+        Returns:
+            Seconds until a token is available, 0 if there is one or the
+            customer has no rate limit; and the tokens at the moment.
+        """
+        if customer.rate_per_s <= 0:
+            return 0.0, 0.0
+        bucket = self._bucket_by_customer.get(customer.customer_id)
+        if bucket is None:
+            bucket = _Bucket(now)
+        tokens = self._tokens_at(customer, bucket, now)
+        return self._wait_s(customer, bucket, tokens), tokens
+
+    def _wait_s(
+        self,
+        customer: serving_config.CustomerConfig,
+        bucket: _Bucket,
+        tokens: float,
+    ) -> float:
+        """Seconds until a bucket with some tokens has a whole one."""
+        if tokens >= 1.0:
             return 0.0
         rate = self._entry_rate_per_s(customer, bucket)
-        return (1.0 - bucket.tokens) / max(rate, 1e-3)
+        return (1.0 - tokens) / max(rate, 1e-3)
 
     def release(
         self, customer: serving_config.CustomerConfig, now: float
@@ -372,6 +404,15 @@
         bucket: _Bucket,
         now: float,
     ) -> None:
+        bucket.tokens = self._tokens_at(customer, bucket, now)
+        bucket.refilled_at = now
+
+    def _tokens_at(
+        self,
+        customer: serving_config.CustomerConfig,
+        bucket: _Bucket,
+        now: float,
+    ) -> float:
         # The slack is divided like the rate. Divided equally among all entries
         # it would be lost where few of them hold the rate.
         slack = _PLANNED_OVERAGE_FACTOR * self._tolerance.slack
@@ -379,8 +420,7 @@
         gained = (now - bucket.refilled_at) * self._entry_rate_per_s(
             customer, bucket
         )
-        bucket.tokens = min(capacity, bucket.tokens + gained)
-        bucket.refilled_at = now
+        return min(capacity, bucket.tokens + gained)
 
     def full_reports(self) -> RateTable:
         """Reports on all customers; they count as announced now.
--- a/chicorydoor/state/send_permits.py
+++ b/chicorydoor/state/send_permits.py
@@ -5,6 +5,7 @@
 """
 
 from collections import abc
+import enum
 
 from chicorydoor.protocol import ids
 from chicorydoor.state import cold_start_limits
@@ -13,6 +14,14 @@
 from chicorydoor.state import target_views
 
 
+class SendObstacle(enum.Enum):
+    """Why an entry may not send a request to a target now."""
+
+    WARM_UP = "warm-up"
+    AT_REST = "at rest"
+    RATE_LIMIT = "rate limit"
+
+
 class SendPermits:
     """Combines the rests, rate limits and cold starts of targets.
 
@@ -39,20 +48,35 @@
 
     def may_send(self, view: target_views.TargetView, now: float) -> bool:
         """Whether a request may be sent now; does not record it."""
+        return self.find_obstacle(view, now) is None
+
+    def find_obstacle(
+        self, view: target_views.TargetView, now: float
+    ) -> SendObstacle | None:
+        """Return why no request may be sent now; None if one may be."""
         if view.is_cold(now) and not self._cold_limits.may_send(
             view.target_id, now
         ):
-            return False
-        return self.may_probe(view, now)
+            return SendObstacle.WARM_UP
+        return self._find_probe_obstacle(view, now)
 
     def may_probe(self, view: target_views.TargetView, now: float) -> bool:
         """Whether a probe may be sent now; does not record it.
 
         Cold starts limit requests only.
         """
-        return not self.is_at_rest(view, now) and self.rate_limits.may_send(
+        return self._find_probe_obstacle(view, now) is None
+
+    def _find_probe_obstacle(
+        self, view: target_views.TargetView, now: float
+    ) -> SendObstacle | None:
+        if self.is_at_rest(view, now):
+            return SendObstacle.AT_REST
+        if not self.rate_limits.may_send(
             view.incarnation_key, view.region, now
-        )
+        ):
+            return SendObstacle.RATE_LIMIT
+        return None
 
     def is_at_rest(self, view: target_views.TargetView, now: float) -> bool:
         """Whether a target wants nothing from this entry.
--- a/chicorydoor/state/service_split.py
+++ b/chicorydoor/state/service_split.py
@@ -21,25 +21,39 @@
         services = route.weighted_services
         if len(services) == 1:
             return services[0].service_id
-        credit_by_service = self._get_credits(route.route_id, services)
+        credit_by_service = self._next_credits(route)
+        chosen = _richest(credit_by_service)
         total = sum(service.weight for service in services)
-        for service in services:
-            credit_by_service[service.service_id] += service.weight
-        chosen = max(
-            credit_by_service,
-            key=lambda service_id: credit_by_service[service_id],
-        )
         credit_by_service[chosen] -= total
+        self._credit_by_route[route.route_id] = credit_by_service
         return chosen
 
-    def _get_credits(
-        self,
-        route_id: ids.RouteId,
-        services: abc.Sequence[serving_config.WeightedService],
+    def peek_service(self, route: serving_config.RouteConfig) -> ids.ServiceId:
+        """Return the service that the next request will get."""
+        services = route.weighted_services
+        if len(services) == 1:
+            return services[0].service_id
+        return _richest(self._next_credits(route))
+
+    def _next_credits(
+        self, route: serving_config.RouteConfig
     ) -> dict[ids.ServiceId, float]:
-        credit_by_service = self._credit_by_route.get(route_id)
+        """Return the credits of the services for the next choice."""
+        services = route.weighted_services
         service_ids = [service.service_id for service in services]
-        if credit_by_service is None or list(credit_by_service) != service_ids:
-            credit_by_service = dict.fromkeys(service_ids, 0.0)
-            self._credit_by_route[route_id] = credit_by_service
+        known = self._credit_by_route.get(route.route_id)
+        if known is None or list(known) != service_ids:
+            known = dict.fromkeys(service_ids, 0.0)
+        credit_by_service = dict(known)
+        for service in services:
+            credit_by_service[service.service_id] += service.weight
         return credit_by_service
+
+
+def _richest(
+    credit_by_service: abc.Mapping[ids.ServiceId, float],
+) -> ids.ServiceId:
+    return max(
+        credit_by_service,
+        key=lambda service_id: credit_by_service[service_id],
+    )
--- a/chicorydoor/state/target_views.py
+++ b/chicorydoor/state/target_views.py
@@ -59,6 +59,15 @@
     REPLACED = "replaced"
 
 
+class Exclusion(enum.Enum):
+    """Why an entry sends a target no requests at all."""
+
+    LEAVING = "leaving"
+    REPLACED = "replaced"
+    EVACUATED = "evacuated domain"
+    UNREACHABLE = "unreachable"
+
+
 class OverloadSwitch:
     """Whether the decisions for overload apply in this process.
 
@@ -568,15 +577,23 @@
 
     def may_get_requests(self, view: TargetView) -> bool:
         """Whether a target may get new requests at all."""
-        return view.reach is Reach.IN_USE and self.should_get_requests(view)
+        return self.find_exclusion(view) is None
+
+    def find_exclusion(self, view: TargetView) -> Exclusion | None:
+        """Return why a target gets no requests; None if it may get some."""
+        if view.is_leaving:
+            return Exclusion.LEAVING
+        if view.reach is Reach.REPLACED:
+            return Exclusion.REPLACED
+        if view.record.domain in self.evacuated_domains:
+            return Exclusion.EVACUATED
+        if view.reach is Reach.UNREACHABLE:
+            return Exclusion.UNREACHABLE
+        return None
 
     def should_get_requests(self, view: TargetView) -> bool:
         """Whether a target may get requests from entries that reach it."""
-        return (
-            not view.is_leaving
-            and view.reach is not Reach.REPLACED
-            and view.record.domain not in self.evacuated_domains
-        )
+        return self.find_exclusion(view) in (None, Exclusion.UNREACHABLE)
 
     def is_in_service(self, view: TargetView) -> bool:
         """Whether a target that was chosen earlier may still get requests."""
