Add the command explain

Cause: why a request goes to a target, or is refused, could only be found in the log after it was sent.

Change: the metrics port of an entry of the fleet path answers GET /explain, and chicorydoor explain prints it as tables or JSON: route and split, rate, regions, candidates with what is known of each, excluded targets with the reason, the choice, and the result with its Retry-After. Explainer applies the code of real decisions to a copy of the random generator's state and to a detached copy of the target selection, so it changes nothing. The only writes are memoized (part of a named rate limit, list of usable targets), the logged state of a service's reach, and expired entries of the object cache index that any look-up removes.

--- a/chicorydoor/cli/main.py
+++ b/chicorydoor/cli/main.py
@@ -13,6 +13,7 @@
 from chicorydoor.cli import entry
 from chicorydoor.cli import exit_codes
 from chicorydoor.cli import experiment
+from chicorydoor.cli import explain
 from chicorydoor.cli import keys
 from chicorydoor.cli import lookup
 from chicorydoor.cli import soak
@@ -29,6 +30,7 @@
     keys,
     drain,
     lookup,
+    explain,
     timeline,
     demo,
     experiment,
--- a/chicorydoor/compose_fleet.py
+++ b/chicorydoor/compose_fleet.py
@@ -20,6 +20,7 @@
 from chicorydoor.coordination import call_runner
 from chicorydoor.coordination import entry_registration
 from chicorydoor.coordination import entry_selection
+from chicorydoor.coordination import explanation
 from chicorydoor.coordination import peer_exchange
 from chicorydoor.coordination import rate_limiter
 from chicorydoor.coordination import region_digests
@@ -336,6 +337,17 @@
             self.bodies,
         )
 
+        self.explainer = explanation.Explainer(
+            instance=self.settings.instance,
+            active_config=self.active_config,
+            admission=self.admission,
+            limiter=self.rate_limiter,
+            app=self.call_app,
+            runner=self.runner,
+            clock=self.clock,
+            rng=self.rng,
+        )
+
     def _configuration_age_s(self) -> float:
         follower_by_prefix = self.peer_exchange.follower_by_prefix
         return follower_by_prefix[documents.OPERATOR_PREFIX].age_s()
--- a/chicorydoor/fleet_entry.py
+++ b/chicorydoor/fleet_entry.py
@@ -16,6 +16,7 @@
 import prometheus_client
 
 from chicorydoor import compose_fleet
+from chicorydoor.coordination import explain_app
 from chicorydoor.coordination import supervision
 from chicorydoor.platform import kv_store
 from chicorydoor.platform import lookup_app
@@ -177,7 +178,9 @@
             _port(settings.callers): components.call_app,
             _port(settings.readiness): lookups,
             _port(settings.lookups): lookups,
-            settings.metrics_port: prometheus_client.make_asgi_app(),
+            settings.metrics_port: explain_app.ExplainApp(
+                components.explainer, prometheus_client.make_asgi_app()
+            ),
         }
 
         async def dispatch(
--- a/chicorydoor/transport/asgi.py
+++ b/chicorydoor/transport/asgi.py
@@ -6,6 +6,7 @@
 Scope = dict[str, typing.Any]
 Receive = abc.Callable[[], abc.Awaitable[dict[str, typing.Any]]]
 Send = abc.Callable[[dict[str, typing.Any]], abc.Awaitable[None]]
+App = abc.Callable[[Scope, Receive, Send], abc.Awaitable[None]]
 Headers = abc.Sequence[tuple[bytes, bytes]]
 
 _READ_TIME = "chicorydoor.read_time"
