Let pipelined downloads wait for their turn

Cause: responses to pipelined requests that run early wait for their turn with the memory that is reserved for large ones. Up to eight on a connection could take the memory that the response before them waits for.

Change: requests on routes with large responses, the kind download, run in their turn as before.

Measured: tests/test_pipelining.py; the new test fails without the condition.

--- a/chicorydoor/coordination/call_app.py
+++ b/chicorydoor/coordination/call_app.py
@@ -132,7 +132,8 @@
         """Whether a pipelined request may run beside those before it.
 
         Only where the decisions for overload apply. If an earlier response
-        closes the connection, its caller sends it again.
+        closes the connection, its caller sends it again. Large responses that
+        wait for their turn would take the memory that earlier ones need.
 
         Args:
             scope (dict): ASGI scope of the request.
@@ -149,7 +150,7 @@
             )
         except request_types.RefusedError:
             return False
-        return route.is_idempotent
+        return route.is_idempotent and not route.has_large_responses
 
     def make_handler(
         self, scope: asgi.Scope, receive: asgi.Receive, send: asgi.Send
--- a/chicorydoor/platform/documents.py
+++ b/chicorydoor/platform/documents.py
@@ -26,8 +26,9 @@
 EVACUATION_PREFIX = "op/evacuate/"
 
 # Kinds of the routes whose requests may be sent again although they may have
-# run. Downloads have large responses.
-_IDEMPOTENT_KINDS = frozenset({"safe", "download"})
+# run.
+_DOWNLOAD_KIND = "download"
+_IDEMPOTENT_KINDS = frozenset({"safe", _DOWNLOAD_KIND})
 _LIFECYCLE_BY_STATE = {
     "ready": serving_config.TargetLifecycle.READY,
     "draining": serving_config.TargetLifecycle.LEAVING,
@@ -182,6 +183,7 @@
         allowed_region_ids=_to_region_ids(route.allowed_regions),
         needs_no_key=route.public,
         uses_affinity=route.session_affinity,
+        has_large_responses=route.kind == _DOWNLOAD_KIND,
     )
 
 
--- a/chicorydoor/protocol/serving_config.py
+++ b/chicorydoor/protocol/serving_config.py
@@ -48,6 +48,8 @@
         uses_affinity (bool): Whether a target that recently handled an
             object handles it faster, so that session affinity pays.
             Defaults to False.
+        has_large_responses (bool): Whether responses are large. Defaults to
+            False.
     """
 
     route_id: ids.RouteId
@@ -62,6 +64,7 @@
     allowed_region_ids: frozenset[ids.RegionId] = frozenset()
     needs_no_key: bool = False
     uses_affinity: bool = False
+    has_large_responses: bool = False
 
 
 class ServiceConfig(msgspec.Struct, frozen=True):
--- a/tests/test_pipelining.py
+++ b/tests/test_pipelining.py
@@ -216,6 +216,34 @@
 
         platform_cluster.run(scenario, targets=1)
 
+    # Guards against large responses that wait for their turn and take the
+    # memory that the response before them needs.
+    def test_downloads_wait_for_their_turn(self):
+        async def scenario(cluster):
+            (target,) = cluster.targets
+            config = json.loads(platform_cluster.build_config(version=2))
+            config["routes"][0]["kind"] = "download"
+            cluster.store.put("op/config", json.dumps(config).encode())
+            active_config = cluster.entries[0]._components.active_config
+
+            async def is_active():
+                return active_config.current.version == 2
+
+            await cluster.wait_until(is_active)
+            target.work_s = 0.3
+            _expect_overload(cluster)
+            async with _Caller(cluster) as caller:
+                caller.send(_encode("r0"), _encode("r1"))
+                while not target.request_ids:
+                    await asyncio.sleep(0.01)
+                await asyncio.sleep(0.1)
+                assert target.request_ids == ["r0"]
+                for number in range(2):
+                    response = await caller.read_response()
+                    assert response[:2] == (200, f"r{number}")
+
+        platform_cluster.run(scenario, targets=1)
+
     # Guards against tasks that wait forever for a turn that does not come.
     def test_nothing_remains_of_a_caller_that_leaves(self):
         async def scenario(cluster):
