Move the numbers of homes to a module of their own

Change: balancing/object_homes.py computes how many homes an object has in a region, the preferences are a method of their own, and the remote homes that do not rank first are other_remote_homes. No decision changes.

--- a/chicorydoor/coordination/target_selection.py
+++ b/chicorydoor/coordination/target_selection.py
@@ -25,6 +25,7 @@
 import msgspec
 import xxhash
 
+from chicorydoor.balancing import object_homes
 from chicorydoor.balancing import tie_breaking
 from chicorydoor.protocol import ids
 from chicorydoor.protocol import serving_config
@@ -60,19 +61,9 @@
 # Of the homes in other regions, one that ranks behind another is chosen only
 # where that saves this fraction of the expected service time. The estimated
 # distances of equally distant regions differ by less.
-_SECONDARY_HOME_PREFERENCE = 0.1
+_OTHER_REMOTE_HOME_PREFERENCE = 0.1
 # A cold target takes this many times as long for a request.
 _COLD_SLOWDOWN = 2.0
-# A region has homes for a fraction of the objects: this factor times its slots
-# over the mean slots of a region, at most all objects.
-_HOME_CAPACITY_FACTOR = 1.3
-# Under overload an object has a second home in a region that has room for it.
-# Two are enough for requests to avoid the one that is busy.
-_MAX_HOMES_PER_REGION = 2
-# Under overload a region with few targets has homes for this part of the
-# objects that it has homes for otherwise, which is less than its part of the
-# slots: its targets had twice as many requests as others.
-_SMALL_REGION_SHARE = 0.65
 # Callers that are refused until a rest ends return within this fraction of it
 # after its end, at least within the seconds below.
 _REST_JITTER = 0.3
@@ -161,7 +152,7 @@
         views (list): The candidates.
         homes (frozenset): The candidates that are homes of the object.
             Defaults to none.
-        secondary_homes (frozenset): The homes outside the entry's own
+        other_remote_homes (frozenset): The homes outside the entry's own
             region, except for the one that ranks first among them. Defaults
             to none.
         second_homes (frozenset): The homes that rank second in their region;
@@ -178,7 +169,7 @@
 
     views: list[target_views.TargetView]
     homes: frozenset[ids.TargetId] = frozenset()
-    secondary_homes: frozenset[ids.TargetId] = frozenset()
+    other_remote_homes: frozenset[ids.TargetId] = frozenset()
     second_homes: frozenset[ids.TargetId] = frozenset()
     first_in_own_region: ids.TargetId | None = None
     substitutes: tuple[target_views.TargetView, ...] = ()
@@ -542,37 +533,48 @@
         choice: SelectedTarget,
     ) -> float:
         """Return the expected latency in seconds with all preferences."""
-        target_id = choice.target.target_id
         if choice.reason is SelectionReason.FIRST_REQUEST:
             # No other score is lower.
             return 0.0
-        preference_s = 0.0
+        return choice.expected_latency_s + self._preference_s(
+            constraints, candidate_set, choice
+        )
+
+    def _preference_s(
+        self,
+        constraints: TargetConstraints,
+        candidate_set: _CandidateSet,
+        choice: SelectedTarget,
+    ) -> float:
+        """Return by how much better a target must be to be chosen.
+
+        Returns:
+            Seconds; 0 for the home that is preferred, and for a target that
+            has the object cached and will keep it.
+        """
+        target_id = choice.target.target_id
         if (
             not constraints.allowed_region_ids
             and self.load_shedding.is_shedding(target_id)
         ):
             # Leaves capacity to requests that may not go elsewhere.
-            preference_s = constraints.route.latency_objective_s
-        elif choice.reason is SelectionReason.LOAD:
-            preference_s = _HOME_PREFERENCE * choice.processing_s
-        elif (
-            choice.reason is SelectionReason.HOME
-            and target_id in candidate_set.second_homes
-        ):
-            preference_s = _HOME_PREFERENCE * choice.processing_s
-        elif (
-            choice.reason is SelectionReason.HOME
-            and target_id in candidate_set.secondary_homes
-        ):
-            preference_s = _SECONDARY_HOME_PREFERENCE * choice.processing_s
-        elif (
-            choice.reason is SelectionReason.CACHED
-            and candidate_set.homes
+            return constraints.route.latency_objective_s
+        if choice.reason is SelectionReason.LOAD:
+            return _HOME_PREFERENCE * choice.processing_s
+        if choice.reason is SelectionReason.HOME:
+            if target_id in candidate_set.second_homes:
+                return _HOME_PREFERENCE * choice.processing_s
+            if target_id in candidate_set.other_remote_homes:
+                return _OTHER_REMOTE_HOME_PREFERENCE * choice.processing_s
+            return 0.0
+        is_away_from_home = (
+            bool(candidate_set.homes)
             and target_id not in candidate_set.homes
             and self._prefers_homes(constraints.route)
-        ):
-            preference_s = _CACHED_HOME_PREFERENCE * choice.processing_s
-        return choice.expected_latency_s + preference_s
+        )
+        if is_away_from_home:
+            return _CACHED_HOME_PREFERENCE * choice.processing_s
+        return 0.0
 
     def _selection_reason(
         self,
@@ -758,29 +760,18 @@
         )
         return sample
 
-    def _home_count(self, home_fraction: float, position: float) -> int:
-        """Return how many homes an object has in a region.
-
-        Args:
-            home_fraction (float): Homes for each object that the region has
-                room for, on average.
-            position (float): Hash of the object, from 0 to 1.
-        """
-        if not self._targets.decides_for_overload:
-            return int(position < home_fraction)
-        if home_fraction < 1.0:
-            return int(position < _SMALL_REGION_SHARE * home_fraction)
-        whole = int(home_fraction)
-        count = whole + (position < home_fraction - whole)
-        return min(count, _MAX_HOMES_PER_REGION)
-
     def _rank_by_region(self, constraints: TargetConstraints) -> _CandidateSet:
         seed = _hash_seed(constraints)
         position = _hash_fraction(seed)
         views_by_region: dict[ids.RegionId, list[target_views.TargetView]] = {}
         for view in self._allowed_views(constraints):
             views_by_region.setdefault(view.region, []).append(view)
-        home_fraction_by_region = _home_fraction_by_region(views_by_region)
+        home_fraction_by_region = object_homes.home_fraction_by_region(
+            {
+                region: sum(view.record.slots for view in region_views)
+                for region, region_views in views_by_region.items()
+            }
+        )
         views: list[target_views.TargetView] = []
         homes: list[target_views.TargetView] = []
         second_homes: list[target_views.TargetView] = []
@@ -788,8 +779,10 @@
         substitutes: tuple[target_views.TargetView, ...] = ()
         for region, region_views in views_by_region.items():
             ranked = rendezvous.rank(seed, region_views, _target_id)
-            home_count = self._home_count(
-                home_fraction_by_region[region], position
+            home_count = object_homes.home_count(
+                home_fraction_by_region[region],
+                position,
+                is_overload=self._targets.decides_for_overload,
             )
             homes += ranked[:home_count]
             second_homes += ranked[1:home_count]
@@ -806,34 +799,19 @@
             for view in homes
             if view.region != self._region and view not in second_homes
         ]
-        secondary_homes = rendezvous.rank(seed, remote_homes, _target_id)[1:]
+        other_remote_homes = rendezvous.rank(seed, remote_homes, _target_id)[
+            1:
+        ]
         return _CandidateSet(
             views,
             frozenset(view.target_id for view in homes),
-            frozenset(view.target_id for view in secondary_homes),
+            frozenset(view.target_id for view in other_remote_homes),
             frozenset(view.target_id for view in second_homes),
             first,
             substitutes,
         )
 
 
-def _home_fraction_by_region(
-    views_by_region: abc.Mapping[
-        ids.RegionId, abc.Sequence[target_views.TargetView]
-    ],
-) -> dict[ids.RegionId, float]:
-    """Return the fraction of the objects that each region has homes for."""
-    slots_by_region = {
-        region: sum(view.record.slots for view in views)
-        for region, views in views_by_region.items()
-    }
-    total_slots = max(1, sum(slots_by_region.values()))
-    factor = _HOME_CAPACITY_FACTOR * len(slots_by_region) / total_slots
-    return {
-        region: factor * slots for region, slots in slots_by_region.items()
-    }
-
-
 def _hash_seed(constraints: TargetConstraints) -> bytes:
     return b"%s\0%s" % (
         constraints.route.prefix.encode(),
