--- a/chicorydoor/coordination/body_reader.py
+++ b/chicorydoor/coordination/body_reader.py
@@ -9,6 +9,7 @@
 
 from chicorydoor.coordination import request_types
 from chicorydoor.protocol import admitted_request
+from chicorydoor.protocol import headers as http_headers
 from chicorydoor.protocol import result_codes
 from chicorydoor.transport import asgi
 from chicorydoor.transport import body_memory
@@ -94,14 +95,7 @@
     Args:
         scope (dict): ASGI scope of the request.
     """
-    length = 0
-    for name, value in scope["headers"]:
-        if name == b"transfer-encoding":
-            return None
-        if name == b"content-length":
-            # The HTTP server has checked that it is a number.
-            length = int(value)
-    return length
+    return http_headers.content_length(scope["headers"])
 
 
 class BodyReader:
--- a/chicorydoor/coordination/target_selection.py
+++ b/chicorydoor/coordination/target_selection.py
@@ -549,8 +549,9 @@
         """Return by how much better a target must be to be chosen.
 
         Returns:
-            Seconds; 0 for the home that is preferred, and for a target that
-            has the object cached and will keep it.
+            Seconds that count as added to its latency: 0 for the home that is
+            preferred and for a target that has the object cached and will
+            keep it, most for one that sheds load.
         """
         target_id = choice.target.target_id
         if (
--- a/chicorydoor/protocol/headers.py
+++ b/chicorydoor/protocol/headers.py
@@ -92,6 +92,25 @@
     return min(int(digits or b"0"), _MAX_WHOLE_NUMBER)
 
 
+def content_length(headers: abc.Iterable[tuple[bytes, bytes]]) -> int | None:
+    """Return the length of a request's body.
+
+    Args:
+        headers (Iterable): Names in lower case, and values. The HTTP parser
+            has checked that a length is a number.
+
+    Returns:
+        Bytes; None if the body is chunked.
+    """
+    length = 0
+    for name, value in headers:
+        if name == b"transfer-encoding":
+            return None
+        if name == b"content-length":
+            length = int(value)
+    return length
+
+
 def filter_request_headers(
     headers: abc.Iterable[tuple[bytes, bytes]],
 ) -> Headers:
--- a/chicorydoor/transport/caller_protocol.py
+++ b/chicorydoor/transport/caller_protocol.py
@@ -18,6 +18,7 @@
 from uvicorn.protocols.http import flow_control
 from uvicorn.protocols.http import httptools_impl
 
+from chicorydoor.protocol import headers as http_headers
 from chicorydoor.transport import asgi
 from chicorydoor.transport import caller_connection
 from chicorydoor.transport import clock as clock_module
@@ -148,13 +149,17 @@
         super().on_message_begin()
 
     def on_headers_complete(self) -> None:
-        """Stop the header timeout."""
+        """Begin a request whose head has been read, or queue it.
+
+        It is refused if there is no memory for it, and begun early if it may
+        run beside the requests before it.
+        """
         if self._repeats_head:
             self._repeats_head = False
             return
         self._is_reading_headers = False
         self._stop_header_timer()
-        length = _content_length(self.headers)
+        length = http_headers.content_length(self.headers)
         if self._connection is not None:
             self._connection.add_to_scope(self.scope)
         asgi.set_read_time(self.scope, _CLOCK.now())
@@ -597,18 +602,6 @@
     cycle.scope.get("extensions", {}).clear()
 
 
-def _content_length(headers: asgi.Headers) -> int | None:
-    """Return the length of a body; None if it is chunked."""
-    length = 0
-    for name, value in headers:
-        if name == b"transfer-encoding":
-            return None
-        if name == b"content-length":
-            # The parser has checked that it is a number.
-            length = int(value)
-    return length
-
-
 def bind_limits(
     limits: abc.Callable[[], ConnectionLimits],
     admit_body: abc.Callable[[asgi.Scope], bool] = lambda scope: True,
