--- a/review/standins-2/harness.py
+++ b/review/standins-2/harness.py
@@ -270,6 +270,7 @@
 
     async def start(self, store):
         listener = socket.socket()
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         listener.bind(("127.0.0.1", 0))
         await self.start_on(store, listener)
 
