--- a/review/standins-2/harness.py
+++ b/review/standins-2/harness.py
@@ -113,6 +113,7 @@
         self.next_lease = 100
 
     async def start(self):
+        """Serve on a free port."""
         self.server = await asyncio.start_server(
             self._serve, "127.0.0.1", 0, limit=2**22
         )
@@ -135,6 +136,7 @@
         self._note(dict(item))
 
     def remove(self, key):
+        """Remove a key if it exists."""
         if self.items.pop(key, None) is not None:
             self.revision += 1
             self._note(
@@ -161,7 +163,7 @@
             while True:
                 first, headers = await read_head(reader)
                 body = await read_body(reader, headers)
-                method, target, _ = first.split(" ")
+                target = first.split(" ")[1]
                 path, _, query = target.partition("?")
                 query = dict(urllib.parse.parse_qsl(query))
                 status, answer = await self._answer(path, query, body)
@@ -269,6 +271,7 @@
         self.stream_limit = 2**20
 
     async def start(self, store):
+        """Serve on a free port, and register at the store."""
         listener = socket.socket()
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         listener.bind(("127.0.0.1", 0))
@@ -286,6 +289,7 @@
         self.beat = asyncio.create_task(self._beat())
 
     def register(self, state="ready"):
+        """Write the entry in the store."""
         self.sequence += 1
         self.store.put(
             f"servers/{self.name}",
@@ -479,9 +483,10 @@
         )
 
     async def start(self, max_fds=None):
-        command = tomllib.loads(
-            (ROOT / "deploy/system.toml").read_text()
-        )["roles"]["entry"]["run"].split()
+        """Start the process, with a limit on its descriptors if given."""
+        command = tomllib.loads((ROOT / "deploy/system.toml").read_text())[
+            "roles"
+        ]["entry"]["run"].split()
         environment = {
             name: os.environ[name]
             for name in ("PATH", "HOME", "LANG")
@@ -508,6 +513,7 @@
             )
 
     def signal(self, number):
+        """Send a signal if the process runs."""
         if self.process and self.process.returncode is None:
             self.process.send_signal(number)
 
@@ -520,6 +526,7 @@
         return None
 
     async def is_ready(self, timeout_s=1.0):
+        """Whether the readiness check answers 200."""
         answer = await exchange(
             self.ready,
             b"GET /readiness HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n",
@@ -528,6 +535,7 @@
         return answer is not None and answer.status == 200
 
     async def wait_until_ready(self, timeout_s=20.0):
+        """Wait for the readiness check."""
         ends = time.monotonic() + timeout_s
         while time.monotonic() < ends:
             if await self.is_ready():
@@ -563,6 +571,7 @@
 
 
 async def read_answer(reader):
+    """Read an answer with a length or in chunks."""
     first, headers = await read_head(reader)
     body = await read_body(reader, headers)
     return Answer(int(first.split(" ")[1]), headers, body)
@@ -632,10 +641,14 @@
     async def run():
         record = Record(folder)
         record.say(f"trouble: {'on' if has_trouble() else 'off'}")
+        task = asyncio.current_task()
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, task.cancel)
         try:
             async with asyncio.timeout(limit_s):
                 broken = await check(record)
-        except Exception as error:
+        except (Exception, asyncio.CancelledError) as error:
             record.say(f"could not run: {error!r}")
             return 2
         record.say("rule broken" if broken else "rule held")
