Bound what connections receive before it is read

What callers saw: 240 connections that send bodies of 8 MiB take an entry with a limit of 160 MB to 340 MB as the platform counts it, which ends such a process; on the ports for callers, relayed requests, look-ups, readiness and metrics alike.

Cause: bytes that a process has received and not read count as its memory. The kernel gives a connection that is read quickly a receive buffer of some megabytes, which it keeps while its body waits for memory; connections that wait for their turn have 64 KB each.

Change: connections of callers and peers begin with a receive buffer of 4 KiB, those to targets with 32 KiB. It is enlarged while memory is reserved for what arrives, and small again after that.

--- a/chicorydoor/coordination/body_reader.py
+++ b/chicorydoor/coordination/body_reader.py
@@ -13,6 +13,7 @@
 from chicorydoor.protocol import result_codes
 from chicorydoor.transport import asgi
 from chicorydoor.transport import body_memory
+from chicorydoor.transport import caller_connection
 from chicorydoor.transport import clock as clock_module
 
 # Part of the time left that a body may wait for memory. Callers that are not
@@ -27,6 +28,9 @@
 _FIRST_STEP_BYTES = 1024 * 1024
 
 _CODES = result_codes.ResultCode
+# Lets a body without a length arrive while less than a step is left of its
+# reservation.
+_STEP_BUFFER_BYTES = 64 * 1024
 # Key of what ``BodyReader.admit`` reserved in the extensions of an ASGI scope.
 _RESERVATION = "chicorydoor.body_reservation"
 
@@ -134,6 +138,8 @@
             )
         else:
             reservation = self._try_reserve(length)
+            if reservation is not None:
+                _enlarge_receive_buffer(scope, length)
         if reservation is None and _is_large(length):
             reservation = self._memory.beginnings.try_reserve(
                 body_memory.BEGINNING_BYTES
@@ -172,7 +178,7 @@
         try:
             async with asyncio.timeout(max(0.0, deadline - self._clock.now())):
                 await self._read_into(
-                    body, receive, length, max_bytes, deadline
+                    body, scope, receive, max_bytes, deadline
                 )
         except TimeoutError as error:
             body.release()
@@ -187,11 +193,12 @@
     async def _read_into(
         self,
         body: Body,
+        scope: asgi.Scope,
         receive: asgi.Receive,
-        length: int | None,
         max_bytes: int,
         deadline: float,
     ) -> None:
+        length = body_length(scope)
         size = 0
         # All at once, it would hold up the other requests.
         digest = hashlib.blake2b(
@@ -201,6 +208,7 @@
         if length is not None and reserved != length:
             await self._reserve(body, length, deadline)
             reserved = length
+            _enlarge_receive_buffer(scope, length)
             # The memory for its beginning.
             body.reservations[0].release()
         while True:
@@ -217,6 +225,7 @@
                 )
                 await self._reserve(body, step, deadline)
                 reserved += step
+                _enlarge_receive_buffer(scope, _STEP_BUFFER_BYTES)
             if chunk:
                 body.chunks.append(chunk)
                 if _is_large(length):
@@ -270,6 +279,13 @@
         )
 
 
+def _enlarge_receive_buffer(scope: asgi.Scope, reserved_bytes: int) -> None:
+    """Let as much of a body arrive as memory is reserved for."""
+    connection = caller_connection.find_in_scope(scope)
+    if connection is not None:
+        connection.receive_buffer.enlarge(reserved_bytes)
+
+
 def _is_large(length: int | None) -> bool:
     """Whether a body is large; one of unknown length may be."""
     return length is None or length > body_memory.SMALL_BODY_BYTES
--- a/chicorydoor/fleet_entry.py
+++ b/chicorydoor/fleet_entry.py
@@ -27,6 +27,7 @@
 from chicorydoor.transport import http_server
 from chicorydoor.transport import nng_transport
 from chicorydoor.transport import port_binding
+from chicorydoor.transport import receive_buffer
 
 _LOG = logging.getLogger(__name__)
 
@@ -215,6 +216,7 @@
                 scope["server"][1] == callers_port
                 and components.call_app.may_run_early(scope)
             ),
+            receive_buffer_bytes=receive_buffer.CALLER_BYTES,
         )
 
     def _make_relay_server(
@@ -231,6 +233,7 @@
             limits=limits,
             admit_body=components.bodies.admit,
             memory=components.connection_memory,
+            receive_buffer_bytes=receive_buffer.CALLER_BYTES,
         )
 
     async def _drain_and_close(
--- a/chicorydoor/standins/platform_target.py
+++ b/chicorydoor/standins/platform_target.py
@@ -47,6 +47,9 @@
         domain (str): Its failure domain.
         work_s (float): Processing time of a request. Defaults to 0.02.
         slots (int): Concurrent requests that it registers. Defaults to 8.
+
+    Attributes:
+        response_body (callable): Returns the response body for a request id.
     """
 
     def __init__(
@@ -62,6 +65,7 @@
         self._domain = domain
         self._work_s = work_s
         self._slots = slots
+        self.response_body = response_body
         self.running = 0
         self._sequence = 0
         self.executions: list[Execution] = []
@@ -156,5 +160,5 @@
             (names.response_signature, b"stand-in"),
             (names.target_load, load),
         ]
-        body = response_body(request_id.decode())
+        body = self.response_body(request_id.decode())
         await asgi.send_response(send, 200, headers, body.encode())
--- a/chicorydoor/transport/buffered_connection.py
+++ b/chicorydoor/transport/buffered_connection.py
@@ -21,6 +21,7 @@
 from chicorydoor.protocol import headers as http_headers
 from chicorydoor.transport import body_memory
 from chicorydoor.transport import clock as clock_module
+from chicorydoor.transport import receive_buffer
 from chicorydoor.transport import response_limits
 
 Headers = list[tuple[bytes, bytes]]
@@ -131,6 +132,7 @@
         self._request_id_header = request_id_header
         self._response_memory = response_memory
         self._memory_wait: asyncio.Task[None] | None = None
+        self._receive_buffer: receive_buffer.ReceiveBuffer | None = None
         self._on_unusable = on_unusable
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpResponseParser(self)
@@ -155,6 +157,13 @@
         tcp_socket = transport.get_extra_info("socket")
         if tcp_socket is not None:
             _set_dead_peer_detection(tcp_socket)
+            if self._response_memory is not None:
+                self._bound_receive_buffer(tcp_socket)
+
+    def _bound_receive_buffer(self, tcp_socket: socket.socket) -> None:
+        size = receive_buffer.TARGET_BYTES
+        receive_buffer.set_size(tcp_socket, size)
+        self._receive_buffer = receive_buffer.ReceiveBuffer(tcp_socket, size)
 
     def data_received(self, data: bytes) -> None:
         """Parse response data; unsolicited data closes the connection."""
@@ -245,7 +254,9 @@
         response = self._response
         size = min(response.memory_size, self._response_memory.capacity)
         response.reservation = self._response_memory.try_reserve(size)
-        if response.reservation is None and self._transport is not None:
+        if response.reservation is not None:
+            self._enlarge_receive_buffer(size)
+        elif self._transport is not None:
             self._transport.pause_reading()
             self._memory_wait = asyncio.get_running_loop().create_task(
                 self._wait_for_memory(self._response_memory, size)
@@ -258,8 +269,13 @@
         response.reservation = await memory.reserve(size, None)
         self._memory_wait = None
         if self._transport is not None and not self._transport.is_closing():
+            self._enlarge_receive_buffer(size)
             self._transport.resume_reading()
 
+    def _enlarge_receive_buffer(self, reserved_bytes: int) -> None:
+        if self._receive_buffer is not None:
+            self._receive_buffer.enlarge(reserved_bytes)
+
     def on_message_complete(self) -> None:
         """Deliver the response, unless it is an informational one."""
         if self._parser.get_status_code() in _INFORMATIONAL_STATUSES:
@@ -402,6 +418,8 @@
             self._stop_waiting_for_memory()
             if not self._is_reusable:
                 self.abort()
+            elif self._receive_buffer is not None:
+                self._receive_buffer.reset()
 
     def _stop_waiting_for_memory(self) -> None:
         """Give up a wait whose response has failed or is complete."""
--- a/chicorydoor/transport/caller_connection.py
+++ b/chicorydoor/transport/caller_connection.py
@@ -9,6 +9,7 @@
 import termios
 
 from chicorydoor.transport import asgi
+from chicorydoor.transport import receive_buffer
 
 # Key of the connection in the extensions of an ASGI scope.
 _EXTENSION = "chicorydoor.caller_connection"
@@ -47,6 +48,11 @@
         drain (callable): Waits until little of what was written remains.
         waiting_requests (Sized): The requests that were read and wait for
             the responses to earlier ones. Defaults to none.
+        receive_buffer_bytes (int): Size of its receive buffer while no memory
+            is reserved for a body. Defaults to 0: the kernel decides.
+
+    Attributes:
+        receive_buffer (ReceiveBuffer): Its receive buffer.
     """
 
     def __init__(
@@ -54,12 +60,17 @@
         transport: asyncio.Transport,
         drain: abc.Callable[[], abc.Awaitable[None]],
         waiting_requests: abc.Sized = (),
+        receive_buffer_bytes: int = 0,
     ) -> None:
         self._transport = transport
         self._drain = drain
         self._waiting_requests = waiting_requests
         self._poll = select.poll()
-        descriptor = transport.get_extra_info("socket").fileno()
+        tcp_socket = transport.get_extra_info("socket")
+        self.receive_buffer = receive_buffer.ReceiveBuffer(
+            tcp_socket, receive_buffer_bytes
+        )
+        descriptor = tcp_socket.fileno()
         # Errors and resets are always reported too.
         self._poll.register(descriptor, select.POLLRDHUP)
 
--- a/chicorydoor/transport/caller_protocol.py
+++ b/chicorydoor/transport/caller_protocol.py
@@ -101,7 +101,7 @@
 class CallerProtocol(httptools_impl.HttpToolsProtocol):
     """uvicorn's HTTP protocol with limits.
 
-    ``bind_limits`` creates a subclass that sets the first five attributes.
+    ``bind_limits`` creates a subclass that sets the first six attributes.
     """
 
     limits: abc.Callable[[], ConnectionLimits]
@@ -109,6 +109,7 @@
     streams_bodies: bool
     memory: connection_memory.ConnectionMemory
     may_run_early: abc.Callable[[asgi.Scope], bool]
+    receive_buffer_bytes: int
     _drops_body = False
     _is_reading_headers = False
     _header_timer: asyncio.TimerHandle | None = None
@@ -137,7 +138,10 @@
         ] = {}
         self._unfinished_cycles: list[httptools_impl.RequestResponseCycle] = []
         self._connection = caller_connection.CallerConnection(
-            stream, self.flow.drain, self.pipeline
+            stream,
+            self.flow.drain,
+            self.pipeline,
+            self.receive_buffer_bytes,
         )
 
     def on_message_begin(self) -> None:
@@ -225,6 +229,8 @@
             if cycle.response_complete:
                 cycle.body = bytearray()
                 self._size_by_cycle.pop(cycle, None)
+        if self._connection is not None and self.cycle.response_complete:
+            self._connection.receive_buffer.reset()
         self.timeout_keep_alive = self.limits().idle_timeout_s
         super().on_response_complete()
         self._parse_unparsed()
@@ -608,6 +614,7 @@
     streams_bodies: bool = False,
     memory: connection_memory.ConnectionMemory | None = None,
     may_run_early: abc.Callable[[asgi.Scope], bool] = lambda scope: False,
+    receive_buffer_bytes: int = 0,
 ) -> type[CallerProtocol]:
     """Return a protocol class bound to a source of limits.
 
@@ -623,6 +630,9 @@
         may_run_early (callable): Called with the scope of a request that was
             read before earlier ones were answered; returns whether it may run
             beside them. Its caller may send it again. Defaults to never.
+        receive_buffer_bytes (int): Size of a connection's receive buffer
+            while no memory is reserved for a body. Defaults to 0: the kernel
+            decides.
     """
     attributes = {
         "limits": staticmethod(limits),
@@ -630,5 +640,6 @@
         "streams_bodies": streams_bodies,
         "memory": memory or connection_memory.ConnectionMemory(),
         "may_run_early": staticmethod(may_run_early),
+        "receive_buffer_bytes": receive_buffer_bytes,
     }
     return type("LimitedProtocol", (CallerProtocol,), attributes)
--- a/chicorydoor/transport/http_server.py
+++ b/chicorydoor/transport/http_server.py
@@ -16,6 +16,7 @@
 from chicorydoor.transport import asgi
 from chicorydoor.transport import caller_protocol
 from chicorydoor.transport import connection_memory
+from chicorydoor.transport import receive_buffer
 
 _LISTEN_BACKLOG = 1024
 # Bounds the length of a turn of the event loop.
@@ -198,6 +199,9 @@
         may_run_early (callable): Whether a pipelined request may run beside
             those before it, see ``caller_protocol.bind_limits``. Defaults to
             never.
+        receive_buffer_bytes (int): Size of a connection's receive buffer
+            while no memory is reserved for a body. Defaults to 0: the kernel
+            decides.
 
     Raises:
         OSError: If the first socket cannot be bound.
@@ -215,12 +219,14 @@
         streams_bodies: bool = False,
         memory: connection_memory.ConnectionMemory | None = None,
         may_run_early: abc.Callable[[asgi.Scope], bool] = lambda scope: False,
+        receive_buffer_bytes: int = 0,
     ) -> None:
+        self._receive_buffer_bytes = receive_buffer_bytes
         self._sockets: list[socket.socket] = []
         self.address = address or ""
         self.port = port
         if address is not None:
-            self._sockets.append(bind_tcp_socket(address, port))
+            self._sockets.append(self._bind(address, port))
             self.port = self._sockets[0].getsockname()[1]
         config = uvicorn.Config(
             app,
@@ -230,6 +236,7 @@
                 streams_bodies,
                 memory or connection_memory.ConnectionMemory(),
                 may_run_early,
+                receive_buffer_bytes,
             ),
             interface="asgi3",
             proxy_headers=False,
@@ -279,9 +286,16 @@
             OSError: If it cannot be bound.
         """
         host, _, port = endpoint.rpartition(":")
-        listener = bind_tcp_socket(host, int(port))
+        listener = self._bind(host, int(port))
         self._listeners.append(_Listener(listener, self._make_protocol))
 
+    def _bind(self, address: str, port: int) -> socket.socket:
+        listener = bind_tcp_socket(address, port)
+        if self._receive_buffer_bytes:
+            # Connections have it from their beginning, accepted or not.
+            receive_buffer.set_size(listener, self._receive_buffer_bytes)
+        return listener
+
     def close_connections_after_responses(self) -> None:
         """Add ``connection: close`` to every further response."""
         headers = [(b"connection", b"close")]
