Leave what the program takes out of the memory for bodies

What callers saw: large bodies, small ones and chunked ones that stop short of their end, beside callers that do not take responses of 2 MiB, take an entry with a limit of 160 MB over it, 132 to 168 MB of them resident.

Cause: each kind of body had a share of the limit, 0.7 in sum with connections, whatever the program itself takes (51 MB here). A response was held twice while its caller took it, by the handler and by the connection.

Change: large bodies, their beginnings and large responses share what the program leaves of 72% of the limit, each up to its share as before; room for one response of the largest size stays free for requests at work. The program is measured as resident memory less what bodies and connections hold; memory that was freed is returned to the system first. The handler drops a body that the connection has. The sum now follows the program, so that it stays within the limit however the kinds are mixed.

--- a/chicorydoor/compose_fleet.py
+++ b/chicorydoor/compose_fleet.py
@@ -154,7 +154,9 @@
             settings.memory_limit_bytes
         )
         self._process_memory = process_memory.ProcessMemory(
-            settings.memory_limit_bytes, self.body_memory
+            settings.memory_limit_bytes,
+            self.body_memory,
+            self.connection_memory,
         )
         own_registration = fleet_view.Registration(
             instance=settings.instance,
--- a/chicorydoor/coordination/call_app.py
+++ b/chicorydoor/coordination/call_app.py
@@ -233,6 +233,8 @@
         try:
             answer = await self._run_request(body)
             await self._send_target_answer(answer)
+            # The connection holds it until its caller has taken it.
+            answer.body = b""
         finally:
             watcher.cancel()
             body.release()
--- a/chicorydoor/transport/body_memory.py
+++ b/chicorydoor/transport/body_memory.py
@@ -7,6 +7,9 @@
 ones that wait, and large bodies of responses. Room for a response is there
 even while bodies of requests wait: a request that was sent to a target has to
 be answered.
+
+All parts but the first share what the program itself leaves of the memory, so
+that their sum stays within the limit however much the program takes.
 """
 
 import asyncio
@@ -24,12 +27,19 @@
 BEGINNING_BYTES = 320 * 1024
 # Bodies of requests that may wait for memory. Their beginnings are held.
 _MAX_WAITING_REQUESTS = 32
-# Parts of the memory limit. The rest is for the program itself, its
-# configuration, connections, and memory that was freed in pieces.
+# Parts of the memory limit that each kind of body takes at most.
 _LARGE_REQUEST_SHARE = 0.35
 _RESPONSE_SHARE = 0.15
 _SMALL_REQUEST_SHARE = 0.05
 _BEGINNINGS_SHARE = 0.05
+# Part of the limit that the program, large bodies, and their beginnings take
+# together. The rest is for small bodies, callers' connections
+# (``connection_memory``), what these received and was not read, and memory
+# that was freed in pieces.
+_SHARED_SHARE = 0.72
+# Requests leave room for one response, so that those at work are answered: the
+# largest that is read from a target.
+_RESPONSE_RESERVE_BYTES = 8 * 1024 * 1024
 # Taken where the platform names no limit.
 _DEFAULT_LIMIT_BYTES = 512_000_000
 
@@ -57,6 +67,51 @@
         self.release()
 
 
+class SharedMemory:
+    """Memory that several parts and the program take together.
+
+    Args:
+        capacity (int): Bytes.
+
+    Attributes:
+        parts (list): The parts that share it.
+    """
+
+    def __init__(self, capacity: int) -> None:
+        self._capacity = capacity
+        self._program_bytes = 0
+        self.parts: list[MemoryPart] = []
+
+    def set_program_bytes(self, program_bytes: int) -> None:
+        """Set how much the program takes beside the parts.
+
+        Args:
+            program_bytes (int): Bytes.
+        """
+        self._program_bytes = program_bytes
+        self.admit_waiting()
+
+    def free_for(self, part: "MemoryPart") -> int:
+        """Return how much a part may take in all, by what others leave it.
+
+        Args:
+            part (MemoryPart): One of the parts.
+        """
+        others = sum(
+            max(each.used, each.guaranteed)
+            for each in self.parts
+            if each is not part
+        )
+        return max(
+            part.guaranteed, self._capacity - self._program_bytes - others
+        )
+
+    def admit_waiting(self) -> None:
+        """Give free memory to the bodies that wait for it, in any part."""
+        for part in self.parts:
+            part.admit_waiting()
+
+
 class MemoryPart:
     """Memory for bodies of one kind, given out in the order of asking.
 
@@ -64,12 +119,26 @@
         name (str): Label of its metrics.
         capacity (int): Bytes that may be in use at once.
         max_waiting (float): Number of bodies that may wait at once.
+        shared (SharedMemory): Memory that it takes from, with other parts.
+            Defaults to None: it has memory of its own.
+        guaranteed (int): Bytes that other parts leave to it. Defaults to 0.
     """
 
-    def __init__(self, name: str, capacity: int, max_waiting: float) -> None:
+    def __init__(
+        self,
+        name: str,
+        capacity: int,
+        max_waiting: float,
+        shared: SharedMemory | None = None,
+        guaranteed: int = 0,
+    ) -> None:
         self.name = name
         self.capacity = capacity
+        self.guaranteed = guaranteed
         self.used = 0
+        self._shared = shared
+        if shared is not None:
+            shared.parts.append(self)
         self._max_waiting = max_waiting
         self._waiting: collections.OrderedDict[asyncio.Future[None], int] = (
             collections.OrderedDict()
@@ -127,15 +196,21 @@
         finally:
             if self._waiting.pop(turn, None) is not None:
                 # Smaller ones behind it may fit.
-                self._admit_waiting()
+                self.admit_waiting()
 
     def give_back(self, size: int) -> None:
         """Free memory for the bodies that wait."""
         self._set_used(self.used - size)
-        self._admit_waiting()
+        if self._shared is None:
+            self.admit_waiting()
+        else:
+            self._shared.admit_waiting()
 
     def _fits(self, size: int) -> bool:
-        return self.used + size <= self.capacity
+        free = self.capacity
+        if self._shared is not None:
+            free = min(free, self._shared.free_for(self))
+        return self.used + size <= free
 
     def _reserve(self, size: int) -> Reservation:
         self._set_used(self.used + size)
@@ -145,7 +220,8 @@
         self.used = used
         self._used_gauge.set(used)
 
-    def _admit_waiting(self) -> None:
+    def admit_waiting(self) -> None:
+        """Give free memory to the bodies that wait for it."""
         while self._waiting:
             turn, size = next(iter(self._waiting.items()))
             if not self._fits(size):
@@ -168,10 +244,12 @@
         self.small_requests = MemoryPart(
             "small-requests", int(limit_bytes * _SMALL_REQUEST_SHARE), 0
         )
+        self._shared = SharedMemory(int(limit_bytes * _SHARED_SHARE))
         self.large_requests = MemoryPart(
             "large-requests",
             int(limit_bytes * _LARGE_REQUEST_SHARE),
             _MAX_WAITING_REQUESTS,
+            self._shared,
         )
         self.beginnings = MemoryPart(
             "beginnings",
@@ -180,11 +258,25 @@
                 int(limit_bytes * _BEGINNINGS_SHARE),
             ),
             0,
+            self._shared,
         )
+        response_capacity = int(limit_bytes * _RESPONSE_SHARE)
         self.responses = MemoryPart(
-            "responses", int(limit_bytes * _RESPONSE_SHARE), math.inf
+            "responses",
+            response_capacity,
+            math.inf,
+            self._shared,
+            min(response_capacity, _RESPONSE_RESERVE_BYTES),
         )
 
+    def set_program_bytes(self, program_bytes: int) -> None:
+        """Set how much of the limit the program takes beside bodies.
+
+        Args:
+            program_bytes (int): Bytes.
+        """
+        self._shared.set_program_bytes(program_bytes)
+
     @property
     def parts(self) -> tuple[MemoryPart, ...]:
         """All parts."""
--- a/tests/test_body_memory.py
+++ b/tests/test_body_memory.py
@@ -22,8 +22,10 @@
 from chicorydoor.transport import body_memory
 from chicorydoor.transport import buffered_connection
 from chicorydoor.transport import clock as clock_module
+from chicorydoor.transport import connection_memory
 from chicorydoor.transport import http_server
 from chicorydoor.transport import metrics
+from chicorydoor.transport import process_memory
 from tests.support import platform_cluster
 
 _MB = 1_000_000
@@ -171,6 +173,90 @@
         capacity = sum(part.capacity for part in memory.parts)
         assert capacity <= 0.6 * limit_mb * _MB
 
+    # Guards against shares that fit beside a small program only.
+    def test_large_program_leaves_less_to_bodies(self):
+        memory = body_memory.BodyMemory(200 * _MB)
+        memory.set_program_bytes(120 * _MB)
+        assert memory.large_requests.try_reserve(20 * _MB) is None
+        kept = memory.large_requests.try_reserve(14 * _MB)
+        assert kept is not None
+        memory.set_program_bytes(60 * _MB)
+        assert memory.large_requests.try_reserve(20 * _MB) is not None
+
+    # Guards against requests at work whose response finds no memory.
+    def test_large_program_leaves_room_for_a_response(self):
+        memory = body_memory.BodyMemory(200 * _MB)
+        memory.set_program_bytes(300 * _MB)
+        assert memory.large_requests.try_reserve(1) is None
+        kept = memory.responses.try_reserve(8 * 1024 * 1024)
+        assert kept is not None
+        assert memory.responses.try_reserve(1) is None
+
+    def test_small_bodies_have_memory_of_their_own(self):
+        memory = body_memory.BodyMemory(200 * _MB)
+        memory.set_program_bytes(300 * _MB)
+        assert memory.small_requests.try_reserve(8 * _MB) is not None
+
+    # Guards against bodies that wait until a body of their own kind ends.
+    def test_memory_of_one_part_is_given_to_those_that_wait_in_another(self):
+        async def run():
+            memory = body_memory.BodyMemory(200 * _MB)
+            memory.set_program_bytes(60 * _MB)
+            bodies = memory.large_requests.try_reserve(70 * _MB)
+            waiting = asyncio.create_task(
+                memory.responses.reserve(15 * _MB, None)
+            )
+            await asyncio.sleep(0)
+            assert not waiting.done()
+            bodies.release()
+            assert (await waiting).size == 15 * _MB
+
+        asyncio.run(run())
+
+
+class TestProcessMemory:
+    LIMIT = 200 * _MB
+
+    def _build(self, monkeypatch, bodies, resident_mb):
+        """The memory of a process that has these sizes one after another."""
+        monkeypatch.setattr(
+            process_memory, "resident_bytes", lambda: resident_mb.pop(0) * _MB
+        )
+        return process_memory.ProcessMemory(
+            self.LIMIT,
+            bodies,
+            connection_memory.ConnectionMemory(self.LIMIT),
+        )
+
+    # Of 144 MB, 8.4 MB stay free for a response.
+    def _has_room(self, bodies, size_mb):
+        return bodies.large_requests.try_reserve(size_mb * _MB) is not None
+
+    def test_program_is_left_out(self, monkeypatch):
+        bodies = body_memory.BodyMemory(self.LIMIT)
+        self._build(monkeypatch, bodies, [100]).check()
+        assert self._has_room(bodies, 35)
+        assert not self._has_room(bodies, 36)
+
+    # Guards against a program that seems small while bodies have memory that
+    # they do not take yet.
+    def test_reserved_memory_does_not_hide_the_program(self, monkeypatch):
+        bodies = body_memory.BodyMemory(self.LIMIT)
+        memory = self._build(monkeypatch, bodies, [100, 100])
+        memory.check()
+        held = bodies.large_requests.try_reserve(30 * _MB)
+        memory.check()
+        assert not self._has_room(bodies, 6)
+        held.release()
+
+    # Guards against freed memory that counts as the program's.
+    def test_freed_memory_is_returned_first(self, monkeypatch):
+        bodies = body_memory.BodyMemory(self.LIMIT)
+        memory = self._build(monkeypatch, bodies, [80, 120, 82])
+        memory.check()
+        memory.check()
+        assert self._has_room(bodies, 53)
+
 
 class TestBodyReader:
     LIMIT = 10 * _MB
