Move the TCP listener to a module of its own

The peers' port is to accept connections like the HTTP ports do. Only moved and renamed, but for the part of the descriptors that a listener leaves to others, which its owner can set; tests/test_http_server.py passes, its two replaced functions now in the new module.

--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -14,6 +14,7 @@
 import uvloop
 
 from chicorydoor.transport import http_server
+from chicorydoor.transport import tcp_listener
 
 _REQUEST = b"GET / HTTP/1.1\r\nhost: a\r\n\r\n"
 
@@ -101,7 +102,7 @@
 
             with monkeypatch.context() as patch:
                 patch.setattr(socket.socket, "accept", accept)
-                patch.setattr(http_server.select, "poll", _ReadablePoll)
+                patch.setattr(tcp_listener.select, "poll", _ReadablePoll)
                 await server.stop()
             assert polls
 
@@ -111,7 +112,7 @@
     # Guards against a stop that fails in an entry with many descriptors: a
     # port that is bound late may have a number of 1024 or more.
     def test_port_with_a_large_descriptor_is_closed(self, monkeypatch):
-        bind = http_server.bind_tcp_socket
+        bind = tcp_listener.bind_tcp_socket
 
         def bind_to_large_descriptor(address, port):
             with bind(address, port) as listener:
@@ -119,7 +120,7 @@
             return socket.socket(fileno=number)
 
         monkeypatch.setattr(
-            http_server, "bind_tcp_socket", bind_to_large_descriptor
+            tcp_listener, "bind_tcp_socket", bind_to_large_descriptor
         )
 
         async def scenario():
