Bound what messages on the peers' port take

What was seen: 60 connections to the peers' port that send messages of 4 MiB, whole or without their last byte, take an entry with a limit of 160 MB to 371 MB. The platform lets no caller reach this port, but a fault of another machine would end entries.

Cause: nng's receiver takes the announced size of a message when it begins, on any number of connections, and keeps 64 complete ones besides. It has no option that bounds their sum, and does not show what a connection holds.

Change: the port is read by a listener of our own, in the framing that nng's sockets use; peers, earlier builds too, send with pynng as before. Messages that have begun take a twentieth of the memory limit; beyond that the connection that holds most is closed. So neither number nor size of the messages sets the memory.

--- a/chicorydoor/fleet_entry.py
+++ b/chicorydoor/fleet_entry.py
@@ -87,7 +87,9 @@
         """Serve until stopped."""
         settings = self._settings
         store = kv_store.KeyValueStore(settings.store)
-        link = nng_transport.NngPeerTransport(None, _MAX_MESSAGE_BYTES)
+        link = nng_transport.NngPeerTransport(
+            None, _MAX_MESSAGE_BYTES, settings.memory_limit_bytes
+        )
         components = compose_fleet.FleetComponents(
             settings=settings,
             store=store,
@@ -118,8 +120,6 @@
             tasks.cancel()
             await asyncio.gather(tasks, return_exceptions=True)
             await self._ports.close()
-            # A pynng call that is cancelled just as it completes continues;
-            # only closing its socket ends it.
             await link.close()
         try:
             await components.registration.withdraw()
--- a/chicorydoor/transport/nng_transport.py
+++ b/chicorydoor/transport/nng_transport.py
@@ -1,4 +1,4 @@
-"""Transport of peer messages over pynng push and pull sockets.
+"""Transport of peer messages: pynng push sockets to a ``PeerListener``.
 
 Each entry has one listening socket, and one sending socket per peer. Sockets
 are used without waiting: a task per message costs several times as much
@@ -9,12 +9,13 @@
 
 import asyncio
 import collections
-import contextlib
 import logging
 import typing
 
 import pynng
 
+from chicorydoor.transport import peer_listener
+
 # Messages that wait longer than this are dropped, with those behind them.
 _SEND_TIMEOUT_S = 1.0
 _MAX_QUEUED_MESSAGES = 4096
@@ -22,15 +23,10 @@
 _SENDER_IDLE_LIMIT_S = 60.0
 # Interval at which queued messages are tried again.
 _RETRY_INTERVAL_S = 0.02
-# Messages that are received before other events are handled: more than the
-# peers of a large region send during a long turn of the event loop.
-_MAX_RECEIVED_AT_ONCE = 2048
-# After this long without receiving, messages wait in the peers' connections.
-# nng fetches the next one of a connection in a thread of its own, only after
-# the previous one was received.
-_BUSY_AFTER_S = 0.05
-# Time that nng gets to fetch a message that waits; its smallest unit.
-_FETCH_TIMEOUT_MS = 1
+# Part of the memory limit of the process for messages that have begun.
+_MEMORY_SHARE = 0.05
+# Taken where the platform names no limit.
+_DEFAULT_LIMIT_BYTES = 512_000_000
 
 _LOG = logging.getLogger(__name__)
 
@@ -116,27 +112,30 @@
         address (str): ``ip:port`` to listen on; port 0 lets the kernel
             choose. With None it receives nothing until ``listen`` is called.
         max_message_bytes (int): Maximum size of a received message.
+        limit_bytes (int): Memory that the process may use; 0 if the platform
+            names no limit. Defaults to 0.
 
     Raises:
         OSError: If the address cannot be bound.
     """
 
-    def __init__(self, address: str | None, max_message_bytes: int) -> None:
+    def __init__(
+        self,
+        address: str | None,
+        max_message_bytes: int,
+        limit_bytes: int = 0,
+    ) -> None:
         self._loop = asyncio.get_running_loop()
-        self._socket = pynng.Pull0(
-            recv_max_size=max_message_bytes,
-            recv_buffer_size=_SOCKET_BUFFER_MESSAGES,
-            recv_timeout=_FETCH_TIMEOUT_MS,
+        self._received: asyncio.Queue[bytes] = asyncio.Queue()
+        self._listener = peer_listener.PeerListener(
+            max_message_bytes,
+            int((limit_bytes or _DEFAULT_LIMIT_BYTES) * _MEMORY_SHARE),
+            self._received.put_nowait,
         )
         self.address = ""
         if address is not None:
             self.listen(address)
         self._sender_by_address: dict[str, _Sender] = {}
-        self._received: asyncio.Queue[bytes] = asyncio.Queue()
-        self._read_at = self._loop.time()
-        # The descriptor is readable while a message can be received.
-        self._receive_fd = self._socket.recv_fd
-        self._loop.add_reader(self._receive_fd, self._read_messages)
         self._idle_check = self._loop.call_later(
             _SENDER_IDLE_LIMIT_S, self._close_idle_senders
         )
@@ -150,26 +149,7 @@
         Raises:
             OSError: If it cannot be bound.
         """
-        try:
-            listener = self._socket.listen(f"tcp://{address}")
-        except pynng.exceptions.NNGException as error:
-            raise OSError(f"{error}") from error
-        self.address = str(listener.local_address).removeprefix("tcp://")
-
-    def _read_messages(self) -> None:
-        """Move messages from the socket to a queue.
-
-        A busy event loop calls this seldom. It then waits for nng to fetch
-        what has arrived meanwhile, instead of receiving one message of each
-        peer in a turn.
-        """
-        was_busy = self._loop.time() - self._read_at > _BUSY_AFTER_S
-        with contextlib.suppress(
-            pynng.exceptions.TryAgain, pynng.exceptions.Timeout
-        ):
-            for _ in range(_MAX_RECEIVED_AT_ONCE):
-                self._received.put_nowait(self._socket.recv(block=was_busy))
-        self._read_at = self._loop.time()
+        self.address = self._listener.listen(address)
 
     def send(self, address: str, data: bytes) -> None:
         """Send a message to an address, or queue it."""
@@ -205,8 +185,7 @@
     async def close(self) -> None:
         """Close all sockets."""
         self._idle_check.cancel()
-        self._loop.remove_reader(self._receive_fd)
         for sender in self._sender_by_address.values():
             sender.close()
         self._sender_by_address.clear()
-        self._socket.close()
+        await self._listener.close()
--- a/chicorydoor/transport/tcp_listener.py
+++ b/chicorydoor/transport/tcp_listener.py
@@ -116,6 +116,10 @@
     def _serve_next(self) -> None:
         connection, _ = self._listener.accept()
         connection.setblocking(False)
+        self._start(connection)
+
+    def _start(self, connection: socket.socket) -> None:
+        """Begin to serve a connection; subclasses may do without a task."""
         task = self._loop.create_task(self._serve(connection))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
--- a/tests/test_nng_transport.py
+++ b/tests/test_nng_transport.py
@@ -48,7 +48,9 @@
             writer.write(b"GET / HTTP/1.1\r\n\r\n" * 100)
             await writer.drain()
             writer.close()
-            with pynng.Push0(dial=f"tcp://{second.address}") as raw:
+            with pynng.Push0(
+                dial=f"tcp://{second.address}", block_on_dial=False
+            ) as raw:
                 await raw.asend(b"x" * (_MESSAGE_LIMIT_BYTES + 1))
             first.send(second.address, b"well")
             assert await second.receive() == b"well"
