Leave descriptors free beside requests at targets

What callers saw: with 150 requests that wait at slow targets an entry with 256 descriptors uses all of them; then everyone gets 503, "no target serves the route", until probes find the targets again.

Cause: callers' connections leave a quarter of the descriptors to others, but nothing bounds those to targets. The failure to open one, EMFILE, was taken for a failure of the target, so that all targets went out of use. The same cause ended the watch on the process's memory for good.

Change: connections to targets and peers leave a sixteenth of the descriptors to the store and to files. A shortage of our own says nothing about a target or peer: the request tries the next one and is refused as not run if there is none. The file that tells the memory is kept open. So a crowd of requests costs only those requests that find no connection.

The test of silent peers' connections lowered the limit below what other tests hold open; it lowers the share.

--- a/chicorydoor/coordination/request_relay.py
+++ b/chicorydoor/coordination/request_relay.py
@@ -204,6 +204,8 @@
                 min(_CONNECT_TIMEOUT_S, remaining_s)
             )
         except errors.TargetError as error:
+            if error.is_own_shortage:
+                return _result(outcomes.NOT_SENT, peer, f"{error}")
             return self._record_failure(peer, outcomes.NOT_SENT, f"{error}")
         remaining_s = (
             call.deadline - self._clock.now() - target_sender.RESPONSE_MARGIN_S
--- a/chicorydoor/coordination/target_prober.py
+++ b/chicorydoor/coordination/target_prober.py
@@ -210,7 +210,8 @@
         except errors.TargetError as error:
             if error.is_refused:
                 self.record_refused(view)
-            self.eject(view, f"{error}")
+            if not error.is_own_shortage:
+                self.eject(view, f"{error}")
             return
         finally:
             if self._check_by_target.get(view.target_id) is (
--- a/chicorydoor/coordination/target_sender.py
+++ b/chicorydoor/coordination/target_sender.py
@@ -195,7 +195,8 @@
         except errors.TargetError as error:
             if error.is_refused:
                 self._on_refused(view)
-            self._on_unreachable(view, f"{error}")
+            if not error.is_own_shortage:
+                self._on_unreachable(view, f"{error}")
             return SendResult(
                 SendOutcome.NOT_SENT, view.target_id, reason=f"{error}"
             )
--- a/chicorydoor/errors.py
+++ b/chicorydoor/errors.py
@@ -48,6 +48,9 @@
             False.
         is_refused (bool): Whether no process listens at the address. Defaults
             to False.
+        is_own_shortage (bool): Whether this process had no descriptor for a
+            connection, which says nothing about the target. Defaults to
+            False.
     """
 
     def __init__(
@@ -56,11 +59,13 @@
         may_have_been_sent: bool,
         is_tcp_timeout: bool = False,
         is_refused: bool = False,
+        is_own_shortage: bool = False,
     ) -> None:
         super().__init__(reason)
         self.may_have_been_sent = may_have_been_sent
         self.is_tcp_timeout = is_tcp_timeout
         self.is_refused = is_refused
+        self.is_own_shortage = is_own_shortage
 
 
 class UnreachableError(ChicorydoorError):
--- a/chicorydoor/standins/platform_target.py
+++ b/chicorydoor/standins/platform_target.py
@@ -49,6 +49,7 @@
         slots (int): Concurrent requests that it registers. Defaults to 8.
 
     Attributes:
+        work_s (float): Processing time of the requests that begin.
         response_body (callable): Returns the response body for a request id.
     """
 
@@ -63,7 +64,7 @@
         self.name = name
         self._service = service
         self._domain = domain
-        self._work_s = work_s
+        self.work_s = work_s
         self._slots = slots
         self.response_body = response_body
         self.running = 0
@@ -151,7 +152,7 @@
             )
         )
         self.running += 1
-        await asyncio.sleep(self._work_s)
+        await asyncio.sleep(self.work_s)
         # Running and queued requests, and the number of slots.
         load = b"%d,0,%d" % (self.running, self._slots)
         self.running -= 1
--- a/chicorydoor/transport/buffered_connection.py
+++ b/chicorydoor/transport/buffered_connection.py
@@ -21,6 +21,7 @@
 from chicorydoor.protocol import headers as http_headers
 from chicorydoor.transport import body_memory
 from chicorydoor.transport import clock as clock_module
+from chicorydoor.transport import descriptors
 from chicorydoor.transport import receive_buffer
 from chicorydoor.transport import response_limits
 
@@ -572,6 +573,7 @@
         loop = asyncio.get_running_loop()
         started_at = self._clock.now()
         try:
+            descriptors.check_free(descriptors.RESERVED_BY_OTHERS)
             async with asyncio.timeout(connect_timeout_s):
                 _, connection = await loop.create_connection(
                     lambda: BufferedConnection(
@@ -587,6 +589,7 @@
                 f"no connection: {type(error).__name__} {error}",
                 may_have_been_sent=False,
                 is_refused=isinstance(error, ConnectionRefusedError),
+                is_own_shortage=descriptors.is_shortage(error),
             ) from error
         if self._on_connected is not None:
             self._on_connected(self._clock.now() - started_at)
--- a/chicorydoor/transport/peer_listener.py
+++ b/chicorydoor/transport/peer_listener.py
@@ -14,6 +14,7 @@
 import socket
 import time
 
+from chicorydoor.transport import descriptors
 from chicorydoor.transport import receive_buffer
 from chicorydoor.transport import tcp_listener
 
@@ -28,9 +29,8 @@
 # Time for the first messages of a peer that was just greeted, on a busy loop.
 _FIRST_READ_S = 0.001
 _MAX_READ_BYTES = 256 * 1024
-# Parts of the process's descriptors: callers leave more to all others, so that
-# peers connect while callers use all of theirs.
-_RESERVED_SHARE = 1 / 16
+# Part of the process's descriptors. Callers leave more than that to others, so
+# that peers connect while callers use all of theirs.
 _MAX_CONNECTIONS_SHARE = 1 / 8
 # Two messages of the largest size.
 _MIN_CAPACITY_MESSAGES = 2
@@ -157,7 +157,9 @@
     """
 
     def __init__(self, bound: socket.socket, listener: PeerListener) -> None:
-        super().__init__(bound, asyncio.Protocol, _RESERVED_SHARE)
+        super().__init__(
+            bound, asyncio.Protocol, descriptors.RESERVED_BY_OTHERS
+        )
         self._peer_listener = listener
 
     def _start(self, connection: socket.socket) -> None:
--- a/chicorydoor/transport/process_memory.py
+++ b/chicorydoor/transport/process_memory.py
@@ -6,9 +6,9 @@
 """
 
 import ctypes
+import functools
 import logging
 import os
-import pathlib
 
 from chicorydoor.transport import body_memory
 from chicorydoor.transport import connection_memory
@@ -23,7 +23,8 @@
 # Freed memory that the allocator keeps is returned to the system once it seems
 # to exceed this part of the limit.
 _TRIM_SHARE = 0.05
-_STATM = pathlib.Path("/proc/self/statm")
+_STATM_PATH = "/proc/self/statm"
+_MAX_STATM_BYTES = 256
 
 _LOG = logging.getLogger(__name__)
 
@@ -34,10 +35,17 @@
     Raises:
         OSError: If the system does not tell.
     """
-    resident_pages = int(_STATM.read_bytes().split()[1])
+    data = os.pread(_open_statm(), _MAX_STATM_BYTES, 0)
+    resident_pages = int(data.split()[1])
     return resident_pages * os.sysconf("SC_PAGE_SIZE")
 
 
+@functools.cache
+def _open_statm() -> int:
+    """Open the file once: later no descriptor may be free."""
+    return os.open(_STATM_PATH, os.O_RDONLY)
+
+
 class ProcessMemory:
     """Compares the memory of the process with its limit.
 
--- a/chicorydoor/transport/tcp_listener.py
+++ b/chicorydoor/transport/tcp_listener.py
@@ -2,13 +2,12 @@
 
 import asyncio
 from collections import abc
-import errno
 import logging
-import os
-import resource
 import select
 import socket
 
+from chicorydoor.transport import descriptors
+
 BACKLOG = 1024
 # Bounds the length of a turn of the event loop.
 _MAX_ACCEPTS_PER_TURN = 128
@@ -89,7 +88,7 @@
     def _accept_waiting(self) -> None:
         for _ in range(_MAX_ACCEPTS_PER_TURN):
             try:
-                self._check_descriptors()
+                descriptors.check_free(self._reserved_share)
                 self._serve_next()
             except BlockingIOError:
                 return
@@ -102,17 +101,6 @@
                     )
                     return
 
-    def _check_descriptors(self) -> None:
-        """Raise EMFILE if only reserved descriptors are left.
-
-        A new descriptor gets the lowest number that is not in use.
-        """
-        lowest_free = os.dup(self._listener.fileno())
-        os.close(lowest_free)
-        limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
-        if lowest_free >= (1.0 - self._reserved_share) * limit:
-            raise OSError(errno.EMFILE, "only reserved descriptors are free")
-
     def _serve_next(self) -> None:
         connection, _ = self._listener.accept()
         connection.setblocking(False)
@@ -127,7 +115,7 @@
     def _record_failure(self, error: OSError) -> bool:
         """Log that accepting failed; whether no descriptor was free."""
         _LOG.warning("connection not accepted", extra={"reason": f"{error}"})
-        return error.errno in (errno.EMFILE, errno.ENFILE)
+        return descriptors.is_shortage(error)
 
     async def _serve(self, connection: socket.socket) -> None:
         try:
--- a/tests/test_peer_listener.py
+++ b/tests/test_peer_listener.py
@@ -132,7 +132,10 @@
     # Guards against connections that use up the process's descriptors, and
     # against peers that are closed instead of those that send nothing.
     def test_silent_connections_give_way(self, monkeypatch):
-        monkeypatch.setattr(resource, "getrlimit", lambda _: (64, 64))
+        limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+        monkeypatch.setattr(
+            peer_listener, "_MAX_CONNECTIONS_SHARE", 8.5 / limit
+        )
 
         async def scenario(receiver):
             _, peer = await receiver.connect(_frame(b"0"))
--- a/tests/test_unbounded_callers.py
+++ b/tests/test_unbounded_callers.py
@@ -71,6 +71,9 @@
 # Crowds that come again whenever they are closed stop after this.
 _RETURNING_S = 3.0
 _RETURN_PAUSE_S = 0.1
+# Fewer than the callers' part of the descriptors; each has a request at work.
+_WAITING_READERS = 150
+_SLOW_WORK_S = 1.2
 # The largest body of the limits, at the smallest machine in use.
 _CALM_MEMORY_LIMIT_MB = 200
 # What nng sends first on a connection, from a push socket.
@@ -154,6 +157,11 @@
             and self.most_connections <= self._callers_descriptors
         )
 
+    def find_in_log(self, message):
+        """The first line of the log with a message; empty for none."""
+        with self.process.log_path.open() as log:
+            return next((line for line in log if message in line), "")
+
     def describe(self):
         return (
             f"{self.most_bytes} bytes ({self.most_resident_bytes} resident),"
@@ -368,7 +376,13 @@
     return host, int(number)
 
 
-def _play_returning(folder, *crowds, prepare=None):
+def _play_returning(
+    folder,
+    *crowds,
+    prepare=None,
+    descriptor_limit=_BODY_CROWD_DESCRIPTORS,
+    check=lambda entry: True,
+):
     """Let crowds of returning callers send; check the process.
 
     Args:
@@ -376,13 +390,13 @@
         crowds (tuple): Number of callers, port, what each sends, and whether
             they read.
         prepare (callable): Called with the site before. Defaults to None.
+        descriptor_limit (int): Of the entry.
+        check (callable): Whether something else holds for the entry
+            afterwards. Defaults to none.
     """
 
     async def run():
-        async with _started_entry(folder, _BODY_CROWD_DESCRIPTORS) as (
-            site,
-            entry,
-        ):
+        async with _started_entry(folder, descriptor_limit) as (site, entry):
             if prepare is not None:
                 prepare(site)
             assert entry.is_within_limits()
@@ -401,6 +415,7 @@
                 for each in callers:
                     each.close()
             assert entry.is_within_limits(), entry.describe()
+            assert check(entry)
 
     asyncio.run(run())
 
@@ -560,6 +575,24 @@
         _play_returning(tmp_path, (_SMALL_BODIES, "callers", blocks, True))
 
 
+class TestDescriptors:
+    # Guards against connections to targets that use up the descriptors, and
+    # against targets that count as unreachable when none is free.
+    def test_many_requests_at_slow_targets(self, tmp_path):
+        _play_returning(
+            tmp_path,
+            (_WAITING_READERS, "callers", [_READ + _HEADERS + b"\r\n"], True),
+            prepare=_answer_slowly,
+            descriptor_limit=_DESCRIPTOR_LIMIT,
+            check=lambda entry: entry.find_in_log("target unreachable") == "",
+        )
+
+
+def _answer_slowly(site):
+    for target in site.targets:
+        target.work_s = _SLOW_WORK_S
+
+
 class TestPeerMessages:
     # Guards against messages on the peers' port for which memory is taken
     # when they begin, or while they wait to be handled.
