Parse chunked bodies in large pieces whatever they contain

Cause: each empty line within a chunk's data was taken for a possible end of the message, so that the body was parsed in pieces of four bytes.

Change: the meter follows the chunks by their sizes up to the last one and looks for the end of the message behind it, so that the number of pieces depends on the size of a body and no longer on its content.

--- a/chicorydoor/transport/message_meter.py
+++ b/chicorydoor/transport/message_meter.py
@@ -7,6 +7,7 @@
 """
 
 import enum
+import re
 
 # Ends a head, and a chunked body with or without trailers.
 _TERMINATOR = b"\r\n\r\n"
@@ -20,6 +21,11 @@
 MAX_FRAMING_PER_BODY_BYTE = 16
 
 
+# Enough of a chunk's first line to hold its size.
+_MAX_SIZE_BYTES = 32
+_CHUNK_SIZE = re.compile(rb"[0-9a-fA-F]+")
+
+
 class Excess(enum.Enum):
     """What a message has too much of."""
 
@@ -27,6 +33,55 @@
     FRAMING = enum.auto()
 
 
+class _Chunks:
+    """Follows the chunks of a body up to the last, empty one.
+
+    What looks like the end of a message within a chunk's data is none.
+
+    Attributes:
+        is_last (bool): Whether the first line of the last chunk has been
+            passed; trailers and the end of the message follow.
+    """
+
+    def __init__(self) -> None:
+        self.is_last = False
+        # Bytes of the current chunk that are still to come, with the line end
+        # behind them.
+        self._bytes_left = 0
+        # Beginning of a chunk's first line that has not ended.
+        self._line = b""
+
+    def find_last(self, data: bytes, start: int, stop: int) -> int:
+        """Return the end of the last chunk's first line, or ``stop``.
+
+        Called again with what follows.
+
+        Args:
+            data (bytes): Data that was read.
+            start (int): Where what was not passed yet begins.
+            stop (int): Where to stop at the latest.
+        """
+        position = start
+        while True:
+            passed = min(self._bytes_left, stop - position)
+            self._bytes_left -= passed
+            position += passed
+            line_end = data.find(b"\n", position, stop) + 1
+            end = line_end or stop
+            room = _MAX_SIZE_BYTES - len(self._line)
+            self._line += data[position : min(end, position + room)]
+            if not line_end:
+                return stop
+            size = _CHUNK_SIZE.match(self._line)
+            self._line = b""
+            # The parser refuses a line without a size.
+            if size is None or not int(size[0], 16):
+                self.is_last = True
+                return line_end
+            self._bytes_left = int(size[0], 16) + len(b"\r\n")
+            position = line_end
+
+
 class MessageMeter:
     """Counts the bytes of the message that is being read.
 
@@ -55,6 +110,7 @@
         self._piece_body_bytes = 0
         self._has_head_ended = False
         self._last_bytes = b""
+        self._chunks = _Chunks()
 
     def next_end(self, data: bytes, start: int, max_head_bytes: int) -> int:
         """Return where the next piece ends.
@@ -66,6 +122,9 @@
         """
         if self.reads_body and self._body_bytes_left:
             return min(len(data), start + self._body_bytes_left)
+        if self.reads_body and not self._chunks.is_last:
+            stop = min(len(data), start + _MAX_CHUNKED_PIECE_BYTES)
+            return self._chunks.find_last(data, start, stop)
         size = _MAX_CHUNKED_PIECE_BYTES
         if not self.reads_body:
             size = max(1, max_head_bytes - self.head_bytes)
@@ -89,6 +148,7 @@
         self.reads_body = True
         self._body_bytes_left = content_length
         self._body_bytes = self._framing_bytes = self.framing_run = 0
+        self._chunks = _Chunks()
 
     def add_body(self, size: int) -> None:
         """Record bytes of the body."""
